--- /dev/null
+++ b/pkg/platform/memstore/store.go
@@ -0,0 +1,296 @@
+// Package memstore is an in-memory platform.Store with fault injection. Tests
+// use it directly; the platform stand-in serves it over HTTP.
+package memstore
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"shallotglade/pkg/platform"
+)
+
+// Store is an in-memory platform.Store, safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]platform.Object
+	members  map[string]platform.Member
+	// shown is the membership list that readers get; it trails members by
+	// Faults.MembersLag.
+	shown         []platform.Member
+	shownRevision uint64
+	changed       chan struct{}
+	faults        Faults
+	counts        Counts
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// New returns an empty, healthy store.
+func New() *Store {
+	return &Store{
+		objects: map[string]platform.Object{},
+		members: map[string]platform.Member{},
+		changed: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the injected faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Faults returns the injected faults.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counts returns the calls so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+	if err := s.begin(ctx, &s.counts.Reads); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[key]
+	if !ok || o.Deleted {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return copyOf(o), nil
+}
+
+// Create implements platform.Store.
+func (s *Store) Create(ctx context.Context, key string, value []byte) (platform.Object, error) {
+	return s.write(ctx, key, value, func(old platform.Object, exists bool) bool {
+		return !exists || old.Deleted
+	})
+}
+
+// Update implements platform.Store.
+func (s *Store) Update(ctx context.Context, key string, version uint64, value []byte) (platform.Object, error) {
+	return s.write(ctx, key, value, func(old platform.Object, exists bool) bool {
+		return exists && !old.Deleted && old.Version == version
+	})
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, key string, version uint64) error {
+	if err := s.begin(ctx, &s.counts.Writes); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.objects[key]
+	if !ok || old.Deleted {
+		return platform.ErrNotFound
+	}
+	if old.Version != version {
+		return platform.ErrConflict
+	}
+	s.revision++
+	s.objects[key] = platform.Object{Key: key, Version: s.revision, Deleted: true}
+	s.announce()
+	return s.replyLost()
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
+	if err := s.begin(ctx, &s.counts.Reads); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []platform.Object
+	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
+		if o := s.objects[key]; strings.HasPrefix(key, prefix) && !o.Deleted {
+			out = append(out, copyOf(o))
+		}
+	}
+	return out, s.revision, nil
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Object, uint64, error) {
+	if err := s.begin(ctx, &s.counts.Watches); err != nil {
+		return nil, after, err
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		out, revision, changed, err := s.since(prefix, after)
+		if err != nil || len(out) > 0 {
+			return out, revision, err
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		}
+	}
+}
+
+// Members implements platform.Store.
+func (s *Store) Members(ctx context.Context, after uint64, wait time.Duration) ([]platform.Member, uint64, error) {
+	if err := s.begin(ctx, &s.counts.Watches); err != nil {
+		return nil, after, err
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		s.mu.Lock()
+		list, revision, changed, down := slices.Clone(s.shown), s.shownRevision, s.changed, s.faults.Down
+		s.mu.Unlock()
+		if down {
+			return nil, after, platform.ErrUnavailable
+		}
+		if revision > after || after == 0 {
+			return list, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return nil, after, nil
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		}
+	}
+}
+
+// PutMember adds or replaces an entry of the membership list, as the platform
+// itself would. Readers see it after Faults.MembersLag.
+func (s *Store) PutMember(m platform.Member) {
+	s.changeMembers(func() {
+		m.Version = s.revision
+		s.members[m.ID] = m
+	})
+}
+
+// RemoveMember removes an entry of the membership list.
+func (s *Store) RemoveMember(id string) {
+	s.changeMembers(func() { delete(s.members, id) })
+}
+
+func (s *Store) changeMembers(change func()) {
+	s.mu.Lock()
+	s.revision++
+	change()
+	lag := s.faults.MembersLag
+	revision := s.revision
+	list := slices.Collect(maps.Values(s.members))
+	slices.SortFunc(list, func(a, b platform.Member) int { return strings.Compare(a.ID, b.ID) })
+	if lag == 0 {
+		s.show(list, revision)
+	}
+	s.mu.Unlock()
+	if lag > 0 {
+		time.AfterFunc(lag, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.show(list, revision)
+		})
+	}
+}
+
+// show makes a membership list visible. The caller holds the lock.
+func (s *Store) show(list []platform.Member, revision uint64) {
+	if revision <= s.shownRevision {
+		return
+	}
+	s.shown, s.shownRevision = list, revision
+	s.announce()
+}
+
+func (s *Store) write(ctx context.Context, key string, value []byte, allowed func(platform.Object, bool) bool) (platform.Object, error) {
+	if len(value) > platform.MaxValueBytes {
+		return platform.Object{}, platform.ErrTooLarge
+	}
+	if err := s.begin(ctx, &s.counts.Writes); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, exists := s.objects[key]
+	if !allowed(old, exists) {
+		return platform.Object{}, platform.ErrConflict
+	}
+	s.revision++
+	o := platform.Object{Key: key, Version: s.revision, Value: slices.Clone(value)}
+	s.objects[key] = o
+	s.announce()
+	return copyOf(o), s.replyLost()
+}
+
+// since returns the objects under prefix that changed after the revision.
+func (s *Store) since(prefix string, after uint64) ([]platform.Object, uint64, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		return nil, after, nil, platform.ErrUnavailable
+	}
+	var out []platform.Object
+	for key, o := range s.objects {
+		if o.Version > after && strings.HasPrefix(key, prefix) {
+			out = append(out, copyOf(o))
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Object) int { return int(a.Version) - int(b.Version) })
+	return out, s.revision, s.changed, nil
+}
+
+// begin counts the call, applies the injected latency and reports an outage.
+func (s *Store) begin(ctx context.Context, counter *uint64) error {
+	s.mu.Lock()
+	*counter++
+	f := s.faults
+	s.mu.Unlock()
+	if f.Latency > 0 {
+		timer := time.NewTimer(f.Latency)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if f.Down {
+		return platform.ErrUnavailable
+	}
+	return ctx.Err()
+}
+
+// replyLost reports a lost reply while some are left. The caller holds the lock.
+func (s *Store) replyLost() error {
+	if s.faults.LoseReplies == 0 {
+		return nil
+	}
+	s.faults.LoseReplies--
+	return platform.ErrUnknownOutcome
+}
+
+// announce wakes the waiting watches. The caller holds the lock.
+func (s *Store) announce() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func copyOf(o platform.Object) platform.Object {
+	o.Value = slices.Clone(o.Value)
+	return o
+}
--- /dev/null
+++ b/pkg/platform/platform.go
@@ -0,0 +1,104 @@
+// Package platform is the interface to the object API and the membership list
+// that the operators' platform provides.
+//
+// Implementations: Client talks HTTP/JSON to the platform; memstore.Store keeps
+// everything in memory, injects faults and serves tests and the stand-in.
+// Each call counts against the platform's limits, about several hundred writes
+// and two thousand reads a second; a waiting Watch or Members counts as one.
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors that Store calls return; test with errors.Is.
+var (
+	// ErrNotFound means that the key does not exist.
+	ErrNotFound = errors.New("platform: object not found")
+	// ErrConflict means that the key exists already (Create) or that its
+	// version is another one (Update, Delete). The call had no effect.
+	ErrConflict = errors.New("platform: version conflict")
+	// ErrUnavailable means that the call certainly had no effect.
+	ErrUnavailable = errors.New("platform: unavailable")
+	// ErrUnknownOutcome means that a write may have taken effect.
+	ErrUnknownOutcome = errors.New("platform: outcome of the write is unknown")
+	// ErrTooLarge means that the value exceeds MaxValueBytes.
+	ErrTooLarge = errors.New("platform: value too large")
+)
+
+// MaxValueBytes is the largest value that the platform stores.
+const MaxValueBytes = 1 << 20
+
+// Object is one versioned value.
+type Object struct {
+	// Key is a path such as "services/bons-chantier".
+	Key string `json:"key" cbor:"1,keyasint"`
+	// Version comes from one revision counter of the whole store, so that a
+	// key created again has a higher version than its tombstone.
+	Version uint64 `json:"version" cbor:"2,keyasint"`
+	Value   []byte `json:"value,omitempty" cbor:"3,keyasint,omitempty"`
+	// Deleted marks a tombstone; its Value is empty.
+	Deleted bool `json:"deleted,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// MemberState is the state of a host in the membership list.
+type MemberState string
+
+// States of a member.
+const (
+	Live    MemberState = "live"
+	Leaving MemberState = "leaving"
+)
+
+// Roles of a member.
+const (
+	RoleDaemon   = "daemon"
+	RoleUpstream = "upstream"
+)
+
+// Member is one entry of the membership list.
+type Member struct {
+	ID string `json:"id"`
+	// Role is RoleDaemon or RoleUpstream.
+	Role string `json:"role"`
+	// Service is the service of an upstream; empty for a daemon.
+	Service string `json:"service,omitempty"`
+	// Address is the IP:port for callers (daemon) or for requests (upstream).
+	Address string `json:"address"`
+	// PeerAddress is the UDP IP:port for other daemons.
+	PeerAddress string `json:"peerAddress,omitempty"`
+	Region      string `json:"region,omitempty"`
+	// Domain is the failure domain.
+	Domain string `json:"domain"`
+	// Slots is how many requests an upstream runs at a time; 0 means unknown.
+	Slots   int         `json:"slots,omitempty"`
+	State   MemberState `json:"state"`
+	Version uint64      `json:"version"`
+}
+
+// Store is what the platform offers. All calls may return ErrUnavailable or
+// the context's error; writes may return ErrUnknownOutcome.
+type Store interface {
+	// Get returns the object, or ErrNotFound.
+	Get(ctx context.Context, key string) (Object, error)
+	// Create stores a new object, or returns ErrConflict if the key exists.
+	Create(ctx context.Context, key string, value []byte) (Object, error)
+	// Update replaces the value if version is the current one, else ErrConflict.
+	Update(ctx context.Context, key string, version uint64, value []byte) (Object, error)
+	// Delete leaves a tombstone if version is the current one, else ErrConflict.
+	Delete(ctx context.Context, key string, version uint64) error
+	// List returns the objects under prefix, sorted by key, without
+	// tombstones, and the store revision they were read at.
+	List(ctx context.Context, prefix string) ([]Object, uint64, error)
+	// Watch waits for changes under prefix after the revision, for at most
+	// wait. It returns the latest state of each changed object, tombstones
+	// included, ordered by version, and the revision to continue from.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Object, uint64, error)
+	// Members waits until the membership list is newer than the revision,
+	// for at most wait, and returns the whole list. With after 0 it returns at
+	// once. On time-out it returns a nil list and the same revision.
+	Members(ctx context.Context, after uint64, wait time.Duration) ([]Member, uint64, error)
+}
