Add documents, settings, upstream attempts and guarded connections

Cause: the request path needs checked inputs and an attempt that says whether a request may have run. Change: strict YAML with every problem and its line; service documents; daemon settings; an upstream client that owns each connection; a listener that bounds how long a request may arrive; logs and metrics; an upstream stand-in. Found on the way: the HTTP client resends a GET by itself when a kept connection closes, which made a lost request look like one that was never sent (test 'sends each attempt at most once'). Requests now go with a body stream, which it does not resend, and a second dial is never taken for 'not sent'.

--- /dev/null
+++ b/internal/standin/upstream.go
@@ -0,0 +1,208 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"shallotglade/pkg/upstream"
+	"shallotglade/pkg/verdict"
+)
+
+// crashHeader makes an upstream stand-in that runs the request crash.
+const crashHeader = "X-Crash"
+
+// UpstreamConfig configures an upstream stand-in.
+type UpstreamConfig struct {
+	Name   string
+	Listen string
+	Slots  int
+	// Queue is how many requests wait for a slot before further ones are shed.
+	Queue int
+	// ServiceTime is the mean time of a request.
+	ServiceTime time.Duration
+	// Crash ends the process; tests replace it.
+	Crash func()
+}
+
+// Upstream is a worker with a fixed number of slots.
+type Upstream struct {
+	config UpstreamConfig
+	server *server.Hertz
+	slots  chan struct{}
+
+	mu      sync.Mutex
+	mode    Mode
+	waiting int
+	runs    map[string]int
+	served  int
+}
+
+// Execution is what Executions reports.
+type Execution struct {
+	// Runs counts how often each Idempotency-Key was run.
+	Runs map[string]int `json:"runs"`
+	// Served counts all requests that were run.
+	Served int `json:"served"`
+}
+
+// NewUpstream returns an upstream stand-in; Run serves it.
+func NewUpstream(c UpstreamConfig) *Upstream {
+	u := &Upstream{config: c, slots: make(chan struct{}, c.Slots), runs: map[string]int{}}
+	u.server = server.New(server.WithHostPorts(c.Listen), server.WithDisablePrintRoute(true), server.WithMaxRequestBodySize(64<<20))
+	u.server.GET("/health", u.health)
+	u.server.PUT("/standin/mode", u.setMode)
+	u.server.GET("/standin/executions", u.executions)
+	u.server.NoRoute(u.work)
+	return u
+}
+
+// Run serves until Shutdown.
+func (u *Upstream) Run() error { return u.server.Run() }
+
+// Shutdown stops serving.
+func (u *Upstream) Shutdown(ctx context.Context) error { return u.server.Shutdown(ctx) }
+
+// SetMode changes how the upstream misbehaves.
+func (u *Upstream) SetMode(m Mode) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.mode = m
+}
+
+// Executions returns what was run so far.
+func (u *Upstream) Executions() Execution {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	runs := make(map[string]int, len(u.runs))
+	for k, n := range u.runs {
+		runs[k] = n
+	}
+	return Execution{Runs: runs, Served: u.served}
+}
+
+func (u *Upstream) current() Mode {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.mode
+}
+
+func (u *Upstream) health(_ context.Context, c *app.RequestContext) {
+	m := u.current()
+	switch {
+	case m.Leaving:
+		c.JSON(200, map[string]string{"status": "leaving"})
+	case m.ProbeFails:
+		c.JSON(500, map[string]string{"status": "failing"})
+	default:
+		c.JSON(200, map[string]string{"status": "ok"})
+	}
+}
+
+func (u *Upstream) setMode(_ context.Context, c *app.RequestContext) {
+	var m Mode
+	if err := json.Unmarshal(c.Request.Body(), &m); err != nil {
+		c.String(400, err.Error())
+		return
+	}
+	u.SetMode(m)
+	c.SetStatusCode(204)
+}
+
+func (u *Upstream) executions(_ context.Context, c *app.RequestContext) {
+	c.JSON(200, u.Executions())
+}
+
+func (u *Upstream) work(ctx context.Context, c *app.RequestContext) {
+	m := u.current()
+	if m.Leaving {
+		c.Header(upstream.HeaderLeaving, "true")
+	}
+	c.Header(upstream.HeaderRequestID, string(c.GetHeader(upstream.HeaderRequestID)))
+	if !u.enter(ctx) {
+		c.Header(verdict.Header, verdict.NotRun.String())
+		c.String(503, "shed")
+		return
+	}
+	defer func() { <-u.slots }()
+	u.record(string(c.GetHeader("Idempotency-Key")))
+	if len(c.GetHeader(crashHeader)) > 0 && u.config.Crash != nil {
+		u.config.Crash()
+	}
+	time.Sleep(u.serviceTime(m))
+	u.answer(c, m)
+}
+
+// enter waits for a slot, or reports that the request is shed.
+func (u *Upstream) enter(ctx context.Context) bool {
+	u.mu.Lock()
+	if u.waiting >= u.config.Queue+u.config.Slots {
+		u.mu.Unlock()
+		return false
+	}
+	u.waiting++
+	u.mu.Unlock()
+	defer func() {
+		u.mu.Lock()
+		u.waiting--
+		u.mu.Unlock()
+	}()
+	select {
+	case u.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (u *Upstream) record(key string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.served++
+	if key != "" {
+		u.runs[key]++
+	}
+}
+
+// serviceTime is exponential around the mean, at most four times as long.
+func (u *Upstream) serviceTime(m Mode) time.Duration {
+	mean := float64(u.config.ServiceTime)
+	t := min(mean*rand.ExpFloat64(), 4*mean)
+	return time.Duration(t) + time.Duration(m.ExtraLatencyMs)*time.Millisecond
+}
+
+// hangTime is far longer than any request's time limit.
+const hangTime = 10 * time.Second
+
+func (u *Upstream) answer(c *app.RequestContext, m Mode) {
+	body := fmt.Sprintf(`{"upstream":%q,"echo":%q,"path":%q}`, u.config.Name, c.GetHeader("X-Echo"), c.Request.URI().RequestURI())
+	draw := rand.Float64()
+	switch {
+	case draw < m.HangShare:
+		time.Sleep(hangTime)
+	case draw < m.HangShare+m.FailShare:
+		c.String(500, "failed")
+		return
+	case draw < m.HangShare+m.FailShare+m.TruncateShare:
+		u.truncate(c, body)
+		return
+	}
+	if m.ForeignAnswers {
+		c.Header(upstream.HeaderRequestID, "another-request")
+	}
+	c.Data(200, "application/json", []byte(body))
+}
+
+// truncate sends the head and half of the body, then ends the connection.
+func (u *Upstream) truncate(c *app.RequestContext, body string) {
+	w := c.GetWriter()
+	_, _ = w.WriteBinary(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nContent-Type: application/json\r\n\r\n%s", len(body), body[:len(body)/2]))
+	_ = w.Flush()
+	c.GetConn().Close()
+}
--- /dev/null
+++ b/internal/strictyaml/problem.go
@@ -0,0 +1,58 @@
+package strictyaml
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one thing wrong with a YAML file.
+type Problem struct {
+	// File is the name given to Decode.
+	File string `json:"file,omitempty"`
+	// Line counts from 1; 0 means that the place is unknown.
+	Line int `json:"line,omitempty"`
+	// Field is a path such as "limits.callerRate" or "routes[0].path".
+	Field string `json:"field,omitempty"`
+	// Found is the text in the file, Allowed says what may stand there.
+	Found   string `json:"found"`
+	Allowed string `json:"allowed"`
+}
+
+// String returns "file:line: field: found X, allowed: Y".
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.File != "" {
+		fmt.Fprintf(&b, "%s:", p.File)
+	}
+	if p.Line > 0 {
+		fmt.Fprintf(&b, "%d:", p.Line)
+	}
+	if b.Len() > 0 {
+		b.WriteByte(' ')
+	}
+	if p.Field != "" {
+		fmt.Fprintf(&b, "%s: ", p.Field)
+	}
+	fmt.Fprintf(&b, "found %s, allowed: %s", p.Found, p.Allowed)
+	return b.String()
+}
+
+// Problems is every problem of one file. It is an error when it is not empty.
+type Problems []Problem
+
+// Error returns one problem a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns p as an error, or nil when there is no problem.
+func (p Problems) Err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return p
+}
--- /dev/null
+++ b/pkg/document/check.go
@@ -0,0 +1,123 @@
+package document
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"shallotglade/internal/strictyaml"
+)
+
+// checker collects the problems of one document.
+type checker struct {
+	src      *strictyaml.Source
+	problems strictyaml.Problems
+}
+
+func (c *checker) require(ok bool, field, allowed string) {
+	if !ok {
+		c.problems = append(c.problems, c.src.Problem(field, allowed))
+	}
+}
+
+func (c *checker) name(field, value string) {
+	c.require(len(value) <= maxNameBytes && namePattern.MatchString(value), field,
+		"lower-case letters, digits and dashes, at most 63, starting and ending with a letter or digit")
+}
+
+func (c *checker) oneOf(field, value string, allowed ...string) {
+	c.require(slices.Contains(allowed, value), field, strings.Join(allowed, " or "))
+}
+
+func (c *checker) between(field string, value, low, high int) {
+	c.require(value >= low && value <= high, field, fmt.Sprintf("%d to %d", low, high))
+}
+
+func (c *checker) duration(field string, value, low, high time.Duration) {
+	c.require(value >= low && value <= high, field, fmt.Sprintf("%v to %v", low, high))
+}
+
+func (c *checker) path(field, value string) {
+	c.require(strings.HasPrefix(value, "/") && !strings.ContainsAny(value, "?# \t"), field, "a path that starts with / and has no query")
+}
+
+func check(s *Service, src *strictyaml.Source) strictyaml.Problems {
+	c := &checker{src: src}
+	c.name("service", s.Service)
+	if src.Has("team") {
+		c.name("team", s.Team)
+	}
+	c.routes(s.Routes)
+	c.requests(s.Requests)
+	c.upstreams(s.Upstreams)
+	c.bounds(s)
+	return c.problems
+}
+
+func (c *checker) routes(routes []Route) {
+	c.require(len(routes) <= maxRoutes, "routes", fmt.Sprintf("at most %d routes", maxRoutes))
+	seen := map[Route]bool{}
+	for i, r := range routes {
+		field := fmt.Sprintf("routes[%d]", i)
+		c.path(field+".path", r.Path)
+		c.require(r.Host == strings.ToLower(r.Host) && !strings.ContainsAny(r.Host, "/: \t"), field+".host", "a lower-case host name without a port")
+		c.require(!seen[r], field, "each route once")
+		seen[r] = true
+	}
+}
+
+func (c *checker) requests(r Requests) {
+	for i, m := range r.IdempotentMethods {
+		c.oneOf(fmt.Sprintf("requests.idempotentMethods[%d]", i), m, methods...)
+	}
+	for i, p := range r.IdempotentPaths {
+		c.path(fmt.Sprintf("requests.idempotentPaths[%d]", i), p)
+	}
+	c.oneOf("requests.key", r.Key, KeyRequired, KeyOptional)
+	c.oneOf("requests.whenPlatformAway", r.WhenPlatformAway, AwayRefuse, AwayRun)
+	c.between("requests.maxBodyBytes", r.MaxBodyBytes, 0, maxBodyBytes)
+}
+
+func (c *checker) upstreams(u Upstreams) {
+	c.require(u.Membership == "" || len(u.Static) == 0, "upstreams", "either membership or static")
+	if u.Membership != "" && c.src.Has("upstreams.membership") {
+		c.name("upstreams.membership", u.Membership)
+	}
+	c.require(len(u.Static) <= maxStatic, "upstreams.static", fmt.Sprintf("at most %d upstreams", maxStatic))
+	seen := map[string]bool{}
+	for i, s := range u.Static {
+		field := fmt.Sprintf("upstreams.static[%d]", i)
+		c.require(validAddress(s.Address), field+".address", "an IP number and port such as 10.0.0.7:8080")
+		c.name(field+".domain", s.Domain)
+		c.between(field+".slots", s.Slots, 1, maxSlots)
+		c.require(!seen[s.ID], field+".id", "an id that no other upstream has")
+		seen[s.ID] = true
+	}
+	c.between("upstreams.slots", u.Slots, 1, maxSlots)
+	c.between("upstreams.connections", u.Connections, 1, maxSlots)
+	if u.HealthPath != "" {
+		c.path("upstreams.healthPath", u.HealthPath)
+	}
+	c.duration("upstreams.probeInterval", u.ProbeInterval, 100*time.Millisecond, time.Hour)
+	c.duration("upstreams.warmUp", u.WarmUp, 0, time.Hour)
+}
+
+func (c *checker) bounds(s *Service) {
+	share := func(field string, value strictyaml.Share) {
+		c.require(value >= 0 && value <= 1, field, "0% to 100%")
+	}
+	share("floor.share", s.Floor.Share)
+	c.between("floor.count", s.Floor.Count, 1, maxStatic)
+	c.duration("timeouts.request", s.Timeouts.Request, minTimeout, maxTimeout)
+	c.duration("timeouts.attempt", s.Timeouts.Attempt, minTimeout/2, s.Timeouts.Request)
+	c.duration("timeouts.connect", s.Timeouts.Connect, minTimeout, maxTimeout)
+	share("retries.budget", s.Retries.Budget)
+	c.between("retries.attempts", s.Retries.Attempts, 1, maxAttempts)
+	c.require(s.Limits.CallerRate >= 0 && s.Limits.CallerRate <= maxCallerRate, "limits.callerRate", "0 to 1000000 requests a second")
+	c.between("limits.callerBurst", s.Limits.CallerBurst, 1, maxCallerRate)
+	c.between("limits.callerConcurrency", s.Limits.CallerConcurrency, 0, maxCallerRate)
+	c.between("limits.queue", s.Limits.Queue, 0, maxQueue)
+	c.require(s.Detection.Weight >= 0 && s.Detection.Weight <= 1, "detection.weight", "0 to 1")
+	c.between("homes.perDomain", s.Homes.PerDomain, 0, maxHomesDomain)
+}
--- /dev/null
+++ b/pkg/document/document_test.go
@@ -0,0 +1,103 @@
+package document_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"shallotglade/internal/testkit"
+	"shallotglade/pkg/document"
+)
+
+func TestDocument(t *testing.T) { testkit.RunSpecs(t, "document") }
+
+var _ = Describe("Parse", func() {
+	It("makes a working service of one line", func() {
+		s, problems := document.Parse("d.yaml", []byte("service: registre-steles\n"))
+		Expect(problems).To(BeEmpty())
+		Expect(s.Team).To(Equal("registre-steles"))
+		Expect(s.Upstreams.Membership).To(Equal("registre-steles"))
+		Expect(s.Timeouts.Attempt).To(Equal(time.Second))
+		Expect(s.Requests.Key).To(Equal(document.KeyRequired))
+		Expect(s.Idempotent("POST", "/orders")).To(BeFalse())
+	})
+
+	// Guards against an operator mending a document one error at a time.
+	It("reports every problem with its line, the value found and what is allowed", func() {
+		_, problems := document.Parse("d.yaml", []byte(strings.Join([]string{
+			"service: Registre",
+			"floor:",
+			"  share: 140%",
+			"  cuont: 2",
+			"timeouts:",
+			"  request: soon",
+			"limits:",
+			"  queue: -1",
+			"detection: {weight: 2}",
+			"upstreams:",
+			"  static:",
+			"    - {address: 'worker-1:80', domain: fes}",
+		}, "\n")))
+		Expect(problems.Error()).To(And(
+			ContainSubstring("d.yaml:1: service: found Registre, allowed:"),
+			ContainSubstring("d.yaml:3: floor.share: found 140%, allowed: 0% to 100%"),
+			ContainSubstring("d.yaml:4: floor.cuont: found an unknown field, allowed: count, share"),
+			ContainSubstring("d.yaml:6: timeouts.request: found soon, allowed: a duration such as 500ms or 2s"),
+			ContainSubstring("d.yaml:8: limits.queue: found -1"),
+			ContainSubstring("d.yaml:9: detection.weight: found 2, allowed: 0 to 1"),
+			ContainSubstring("d.yaml:12: upstreams.static[0].address"),
+		))
+	})
+
+	DescribeTable("refuses", func(text string) {
+		_, problems := document.Parse("d.yaml", []byte(text))
+		Expect(problems).NotTo(BeEmpty())
+	},
+		Entry("an empty file", ""),
+		Entry("two documents", "service: a\n---\nservice: b\n"),
+		Entry("broken YAML", "service: [a\n"),
+		Entry("a list", "- service\n"),
+		Entry("a field given twice", "service: a\nservice: b\n"),
+		Entry("an alias, which could expand to an enormous document", "service: &a x\nteam: *a\n"),
+		Entry("a document over the size limit", "service: a\n#"+strings.Repeat("x", document.MaxBytes)),
+		Entry("a route given twice", "service: a\nroutes: [{path: /x}, {path: /x}]\n"),
+	)
+
+	// Guards against an older daemon dropping a document that a newer one accepted.
+	It("loads an accepted document despite fields of a newer version", func() {
+		s, unknown, err := document.Load([]byte("service: a\nfuture: {x: 1}\nfloor: {share: 50%}\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(unknown).To(Equal([]string{"future"}))
+		Expect(float64(s.Floor.Share)).To(Equal(0.5))
+	})
+
+	It("never puts the floor above the number of upstreams, nor below the stated share", func() {
+		testkit.Check(GinkgoT(), func(t *rapid.T) {
+			f := document.Floor{Count: rapid.IntRange(1, 20).Draw(t, "count")}
+			total := rapid.IntRange(0, 50).Draw(t, "total")
+			f.Share = 0.6
+			n := f.Upstreams(total)
+			if n > total || float64(n) < 0.6*float64(total) && n < total {
+				t.Fatalf("floor %d of %d", n, total)
+			}
+		})
+	})
+})
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("service: a\nfloor: {share: 50%}\nroutes: [{path: /x}]\n"))
+	f.Add([]byte("service: &a [*a]\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, problems := document.Parse("f", data)
+		if len(problems) == 0 && (s == nil || s.Service == "") {
+			t.Fatal("accepted a document without a service")
+		}
+		if _, _, err := document.Load(data); err != nil && len(problems) == 0 {
+			t.Fatalf("accepted by Parse, refused by Load: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/document/parse.go
@@ -0,0 +1,155 @@
+package document
+
+import (
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shallotglade/internal/strictyaml"
+)
+
+// MaxBytes is the largest document.
+const MaxBytes = 64 << 10
+
+// Limits of single fields.
+const (
+	maxNameBytes   = 63
+	maxRoutes      = 256
+	maxStatic      = 2000
+	maxSlots       = 10_000
+	maxBodyBytes   = 64 << 20
+	maxTimeout     = 10 * time.Minute
+	minTimeout     = time.Millisecond
+	maxAttempts    = 10
+	maxHomesDomain = 64
+	maxQueue       = 1_000_000
+	maxCallerRate  = 1_000_000
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+
+var methods = []string{"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"}
+
+// Parse checks a document as an operator submits it and returns every problem.
+// file is the name used in the problems.
+func Parse(file string, data []byte) (*Service, strictyaml.Problems) {
+	s, src, problems := decode(file, data)
+	if len(problems) > 0 && src == nil {
+		return nil, problems
+	}
+	problems = append(problems, check(s, src)...)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return s, nil
+}
+
+// Load reads a document that was accepted before. Unknown fields are ignored
+// and returned; any other problem is an error of type strictyaml.Problems.
+func Load(data []byte) (*Service, []string, error) {
+	s, src, problems := decode("", data)
+	var unknown []string
+	var rest strictyaml.Problems
+	for _, p := range problems {
+		if p.Found == "an unknown field" {
+			unknown = append(unknown, p.Field)
+		} else {
+			rest = append(rest, p)
+		}
+	}
+	if src != nil {
+		rest = append(rest, check(s, src)...)
+	}
+	if len(rest) > 0 {
+		return nil, unknown, rest
+	}
+	return s, unknown, nil
+}
+
+// Hash identifies the text of a document.
+func Hash(data []byte) uint64 { return xxhash.Sum64(data) }
+
+func decode(file string, data []byte) (*Service, *strictyaml.Source, strictyaml.Problems) {
+	if len(data) > MaxBytes {
+		return nil, nil, strictyaml.Problems{{File: file, Line: 1, Found: "a document that is too large", Allowed: "at most 64 KiB"}}
+	}
+	s := defaults()
+	src, problems := strictyaml.Decode(file, data, s)
+	s.derive(src)
+	return s, src, problems
+}
+
+func defaults() *Service {
+	return &Service{
+		Requests: Requests{
+			IdempotentMethods: []string{"GET", "HEAD", "OPTIONS"},
+			Key:               KeyRequired,
+			WhenPlatformAway:  AwayRefuse,
+			MaxBodyBytes:      1 << 20,
+		},
+		Upstreams: Upstreams{
+			Slots: 3, Connections: 330, HealthPath: "/health",
+			ProbeInterval: 5 * time.Second, WarmUp: 10 * time.Second,
+		},
+		Floor:     Floor{Share: 0.6, Count: 1},
+		Timeouts:  Timeouts{Request: 2 * time.Second, Connect: 250 * time.Millisecond},
+		Retries:   Retries{Budget: 0.1, Attempts: 2},
+		Limits:    Limits{Queue: 256},
+		Detection: Detection{Weight: 0.5},
+	}
+}
+
+// derive fills the fields whose default depends on another field.
+func (s *Service) derive(src *strictyaml.Source) {
+	if s.Team == "" {
+		s.Team = s.Service
+	}
+	if len(s.Upstreams.Static) == 0 && s.Upstreams.Membership == "" {
+		s.Upstreams.Membership = s.Service
+	}
+	for i := range s.Upstreams.Static {
+		u := &s.Upstreams.Static[i]
+		if u.ID == "" {
+			u.ID = u.Address
+		}
+		if u.Slots == 0 {
+			u.Slots = s.Upstreams.Slots
+		}
+	}
+	for i := range s.Routes {
+		if s.Routes[i].Path == "" {
+			s.Routes[i].Path = "/"
+		}
+	}
+	if s.Timeouts.Attempt == 0 {
+		s.Timeouts.Attempt = s.Timeouts.Request / 2
+	}
+	if s.Limits.CallerBurst == 0 && !src.Has("limits.callerBurst") {
+		s.Limits.CallerBurst = max(1, int(s.Limits.CallerRate))
+	}
+}
+
+// Idempotent reports whether a request may run more than once.
+func (s *Service) Idempotent(method, path string) bool {
+	if slices.Contains(s.Requests.IdempotentMethods, method) {
+		return true
+	}
+	return slices.ContainsFunc(s.Requests.IdempotentPaths, func(prefix string) bool {
+		return PathHasPrefix(path, prefix)
+	})
+}
+
+// PathHasPrefix reports whether prefix covers path and ends at a segment.
+func PathHasPrefix(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, strings.TrimSuffix(prefix, "/"))
+	return ok && (rest == "" || rest[0] == '/')
+}
+
+func validAddress(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Port() > 0
+}
--- /dev/null
+++ b/pkg/settings/check.go
@@ -0,0 +1,111 @@
+package settings
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"shallotglade/internal/strictyaml"
+)
+
+const (
+	minKeyBytes = 16
+	maxIDBytes  = 128
+	maxDuration = time.Hour
+	maxBytes    = 1 << 30
+	maxCount    = 1_000_000
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`)
+
+var levels = []string{"debug", "info", "warn", "error"}
+
+// newID makes an id that no earlier process had.
+func newID(domain string) string {
+	return fmt.Sprintf("%s-%012x", domain, rand.Uint64()>>16)
+}
+
+type checker struct {
+	src      *strictyaml.Source
+	problems strictyaml.Problems
+}
+
+func (c *checker) require(ok bool, field, allowed string) {
+	if !ok {
+		c.problems = append(c.problems, c.src.Problem(field, allowed))
+	}
+}
+
+func (c *checker) check(s *Settings) {
+	c.name("id", s.ID)
+	c.name("region", s.Region)
+	c.name("domain", s.Domain)
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.peers", s.Listen.Peers)
+	c.address("listen.admin", s.Listen.Admin)
+	c.platform(s.Platform)
+	c.file("peers.ca", s.Peers.CA)
+	c.file("peers.certificate", s.Peers.Certificate)
+	c.file("peers.key", s.Peers.Key)
+	for i, k := range s.Admin.Keys {
+		field := fmt.Sprintf("admin.keys[%d]", i)
+		c.require(k.Team == "*" || namePattern.MatchString(k.Team), field+".team", "a team name or *")
+		c.secret(field+".key", k.Key)
+	}
+	c.count("callers.maxConnections", s.Callers.MaxConnections, maxCount)
+	c.count("callers.maxHeaderBytes", s.Callers.MaxHeaderBytes, maxBytes)
+	c.count("callers.maxBodyBytes", s.Callers.MaxBodyBytes, maxBytes)
+	c.duration("callers.requestArrival", s.Callers.RequestArrival)
+	c.duration("callers.idle", s.Callers.Idle)
+	c.duration("addresses.lifetime", s.Addresses.Lifetime)
+	c.duration("drain.requests", s.Drain.Requests)
+	c.require(slices.Contains(levels, s.Log.Level), "log.level", strings.Join(levels, ", "))
+}
+
+func (c *checker) platform(p Platform) {
+	c.require(len(p.Addresses) > 0, "platform.addresses", "at least one base URL")
+	for i, a := range p.Addresses {
+		u, err := url.Parse(a)
+		ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+		c.require(ok, fmt.Sprintf("platform.addresses[%d]", i), "a base URL such as http://10.0.0.1:6000")
+	}
+	c.duration("platform.timeout", p.Timeout)
+}
+
+func (c *checker) name(field, value string) {
+	c.require(len(value) <= maxIDBytes && namePattern.MatchString(value), field, "letters, digits, dots, dashes and underscores")
+}
+
+// secret reports a short key without repeating it.
+func (c *checker) secret(field, value string) {
+	if len(value) >= minKeyBytes {
+		return
+	}
+	p := c.src.Problem(field, fmt.Sprintf("at least %d bytes", minKeyBytes))
+	p.Found = fmt.Sprintf("%d bytes", len(value))
+	c.problems = append(c.problems, p)
+}
+
+func (c *checker) address(field, value string) {
+	_, err := netip.ParseAddrPort(value)
+	c.require(err == nil, field, "an IP number and port such as 10.0.0.7:8080")
+}
+
+func (c *checker) file(field, value string) {
+	_, err := os.Stat(value)
+	c.require(err == nil, field, "a PEM file that can be read")
+}
+
+func (c *checker) count(field string, value, high int) {
+	c.require(value >= 1 && value <= high, field, fmt.Sprintf("1 to %d", high))
+}
+
+func (c *checker) duration(field string, value time.Duration) {
+	c.require(value >= time.Millisecond && value <= maxDuration, field, "1ms to 1h")
+}
--- /dev/null
+++ b/pkg/telemetry/metrics.go
@@ -0,0 +1,71 @@
+package telemetry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+// Metrics are the metrics of one daemon.
+type Metrics struct {
+	Registry *prometheus.Registry
+	// Requests counts answered requests by service, verdict and status class.
+	Requests *prometheus.CounterVec
+	// RequestSeconds is the time from a request's arrival to its answer.
+	RequestSeconds *prometheus.HistogramVec
+	// AddedSeconds is the part of that time not spent waiting for upstreams.
+	AddedSeconds *prometheus.HistogramVec
+	// Attempts counts attempts at upstreams by service and kind of end.
+	Attempts *prometheus.CounterVec
+	// Refusals counts refused requests by service and reason.
+	Refusals *prometheus.CounterVec
+	// Forwards counts requests passed to a home by result.
+	Forwards *prometheus.CounterVec
+	// InFlight is the number of requests being handled.
+	InFlight prometheus.Gauge
+	// Standings counts upstreams by service and standing.
+	Standings *prometheus.GaugeVec
+	// Ejections counts changes of upstreams' standing by service and change.
+	Ejections *prometheus.CounterVec
+	// DocumentVersion is the platform version of the document in force.
+	DocumentVersion *prometheus.GaugeVec
+	// PlatformUp is 1 while the platform answers.
+	PlatformUp prometheus.Gauge
+	// Peers counts other daemons by state.
+	Peers *prometheus.GaugeVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics() *Metrics {
+	m := &Metrics{Registry: prometheus.NewRegistry()}
+	seconds := []float64{.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10}
+	m.Requests = counter("requests_total", "Answered requests.", "service", "verdict", "code")
+	m.RequestSeconds = histogram("request_duration_seconds", "Time from a request's arrival to its answer.", seconds, "service")
+	m.AddedSeconds = histogram("added_duration_seconds", "Time of a request not spent at upstreams or waiting for a slot.", seconds, "service")
+	m.Attempts = counter("upstream_attempts_total", "Attempts at upstreams.", "service", "kind")
+	m.Refusals = counter("refusals_total", "Refused requests.", "service", "reason")
+	m.Forwards = counter("forwards_total", "Requests passed to a home.", "result")
+	m.InFlight = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "requests_in_flight", Help: "Requests being handled."})
+	m.Standings = gauge("upstreams", "Upstreams by standing.", "service", "standing")
+	m.Ejections = counter("standing_changes_total", "Changes of upstreams' standing.", "service", "change")
+	m.DocumentVersion = gauge("document_version", "Platform version of the document in force.", "service")
+	m.PlatformUp = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "platform_up", Help: "1 while the platform answers."})
+	m.Peers = gauge("peers", "Other daemons by state.", "state")
+	m.Registry.MustRegister(m.Requests, m.RequestSeconds, m.AddedSeconds, m.Attempts, m.Refusals, m.Forwards, m.InFlight,
+		m.Standings, m.Ejections, m.DocumentVersion, m.PlatformUp, m.Peers,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+const namespace = "shallotglade"
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func gauge(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+}
--- /dev/null
+++ b/pkg/upstream/client_test.go
@@ -0,0 +1,191 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"shallotglade/internal/testkit"
+	"shallotglade/pkg/upstream"
+	"shallotglade/pkg/verdict"
+)
+
+func TestUpstream(t *testing.T) { testkit.RunSpecs(t, "upstream") }
+
+// serve answers each request of each connection with what script returns; an
+// empty text closes the connection. n counts requests over all connections.
+func serve(script func(n int, r *http.Request) string) upstream.Target {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(ln.Close)
+	counter := make(chan int, 1)
+	counter <- 0
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					n := <-counter
+					counter <- n + 1
+					text := script(n, r)
+					if text == "" {
+						return
+					}
+					fmt.Fprint(c, text)
+					if strings.HasSuffix(text, "CUT") {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return upstream.Target{Address: ln.Addr().String(), MaxConnections: 2, ConnectTimeout: time.Second}
+}
+
+func whole(body string, headers ...string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", strings.Join(headers, ""), len(body), body)
+}
+
+var _ = Describe("Client", func() {
+	var client *upstream.Client
+	BeforeEach(func() {
+		client = upstream.NewClient()
+		DeferCleanup(client.Close)
+	})
+	do := func(t upstream.Target, timeout time.Duration, change ...func(*upstream.Request)) upstream.Result {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		r := &upstream.Request{ID: "r1", Method: "GET", URI: "/a//b/%2e?x=1%20"}
+		for _, c := range change {
+			c(r)
+		}
+		return client.Do(ctx, t, r)
+	}
+
+	It("passes path, query, headers and body on byte for byte", func() {
+		t := serve(func(_ int, r *http.Request) string {
+			return whole(fmt.Sprintf("%s %s %s %s %s", r.Method, r.RequestURI, r.Host, r.Header.Get("X-A"), r.Header.Get(upstream.HeaderRequestID)))
+		})
+		got := do(t, time.Second, func(r *upstream.Request) {
+			r.Method, r.Body, r.Host = "POST", []byte("body"), "stones.example"
+			r.Headers = []upstream.Header{{Name: "X-A", Value: "1"}}
+		})
+		Expect(got.Err).NotTo(HaveOccurred())
+		Expect(string(got.Response.Body)).To(Equal("POST /a//b/%2e?x=1%20 stones.example 1 r1"))
+		Expect(got.Verdict).To(Equal(verdict.Ran))
+	})
+
+	DescribeTable("says how an attempt ended",
+		func(answer string, kind upstream.Kind, v verdict.Verdict, hasResponse bool) {
+			got := do(serve(func(int, *http.Request) string { return answer }), time.Second)
+			Expect(got.Kind.String()).To(Equal(kind.String()))
+			Expect(got.Verdict).To(Equal(v))
+			Expect(got.Response != nil).To(Equal(hasResponse))
+		},
+		Entry("whole", whole("x"), upstream.Success, verdict.Ran, true),
+		Entry("failed", "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", upstream.Failure, verdict.Ran, true),
+		Entry("shed", "HTTP/1.1 503 E\r\nShallotglade-Verdict: not-run\r\nContent-Length: 0\r\n\r\n", upstream.Shed, verdict.NotRun, true),
+		Entry("a plain 503, which may have run", "HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n", upstream.Failure, verdict.Ran, true),
+		Entry("cut short", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalfCUT", upstream.Truncated, verdict.MayHaveRun, false),
+		Entry("cut between chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nCUT", upstream.Truncated, verdict.MayHaveRun, false),
+		Entry("ended by the connection alone", "HTTP/1.1 200 OK\r\n\r\nno delimiter CUT", upstream.Truncated, verdict.MayHaveRun, false),
+		Entry("lost", "", upstream.Lost, verdict.MayHaveRun, false),
+		Entry("another request's", whole("x", "Shallotglade-Request-Id: r2\r\n"), upstream.Failure, verdict.MayHaveRun, false),
+	)
+
+	It("tells an upstream that refuses connections from one that lost the request", func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		ln.Close()
+		got := do(upstream.Target{Address: ln.Addr().String(), MaxConnections: 1, ConnectTimeout: time.Second}, time.Second)
+		Expect(got.Kind).To(Equal(upstream.Unreachable))
+		Expect(got.Verdict).To(Equal(verdict.NotRun))
+	})
+
+	// Guards against a late answer reaching the request that reuses its connection.
+	It("closes a connection whose answer came late or was followed by unread bytes", func() {
+		release := make(chan struct{})
+		t := serve(func(n int, r *http.Request) string {
+			switch n {
+			case 0:
+				<-release
+				return whole("late")
+			case 1:
+				return whole("second") + whole("unsolicited")
+			default:
+				return whole("third")
+			}
+		})
+		Expect(do(t, 50*time.Millisecond).Kind).To(Equal(upstream.Timeout))
+		close(release)
+		Expect(string(do(t, time.Second).Response.Body)).To(Equal("second"))
+		Expect(string(do(t, time.Second).Response.Body)).To(Equal("third"))
+	})
+
+	// Guards against the HTTP library sending a request again by itself when a
+	// kept connection closes: the request would run twice.
+	It("sends each attempt at most once, also on a kept connection that closes", func() {
+		seen := make(chan int, 10)
+		t := serve(func(n int, _ *http.Request) string {
+			seen <- n
+			if n == 1 {
+				return ""
+			}
+			return whole("x")
+		})
+		Expect(do(t, time.Second).Kind).To(Equal(upstream.Success))
+		Expect(do(t, time.Second).Kind).To(Equal(upstream.Lost))
+		Expect(seen).To(HaveLen(2))
+	})
+
+	It("bounds the connections and refuses beyond them without sending", func() {
+		block, entered := make(chan struct{}), make(chan struct{}, 2)
+		t := serve(func(int, *http.Request) string { entered <- struct{}{}; <-block; return whole("x") })
+		results := make(chan upstream.Result, 2)
+		for range 2 {
+			go func() { results <- do(t, 5*time.Second) }()
+		}
+		<-entered
+		<-entered
+		third := do(t, time.Second)
+		close(block)
+		Expect(third.Kind).To(Equal(upstream.Refused))
+		Expect(third.Verdict).To(Equal(verdict.NotRun))
+		Expect((<-results).Kind).To(Equal(upstream.Success))
+		Expect((<-results).Kind).To(Equal(upstream.Success))
+	})
+
+	It("closes the connection when the caller goes away, which cancels the work", func() {
+		gone := make(chan struct{})
+		t := serve(func(_ int, r *http.Request) string {
+			<-gone
+			return whole("x")
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan upstream.Result, 1)
+		go func() { done <- client.Do(ctx, t, &upstream.Request{ID: "r", Method: "GET", URI: "/"}) }()
+		time.Sleep(20 * time.Millisecond)
+		cancel()
+		got := <-done
+		close(gone)
+		Expect(got.Kind).To(Equal(upstream.Canceled))
+		Expect(got.Verdict).To(Equal(verdict.MayHaveRun))
+	})
+})
--- /dev/null
+++ b/pkg/upstream/conn.go
@@ -0,0 +1,120 @@
+package upstream
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+	hertznetpoll "github.com/cloudwego/hertz/pkg/network/netpoll"
+	"github.com/cloudwego/hertz/pkg/protocol/client"
+	"github.com/cloudwego/hertz/pkg/protocol/http1"
+	"github.com/cloudwego/netpoll"
+	"github.com/cockroachdb/errors"
+)
+
+// maxResponseBytes is the largest answer body. Answers are held whole before a
+// byte of them goes to the caller.
+const maxResponseBytes = 64 << 20
+
+// errNotSent marks errors of attempts whose request certainly did not leave.
+var errNotSent = errors.New("the request was not sent")
+
+// conn is a single connection driven by the HTTP library. The library's own
+// pool would hide which connection carries which request and send some requests
+// again by itself, so each conn gives it exactly one connection.
+type conn struct {
+	http client.HostClient
+
+	mu       sync.Mutex
+	open     netpoll.Connection
+	canceled bool
+}
+
+func newConn(target Target) *conn {
+	c := &conn{}
+	c.http = http1.NewHostClient(&http1.ClientOptions{
+		Dialer:                        &singleDialer{conn: c, address: target.Address, timeout: target.ConnectTimeout},
+		MaxConns:                      1,
+		DialTimeout:                   target.ConnectTimeout,
+		MaxIdleConnDuration:           time.Hour,
+		MaxResponseBodySize:           maxResponseBytes,
+		ResponseBodyStream:            true,
+		NoDefaultUserAgentHeader:      true,
+		DisableHeaderNamesNormalizing: false,
+	})
+	c.http.SetDynamicConfig(&client.DynamicConfig{Addr: target.Address})
+	return c
+}
+
+// close ends the connection; an exchange on it fails.
+func (c *conn) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.canceled = true
+	if c.open != nil {
+		c.open.Close()
+	}
+}
+
+// reusable reports whether the connection is open with nothing unread on it.
+// Unread bytes can only be an answer to an earlier request.
+func (c *conn) reusable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.canceled && c.open != nil && c.open.IsActive() && c.open.Reader().Len() == 0
+}
+
+// singleDialer opens the one connection of a conn and refuses to open a second.
+type singleDialer struct {
+	conn    *conn
+	address string
+	timeout time.Duration
+	used    bool
+}
+
+// DialConnection implements network.Dialer.
+func (d *singleDialer) DialConnection(_, _ string, _ time.Duration, _ *tls.Config) (network.Conn, error) {
+	if d.used {
+		// Not marked as not sent: the library opens a second connection only
+		// after it has used the first.
+		return nil, errors.New("the kept connection was closed")
+	}
+	d.used = true
+	nc, err := hertznetpoll.NewDialer().DialConnection("tcp", d.address, d.timeout, nil)
+	if err != nil {
+		return nil, errors.Mark(err, errNotSent)
+	}
+	c := d.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.canceled {
+		nc.Close()
+		return nil, errors.Mark(context.Canceled, errNotSent)
+	}
+	c.open = connectionOf(nc)
+	return nc, nil
+}
+
+// connectionOf returns the library's connection, which knows at any time
+// whether the other side has closed it and how many bytes are unread.
+func connectionOf(nc network.Conn) netpoll.Connection {
+	if wrapper, ok := nc.(*hertznetpoll.Conn); ok {
+		if open, ok := wrapper.Conn.(netpoll.Connection); ok {
+			return open
+		}
+	}
+	return nil
+}
+
+// DialTimeout implements network.Dialer; the library does not call it.
+func (d *singleDialer) DialTimeout(_, _ string, _ time.Duration, _ *tls.Config) (net.Conn, error) {
+	return nil, errors.Mark(errors.New("not supported"), errNotSent)
+}
+
+// AddTLS implements network.Dialer; upstreams are reached without TLS.
+func (d *singleDialer) AddTLS(_ network.Conn, _ *tls.Config) (network.Conn, error) {
+	return nil, errors.Mark(errors.New("not supported"), errNotSent)
+}
