--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -125,7 +125,7 @@
 	stop := context.AfterFunc(ctx, c.close)
 	defer stop()
 	if err := c.http.Do(context.WithoutCancel(ctx), req, resp); err != nil {
-		return judgeError(ctx, err, lostOrTruncated(resp))
+		return judgeError(ctx, err, lostOrTruncated(err))
 	}
 	if resp.Header.ContentLength() == identityBody && r.Method != "HEAD" {
 		c.close()
@@ -143,10 +143,11 @@
 	return judge(copyResponse(resp, body), verdict.Parse(string(resp.Header.Peek(verdict.Header))))
 }
 
-// lostOrTruncated tells an answer of which the head arrived from none at all.
-// The library reads short bodies together with the head.
-func lostOrTruncated(resp *protocol.Response) Kind {
-	if resp.Header.ContentLength() != 0 {
+// lostOrTruncated tells an answer of which a part arrived from none at all. The
+// library reads short bodies together with the head, and reports a plain end of
+// the stream only when not a single byte came.
+func lostOrTruncated(err error) Kind {
+	if errors.Is(err, io.ErrUnexpectedEOF) {
 		return Truncated
 	}
 	return Lost
