--- /dev/null
+++ b/pkg/platform/dialer.go
@@ -0,0 +1,67 @@
+package platform
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+)
+
+// dialError marks an error from before the request was sent.
+type dialError struct{ cause error }
+
+func (e *dialError) Error() string { return "dial: " + e.cause.Error() }
+func (e *dialError) Unwrap() error { return e.cause }
+
+// dialer marks the errors of the dialer that it embeds.
+type dialer struct{ network.Dialer }
+
+func newDialer() network.Dialer { return dialer{standard.NewDialer()} }
+
+// DialConnection implements network.Dialer.
+func (d dialer) DialConnection(n, address string, timeout time.Duration, tlsConfig *tls.Config) (network.Conn, error) {
+	conn, err := d.Dialer.DialConnection(n, address, timeout, tlsConfig)
+	if err != nil {
+		return nil, &dialError{cause: err}
+	}
+	return conn, nil
+}
+
+// onceDialer makes connections on which the hertz client never resends.
+type onceDialer struct{ dialer }
+
+func newOnceDialer() network.Dialer { return onceDialer{dialer{standard.NewDialer()}} }
+
+// DialConnection implements network.Dialer.
+func (d onceDialer) DialConnection(n, address string, timeout time.Duration, tlsConfig *tls.Config) (network.Conn, error) {
+	conn, err := d.dialer.DialConnection(n, address, timeout, tlsConfig)
+	if err != nil {
+		return nil, err
+	}
+	return onceConn{conn}, nil
+}
+
+// onceConn hides from the hertz client that the server closed the connection.
+//
+// The hertz client sends PUT and DELETE again when a pooled connection ends
+// before the first byte of the reply, even though the first one may have taken
+// effect; the second would then report a conflict with the first. It decides by
+// comparing the error with io.EOF and ECONNRESET, or through the interface
+// network.ErrorNormalization, which this type leaves out.
+type onceConn struct{ network.Conn }
+
+// Peek implements network.Reader.
+func (c onceConn) Peek(n int) ([]byte, error) {
+	b, err := c.Conn.Peek(n)
+	if err != nil {
+		return b, &connError{cause: err}
+	}
+	return b, nil
+}
+
+// connError wraps a read error so that it equals no error that hertz looks for.
+type connError struct{ cause error }
+
+func (e *connError) Error() string { return "read reply: " + e.cause.Error() }
+func (e *connError) Unwrap() error { return e.cause }
--- a/pkg/platform/memstore/store.go
+++ b/pkg/platform/memstore/store.go
@@ -3,6 +3,7 @@
 package memstore
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -18,7 +19,10 @@
 	mu       sync.Mutex
 	revision uint64
 	objects  map[string]platform.Object
-	members  map[string]platform.Member
+	// log lists the writes in order of version, so that a watch reads only
+	// what changed after its revision instead of scanning all objects.
+	log     []change
+	members map[string]platform.Member
 	// shown is the membership list that readers get; it trails members by
 	// Faults.MembersLag.
 	shown         []platform.Member
@@ -30,6 +34,16 @@
 
 var _ platform.Store = (*Store)(nil)
 
+// change is one entry of the log. It is superseded when the object has a
+// higher version.
+type change struct {
+	version uint64
+	key     string
+}
+
+// logSlack is how many superseded entries the log may hold beyond one per object.
+const logSlack = 1024
+
 // New returns an empty, healthy store.
 func New() *Store {
 	return &Store{
@@ -39,11 +53,13 @@
 	}
 }
 
-// SetFaults replaces the injected faults.
+// SetFaults replaces the injected faults. Waiting watches fail at once when
+// the store goes down.
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	s.announce()
 }
 
 // Faults returns the injected faults.
@@ -102,9 +118,7 @@
 	if old.Version != version {
 		return platform.ErrConflict
 	}
-	s.revision++
-	s.objects[key] = platform.Object{Key: key, Version: s.revision, Deleted: true}
-	s.announce()
+	s.store(platform.Object{Key: key, Deleted: true})
 	return s.replyLost()
 }
 
@@ -116,11 +130,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []platform.Object
-	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
-		if o := s.objects[key]; strings.HasPrefix(key, prefix) && !o.Deleted {
+	for key, o := range s.objects {
+		if strings.HasPrefix(key, prefix) && !o.Deleted {
 			out = append(out, copyOf(o))
 		}
 	}
+	slices.SortFunc(out, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
 	return out, s.revision, nil
 }
 
@@ -136,6 +151,7 @@
 		if err != nil || len(out) > 0 {
 			return out, revision, err
 		}
+		after = revision
 		select {
 		case <-changed:
 		case <-timeout.C:
@@ -230,10 +246,7 @@
 	if !allowed(old, exists) {
 		return platform.Object{}, platform.ErrConflict
 	}
-	s.revision++
-	o := platform.Object{Key: key, Version: s.revision, Value: slices.Clone(value)}
-	s.objects[key] = o
-	s.announce()
+	o := s.store(platform.Object{Key: key, Value: slices.Clone(value)})
 	return copyOf(o), s.replyLost()
 }
 
@@ -244,14 +257,29 @@
 	if s.faults.Down {
 		return nil, after, nil, platform.ErrUnavailable
 	}
+	start, _ := slices.BinarySearchFunc(s.log, after+1, func(c change, version uint64) int {
+		return cmp.Compare(c.version, version)
+	})
 	var out []platform.Object
-	for key, o := range s.objects {
-		if o.Version > after && strings.HasPrefix(key, prefix) {
+	for _, c := range s.log[start:] {
+		if o := s.objects[c.key]; o.Version == c.version && strings.HasPrefix(c.key, prefix) {
 			out = append(out, copyOf(o))
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Object) int { return int(a.Version) - int(b.Version) })
-	return out, s.revision, s.changed, nil
+	return out, max(after, s.revision), s.changed, nil
+}
+
+// store keeps an object under the next revision. The caller holds the lock.
+func (s *Store) store(o platform.Object) platform.Object {
+	s.revision++
+	o.Version = s.revision
+	s.objects[o.Key] = o
+	s.log = append(s.log, change{version: o.Version, key: o.Key})
+	if len(s.log) > 2*len(s.objects)+logSlack {
+		s.log = slices.DeleteFunc(s.log, func(c change) bool { return s.objects[c.key].Version != c.version })
+	}
+	s.announce()
+	return o
 }
 
 // begin counts the call, applies the injected latency and reports an outage.
