--- /dev/null
+++ b/pkg/limits/caller.go
@@ -0,0 +1,126 @@
+package limits
+
+import (
+	"container/list"
+	"time"
+)
+
+// caller is the state of one caller; it exists while the caller differs from
+// one that was never seen.
+type caller struct {
+	name    string
+	policy  CallerPolicy
+	tokens  float64
+	filled  time.Time // when tokens was computed
+	seen    time.Time // last offer
+	running int
+	// finish is the virtual time at which the caller's last ticket has had its
+	// fair share.
+	finish  float64
+	waiting list.List // of *waiter, oldest first
+	turn    int       // position in the turns heap, -1 when absent
+	used    *list.Element
+}
+
+// waiter is a waiting ticket.
+type waiter struct {
+	ticket Ticket
+	owner  *caller
+	start  float64 // virtual start time
+	latest time.Time
+	place  *list.Element
+	expiry int // position in the expiry heap
+}
+
+// take uses one token, or says how long until there is one.
+func (c *caller) take(now time.Time) (time.Duration, bool) {
+	if c.policy.Rate <= 0 {
+		return 0, true
+	}
+	c.refill(now)
+	if c.tokens < 1 {
+		return time.Duration((1 - c.tokens) / c.policy.Rate * float64(time.Second)), false
+	}
+	c.tokens--
+	return 0, true
+}
+
+func (c *caller) refill(now time.Time) {
+	if elapsed := now.Sub(c.filled).Seconds(); elapsed > 0 {
+		c.tokens = min(c.policy.Burst, c.tokens+elapsed*c.policy.Rate)
+		c.filled = now
+	}
+}
+
+// eligible reports whether the caller's oldest ticket may run now.
+func (c *caller) eligible() bool {
+	return c.waiting.Len() > 0 && (c.policy.Concurrency <= 0 || c.running < c.policy.Concurrency)
+}
+
+// idle reports whether forgetting the caller changes no later decision.
+func (c *caller) idle(now time.Time, virtual float64) bool {
+	if c.running > 0 || c.waiting.Len() > 0 || c.finish > virtual || now.Sub(c.seen) < idleAfter {
+		return false
+	}
+	if c.policy.Rate <= 0 {
+		return true
+	}
+	c.refill(now)
+	return c.tokens >= c.policy.Burst
+}
+
+func (c *caller) head() *waiter { return c.waiting.Front().Value.(*waiter) }
+
+// turns is a heap of eligible callers by the virtual start of their oldest ticket.
+type turns []*caller
+
+func (t turns) Len() int { return len(t) }
+func (t turns) Less(i, j int) bool {
+	a, b := t[i].head(), t[j].head()
+	if a.start != b.start {
+		return a.start < b.start
+	}
+	return a.ticket.ID < b.ticket.ID
+}
+func (t turns) Swap(i, j int) { t[i], t[j] = t[j], t[i]; t[i].turn, t[j].turn = i, j }
+
+// Push implements heap.Interface.
+func (t *turns) Push(x any) {
+	c := x.(*caller)
+	c.turn = len(*t)
+	*t = append(*t, c)
+}
+
+// Pop implements heap.Interface.
+func (t *turns) Pop() any {
+	n := len(*t) - 1
+	c := (*t)[n]
+	(*t)[n] = nil
+	*t = (*t)[:n]
+	c.turn = -1
+	return c
+}
+
+// expiries is a heap of waiters by their latest start.
+type expiries []*waiter
+
+func (e expiries) Len() int           { return len(e) }
+func (e expiries) Less(i, j int) bool { return e[i].latest.Before(e[j].latest) }
+func (e expiries) Swap(i, j int)      { e[i], e[j] = e[j], e[i]; e[i].expiry, e[j].expiry = i, j }
+
+// Push implements heap.Interface.
+func (e *expiries) Push(x any) {
+	w := x.(*waiter)
+	w.expiry = len(*e)
+	*e = append(*e, w)
+}
+
+// Pop implements heap.Interface.
+func (e *expiries) Pop() any {
+	n := len(*e) - 1
+	w := (*e)[n]
+	(*e)[n] = nil
+	*e = (*e)[:n]
+	w.expiry = -1
+	return w
+}
--- /dev/null
+++ b/pkg/limits/limits_test.go
@@ -0,0 +1,56 @@
+package limits_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"shallotglade/internal/testkit"
+	"shallotglade/pkg/limits"
+)
+
+func TestLimits(t *testing.T) { testkit.RunSpecs(t, "limits") }
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func ticket(id uint64, caller string, within time.Duration) limits.Ticket {
+	return limits.Ticket{ID: id, Caller: caller, Deadline: epoch.Add(within)}
+}
+
+var _ = Describe("Queue", func() {
+	// Guards against the queue filling with requests that end in vain.
+	It("refuses at once what cannot start in time", func() {
+		q := limits.NewQueue(limits.DefaultPolicy(), 1)
+		Expect(q.Offer(epoch, ticket(1, "a", time.Second)).Action).To(Equal(limits.Run))
+		d := q.Offer(epoch, ticket(2, "a", time.Second))
+		Expect(d).To(Equal(limits.Decision{Action: limits.Wait, ExpectedWait: limits.DefaultServiceTime}))
+		d = q.Offer(epoch, ticket(3, "a", 60*time.Millisecond))
+		Expect(d.Reason).To(Equal(limits.TooLate))
+		Expect(d.RetryAfter).To(BeNumerically(">=", limits.DefaultServiceTime))
+		Expect(q.Done(epoch.Add(25*time.Millisecond), ticket(1, "a", 0))).To(Equal([]limits.Ticket{ticket(2, "a", time.Second)}))
+	})
+
+	It("expires, cancels and limits by caller", func() {
+		p := limits.DefaultPolicy()
+		p.Callers = map[string]limits.CallerPolicy{
+			"one":  {Concurrency: 1},
+			"slow": {Rate: 2, Burst: 1},
+		}
+		q := limits.NewQueue(p, 2)
+		q.Offer(epoch, ticket(1, "one", time.Second))
+		Expect(q.Offer(epoch, ticket(2, "one", time.Second)).Action).To(Equal(limits.Wait))
+		Expect(q.Offer(epoch, ticket(3, "slow", time.Second)).Action).To(Equal(limits.Run))
+		d := q.Offer(epoch, ticket(4, "slow", time.Second))
+		Expect(d.Reason).To(Equal(limits.RateLimit))
+		Expect(d.RetryAfter).To(Equal(500 * time.Millisecond))
+		// A second ticket of "one" must not hold back other callers.
+		Expect(q.Offer(epoch, ticket(5, "other", time.Second)).Action).To(Equal(limits.Wait))
+		Expect(q.Done(epoch, ticket(3, "slow", 0))).To(Equal([]limits.Ticket{ticket(5, "other", time.Second)}))
+		Expect(q.Expire(epoch.Add(2 * time.Second))).To(Equal([]limits.Ticket{ticket(2, "one", time.Second)}))
+		q.Offer(epoch, ticket(6, "other", time.Second))
+		Expect(q.Cancel(ticket(6, "other", 0))).To(BeTrue())
+		Expect(q.Waiting()).To(BeZero())
+	})
+})
--- /dev/null
+++ b/pkg/limits/queue.go
@@ -0,0 +1,295 @@
+package limits
+
+import (
+	"container/heap"
+	"container/list"
+	"time"
+)
+
+const (
+	// serviceTimeWeight is the part of the measured service time that one new
+	// sample makes up: about the last 20 requests count.
+	serviceTimeWeight = 0.05
+	// evictionsPerOffer is how many of the least recently used callers are
+	// looked at per request; more than one, so that eviction outruns arrival.
+	evictionsPerOffer = 2
+	// idleAfter is how long a caller stays remembered at least; it spares the
+	// frequent callers from being forgotten and made anew.
+	idleAfter = 10 * time.Second
+	// maxCallers limits the callers remembered, more than the 62,000 accounts
+	// there are. Beyond it the least recently used caller that neither waits
+	// nor runs is forgotten with its rate state.
+	maxCallers = 65536
+)
+
+// Queue admits the requests of one service at one home. It is not safe for
+// concurrent use; Gate is.
+type Queue struct {
+	policy   Policy
+	capacity int
+	callers  map[string]*caller
+	used     list.List // of *caller, most recently used first
+	turns    turns
+	expiries expiries
+	waiting  map[uint64]*waiter
+	running  map[uint64]run
+	expired  []Ticket
+	virtual  float64 // virtual start of the last ticket that ran
+	// lastFinish is the highest finish of any caller. Once nobody waits, the
+	// virtual time moves there, which makes all shares even again.
+	lastFinish float64
+	weights    float64 // sum of the weights of callers that wait
+	service    time.Duration
+}
+
+type run struct {
+	owner   *caller
+	started time.Time
+}
+
+// NewQueue returns an empty queue. capacity is how many requests may run at
+// once, see routing.Capacity.
+func NewQueue(p Policy, capacity int) *Queue {
+	return &Queue{
+		policy: p, capacity: capacity, service: DefaultServiceTime,
+		callers: map[string]*caller{}, waiting: map[uint64]*waiter{}, running: map[uint64]run{},
+	}
+}
+
+// Offer decides about a new request.
+func (q *Queue) Offer(now time.Time, t Ticket) Decision {
+	q.evict(now)
+	q.expire(now)
+	c := q.caller(now, t.Caller)
+	if !t.Deadline.IsZero() && !now.Before(t.Deadline) {
+		return Decision{Reason: TooLate, RetryAfter: q.service}
+	}
+	if q.capacity <= 0 {
+		return Decision{Reason: NoCapacity, RetryAfter: q.policy.MaxWait}
+	}
+	start := max(q.virtual, c.finish)
+	wait := q.expectedWait(c, start)
+	latest := q.latestStart(now, t)
+	if wait > 0 {
+		if late := now.Add(wait).Sub(latest); late > 0 {
+			return Decision{Reason: TooLate, ExpectedWait: wait, RetryAfter: max(late, q.service)}
+		}
+		if c.waiting.Len() >= q.policy.MaxQueue-len(q.waiting) {
+			return Decision{Reason: QueueFull, ExpectedWait: wait, RetryAfter: max(wait, q.service)}
+		}
+	}
+	// The token is taken last, so that a request refused for another reason
+	// does not use up the caller's rate.
+	if after, ok := c.take(now); !ok {
+		return Decision{Reason: RateLimit, RetryAfter: after}
+	}
+	if wait == 0 {
+		// Nobody waits, so this run is not charged to the caller's share.
+		q.start(now, t.ID, c)
+		return Decision{Action: Run}
+	}
+	c.finish = start + 1/c.policy.Weight
+	q.lastFinish = max(q.lastFinish, c.finish)
+	q.enqueue(c, &waiter{ticket: t, owner: c, start: start, latest: latest})
+	return Decision{Action: Wait, ExpectedWait: wait}
+}
+
+// Done ends a running ticket and returns the tickets that may run now.
+func (q *Queue) Done(now time.Time, t Ticket) []Ticket {
+	r, ok := q.running[t.ID]
+	if !ok {
+		return nil
+	}
+	delete(q.running, t.ID)
+	r.owner.running--
+	q.service += time.Duration(serviceTimeWeight * float64(now.Sub(r.started)-q.service))
+	q.settleTurn(r.owner)
+	return q.dispatch(now)
+}
+
+// SetCapacity changes how many requests may run at once and returns the tickets
+// that may run now. Running requests are not affected.
+func (q *Queue) SetCapacity(now time.Time, capacity int) []Ticket {
+	q.capacity = capacity
+	return q.dispatch(now)
+}
+
+// SetPolicy changes the limits; waiting and running requests are kept.
+func (q *Queue) SetPolicy(now time.Time, p Policy) []Ticket {
+	q.policy = p
+	q.weights = 0
+	for _, c := range q.callers {
+		c.refill(now)
+		c.policy = p.of(c.name)
+		c.tokens = min(c.tokens, c.policy.Burst)
+		if c.waiting.Len() > 0 {
+			q.weights += c.policy.Weight
+		}
+		q.settleTurn(c)
+	}
+	return q.dispatch(now)
+}
+
+// Expire returns the tickets that can no longer start in time. They have left
+// the queue and are refused.
+func (q *Queue) Expire(now time.Time) []Ticket {
+	q.expire(now)
+	out := q.expired
+	q.expired = nil
+	return out
+}
+
+// Cancel removes a waiting ticket; false when it is not waiting.
+func (q *Queue) Cancel(t Ticket) bool {
+	w, ok := q.waiting[t.ID]
+	if ok {
+		q.remove(w)
+	}
+	return ok
+}
+
+// Waiting is the number of waiting tickets.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// Running is the number of tickets that run.
+func (q *Queue) Running() int { return len(q.running) }
+
+// Callers is the number of callers remembered.
+func (q *Queue) Callers() int { return len(q.callers) }
+
+// ServiceTime is the measured time from start to Done.
+func (q *Queue) ServiceTime() time.Duration { return q.service }
+
+// expectedWait estimates the time until a ticket with that virtual start runs;
+// zero means at once. Between the virtual time and start each waiting caller
+// runs its weight's worth of tickets, but no more than there are.
+func (q *Queue) expectedWait(c *caller, start float64) time.Duration {
+	blocked := c.policy.Concurrency > 0 && c.running >= c.policy.Concurrency
+	if !blocked && c.waiting.Len() == 0 && len(q.turns) == 0 && len(q.running) < q.capacity {
+		return 0
+	}
+	weights := q.weights
+	if c.waiting.Len() == 0 {
+		weights += c.policy.Weight
+	}
+	ahead := min(float64(len(q.waiting)), max((start-q.virtual)*weights, float64(c.waiting.Len())))
+	wait := (ahead + 1) / float64(q.capacity)
+	if c.policy.Concurrency > 0 {
+		wait = max(wait, float64(c.waiting.Len()+1)/float64(c.policy.Concurrency))
+	}
+	return max(1, time.Duration(wait*float64(q.service)))
+}
+
+// latestStart is when the request must start for its response to be in time.
+func (q *Queue) latestStart(now time.Time, t Ticket) time.Time {
+	latest := now.Add(q.policy.MaxWait)
+	if !t.Deadline.IsZero() {
+		if d := t.Deadline.Add(-q.service); d.Before(latest) {
+			latest = d
+		}
+	}
+	return latest
+}
+
+// dispatch starts waiting tickets while there is capacity.
+func (q *Queue) dispatch(now time.Time) []Ticket {
+	q.expire(now)
+	var out []Ticket
+	for len(q.running) < q.capacity && len(q.turns) > 0 {
+		w := q.turns[0].head()
+		q.virtual = max(q.virtual, w.start)
+		q.remove(w)
+		q.start(now, w.ticket.ID, w.owner)
+		q.settleTurn(w.owner)
+		out = append(out, w.ticket)
+	}
+	return out
+}
+
+func (q *Queue) start(now time.Time, id uint64, c *caller) {
+	c.running++
+	q.running[id] = run{owner: c, started: now}
+}
+
+func (q *Queue) enqueue(c *caller, w *waiter) {
+	if c.waiting.Len() == 0 {
+		q.weights += c.policy.Weight
+	}
+	w.place = c.waiting.PushBack(w)
+	q.waiting[w.ticket.ID] = w
+	heap.Push(&q.expiries, w)
+	q.settleTurn(c)
+}
+
+func (q *Queue) remove(w *waiter) {
+	c := w.owner
+	if c.turn >= 0 {
+		heap.Remove(&q.turns, c.turn)
+	}
+	c.waiting.Remove(w.place)
+	delete(q.waiting, w.ticket.ID)
+	if w.expiry >= 0 {
+		heap.Remove(&q.expiries, w.expiry)
+	}
+	if c.waiting.Len() == 0 {
+		q.weights -= c.policy.Weight
+	}
+	if len(q.waiting) == 0 {
+		q.weights = 0 // drops the rounding error of repeated sums
+		q.virtual = max(q.virtual, q.lastFinish)
+	}
+	q.settleTurn(c)
+}
+
+// settleTurn puts the caller into the turns heap if its oldest ticket may run,
+// and takes it out otherwise.
+func (q *Queue) settleTurn(c *caller) {
+	switch eligible := c.eligible(); {
+	case eligible && c.turn < 0:
+		heap.Push(&q.turns, c)
+	case eligible:
+		heap.Fix(&q.turns, c.turn)
+	case c.turn >= 0:
+		heap.Remove(&q.turns, c.turn)
+	}
+}
+
+func (q *Queue) expire(now time.Time) {
+	for len(q.expiries) > 0 && q.expiries[0].latest.Before(now) {
+		w := q.expiries[0]
+		q.remove(w)
+		q.expired = append(q.expired, w.ticket)
+	}
+}
+
+func (q *Queue) caller(now time.Time, name string) *caller {
+	c := q.callers[name]
+	if c == nil {
+		c = &caller{name: name, policy: q.policy.of(name), filled: now, seen: now, turn: -1}
+		c.tokens = c.policy.Burst
+		c.used = q.used.PushFront(c)
+		q.callers[name] = c
+		return c
+	}
+	q.used.MoveToFront(c.used)
+	c.seen = now
+	return c
+}
+
+// evict forgets callers that are idle.
+func (q *Queue) evict(now time.Time) {
+	for range evictionsPerOffer {
+		last := q.used.Back()
+		if last == nil {
+			return
+		}
+		c := last.Value.(*caller)
+		quiet := c.running == 0 && c.waiting.Len() == 0
+		if !c.idle(now, q.virtual) && (!quiet || len(q.callers) < maxCallers) {
+			q.used.MoveToFront(last)
+			return
+		}
+		q.used.Remove(last)
+		delete(q.callers, c.name)
+	}
+}
--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,146 @@
+package retry
+
+import (
+	"time"
+
+	"shallotglade/pkg/verdict"
+)
+
+// Defaults of Policy.
+const (
+	// DefaultRatio is the retries allowed per request.
+	DefaultRatio = 0.1
+	// DefaultBurst is the most retries saved up.
+	DefaultBurst = 10
+	// DefaultMaxAttempts limits the attempts of one request, first included.
+	DefaultMaxAttempts = 3
+	// DefaultMinTimeLeft is about what a request takes; with less time left a
+	// retry would occupy a slot without helping the caller.
+	DefaultMinTimeLeft = 25 * time.Millisecond
+)
+
+// Policy limits the retries of a service.
+type Policy struct {
+	// Ratio is how many retries each request pays for.
+	Ratio float64
+	// Burst is the most retries that may be saved up.
+	Burst float64
+	// MaxAttempts limits the attempts of one request, the first included.
+	MaxAttempts int
+	// MinTimeLeft is the least time before the deadline for another attempt.
+	MinTimeLeft time.Duration
+}
+
+// DefaultPolicy returns the policy of a service whose document has none.
+func DefaultPolicy() Policy {
+	return Policy{
+		Ratio: DefaultRatio, Burst: DefaultBurst,
+		MaxAttempts: DefaultMaxAttempts, MinTimeLeft: DefaultMinTimeLeft,
+	}
+}
+
+// Attempt is an attempt that brought no usable response.
+type Attempt struct {
+	// Verdict is that of the attempt, not of the whole request. Ran counts as
+	// MayHaveRun: only an idempotent request is sent again.
+	Verdict verdict.Verdict
+	// Idempotent is whether running the request twice does no harm.
+	Idempotent bool
+	// Attempts is how many were made so far, this one included.
+	Attempts int
+	// EarlierMayHaveRun is whether an earlier attempt may have run.
+	EarlierMayHaveRun bool
+	// TimeLeft is the time until the request's deadline.
+	TimeLeft time.Duration
+	// Suspect is whether the request was in flight at a crash, see pkg/poison.
+	Suspect bool
+}
+
+// Reason says why an attempt is repeated or not.
+type Reason uint8
+
+// Reasons of a decision.
+const (
+	// Idempotent means that the request is sent again, as it is idempotent.
+	Idempotent Reason = iota
+	// NotRun means that the request is sent again, as it certainly did not run.
+	NotRun
+	// MayHaveRun means that the request may have run and is not idempotent.
+	MayHaveRun
+	// Suspected means that the request may have crashed an upstream.
+	Suspected
+	// TooManyAttempts means that MaxAttempts is reached.
+	TooManyAttempts
+	// NoTime means that the deadline is too near.
+	NoTime
+	// NoBudget means that the service's retry budget is spent.
+	NoBudget
+)
+
+var reasonNames = [...]string{
+	Idempotent: "idempotent", NotRun: "not-run", MayHaveRun: "may-have-run", Suspected: "suspect",
+	TooManyAttempts: "too-many-attempts", NoTime: "no-time", NoBudget: "no-budget",
+}
+
+// String returns the form used in logs and metrics.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return "unknown"
+}
+
+// Decision says whether the request is sent to another upstream at once.
+type Decision struct {
+	Retry  bool
+	Reason Reason
+}
+
+// Budget holds the retries that a service's requests have paid for.
+type Budget struct {
+	policy Policy
+	tokens float64
+}
+
+// NewBudget returns an empty budget: an initial credit would allow more than
+// Ratio at a home that has just started, when many homes start at once.
+func NewBudget(p Policy) *Budget { return &Budget{policy: p} }
+
+// SetPolicy changes the limits; what was saved stays up to the new burst.
+func (b *Budget) SetPolicy(p Policy) {
+	b.policy = p
+	b.tokens = min(b.tokens, p.Burst)
+}
+
+// Request counts the first dispatch of a request.
+func (b *Budget) Request() {
+	b.tokens = min(b.policy.Burst, b.tokens+b.policy.Ratio)
+}
+
+// Available is the number of retries that may be made now.
+func (b *Budget) Available() int { return int(b.tokens + rounding) }
+
+// rounding absorbs the error of adding a tenth ten times.
+const rounding = 1e-9
+
+// Decide says whether the request is sent again; a retry is paid for at once.
+func (b *Budget) Decide(a Attempt) Decision {
+	notRun := a.Verdict == verdict.NotRun && !a.EarlierMayHaveRun
+	switch {
+	case a.Suspect:
+		return Decision{Reason: Suspected}
+	case !notRun && !a.Idempotent:
+		return Decision{Reason: MayHaveRun}
+	case a.Attempts >= b.policy.MaxAttempts:
+		return Decision{Reason: TooManyAttempts}
+	case a.TimeLeft < b.policy.MinTimeLeft:
+		return Decision{Reason: NoTime}
+	case b.tokens+rounding < 1:
+		return Decision{Reason: NoBudget}
+	}
+	b.tokens = max(0, b.tokens-1)
+	if notRun {
+		return Decision{Retry: true, Reason: NotRun}
+	}
+	return Decision{Retry: true, Reason: Idempotent}
+}
--- /dev/null
+++ b/pkg/retry/doc.go
@@ -0,0 +1,14 @@
+// Package retry decides whether a failed attempt is sent again.
+//
+// Keep one Budget per service at each home, under the lock of its shard. Call
+// Request once for each request that is dispatched for the first time, and
+// Decide after each attempt that did not bring a usable response:
+//
+//	budget.Request()
+//	...
+//	if d := budget.Decide(retry.Attempt{...}); d.Retry { /* another upstream, at once */ }
+//
+// All attempts beyond the first of a request are paid from the budget,
+// including those after an upstream has shed the request, so that attempts
+// never exceed (1 + Ratio) times the requests since the start of the budget.
+package retry
--- /dev/null
+++ b/pkg/routing/candidate.go
@@ -0,0 +1,112 @@
+package routing
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Candidate is one upstream as this home sees it.
+type Candidate struct {
+	// ID is the upstream's member ID.
+	ID string
+	// Domain is the upstream's failure domain.
+	Domain string
+	// Slots is how many requests the upstream runs at a time. Zero means
+	// unknown and counts as one.
+	Slots int
+	// Own is the number of this home's requests in flight at the upstream.
+	Own int
+	// Others is the expected number of requests that other homes have in
+	// flight there, see InFlight.Others.
+	Others float64
+	// Demoted marks an upstream that this home judges unhealthy.
+	Demoted bool
+	// Trial marks an ejected upstream that is on trial: it receives idempotent
+	// requests only, and never more than Share allows.
+	Trial bool
+	// Share is the part of an equal share of the attempts that the upstream
+	// may receive: 1 for normal, less during ramp and trial, 0 for none.
+	Share float64
+	// Preference breaks ties, higher first; see Preference.
+	Preference uint64
+}
+
+// Request is what Choose needs to know about the attempt.
+type Request struct {
+	// Domain is the failure domain of this home.
+	Domain string
+	// Idempotent requests may be sent to upstreams on trial and to demoted
+	// ones, so that their recovery is seen.
+	Idempotent bool
+	// Tried lists the upstreams that earlier attempts of this request used.
+	Tried []string
+}
+
+// Preference is the tie-breaking value of an upstream at a home. It differs
+// between homes, so that they don't all choose the same idle upstream.
+func Preference(home, upstream string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(home)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(upstream)
+	return d.Sum64()
+}
+
+// Capacity is how many requests this home may have in flight at once. It
+// counts one slot of every normal upstream even when other homes seem to hold
+// them all, because a home that never starts a request would stay starved.
+// Upstreams in ramp count only while no normal one exists.
+func Capacity(candidates []Candidate) int {
+	full := hasFull(candidates, nil)
+	total := 0
+	for i := range candidates {
+		if c := &candidates[i]; c.normal(full) {
+			total += max(1, c.ownLimit())
+		}
+	}
+	return total
+}
+
+// normal reports whether the candidate is outside the share lottery. While no
+// healthy upstream has its full share, those in ramp count as normal: limiting
+// all of them would refuse requests that they could serve.
+func (c *Candidate) normal(full bool) bool {
+	return c.Share >= 1 || (c.Share > 0 && !c.Trial && !full)
+}
+
+// ownLimit is how many requests of this home fit beside those of the others.
+func (c *Candidate) ownLimit() int {
+	return max(0, int(math.Ceil(float64(c.slots())-c.Others)))
+}
+
+func (c *Candidate) slots() int { return max(1, c.Slots) }
+
+func (c *Candidate) load() float64 {
+	return (float64(c.Own) + c.Others) / float64(c.slots())
+}
+
+func (c *Candidate) free() bool {
+	return float64(c.Own)+c.Others < float64(c.slots())
+}
+
+func (r *Request) tried(id string) bool {
+	for _, t := range r.Tried {
+		if t == id {
+			return true
+		}
+	}
+	return false
+}
+
+// hasFull reports whether a healthy upstream with its full share is left.
+func hasFull(candidates []Candidate, req *Request) bool {
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Share >= 1 && !c.Demoted && (req == nil || !req.tried(c.ID)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/routing/choose.go
@@ -0,0 +1,176 @@
+package routing
+
+import "math/rand/v2"
+
+// DemotedShare is the part of an equal share of the idempotent attempts that a
+// demoted upstream receives, so that its recovery is seen.
+const DemotedShare = 0.05
+
+// Reason says why an upstream was chosen, or why none was.
+type Reason uint8
+
+// Reasons of a choice, in the order of preference.
+const (
+	// OwnDomain is the least loaded upstream of the home's failure domain.
+	OwnDomain Reason = iota
+	// OtherDomain is the least loaded one elsewhere; the own domain is full.
+	OtherDomain
+	// DemotedFree is a demoted upstream; no healthy one has a free slot.
+	DemotedFree
+	// Contended is an upstream whose slots other homes seem to hold; this home
+	// has no request there and nothing better is free.
+	Contended
+	// Ramp is an upstream in ramp, within its share.
+	Ramp
+	// Trial is an ejected upstream on trial, within its share.
+	Trial
+	// Recovery is a demoted upstream chosen to see whether it has recovered.
+	Recovery
+	// NoUpstream means that no upstream may be used at all.
+	NoUpstream
+	// AllTried means that this request has used every usable upstream.
+	AllTried
+	// AllBusy means that no usable upstream has a free slot.
+	AllBusy
+)
+
+var reasonNames = [...]string{
+	OwnDomain: "own-domain", OtherDomain: "other-domain", DemotedFree: "demoted-free",
+	Contended: "contended", Ramp: "ramp", Trial: "trial", Recovery: "recovery",
+	NoUpstream: "no-upstream", AllTried: "all-tried", AllBusy: "all-busy",
+}
+
+// String returns the form used in logs and metrics.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return "unknown"
+}
+
+// Choice is the result of Choose.
+type Choice struct {
+	// Index is the position in the candidates, or -1.
+	Index int
+	// ID and Domain are those of the chosen candidate.
+	ID, Domain string
+	Reason     Reason
+	// Load is the expected part of the slots in use before this attempt.
+	Load float64
+}
+
+// Choose returns the upstream for one attempt, or false with the reason.
+func Choose(candidates []Candidate, req Request, rng *rand.Rand) (Choice, bool) {
+	full := hasFull(candidates, &req)
+	if choice, ok := draw(candidates, &req, full, rng); ok {
+		return choice, true
+	}
+	best, bestClass, failure := -1, AllBusy, NoUpstream
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.normal(full) {
+			continue
+		}
+		if req.tried(c.ID) {
+			failure = max(failure, AllTried)
+			continue
+		}
+		failure = AllBusy
+		class, ok := c.class(&req)
+		if !ok || class > bestClass {
+			continue
+		}
+		if best < 0 || class < bestClass || better(c, &candidates[best]) {
+			best, bestClass = i, class
+		}
+	}
+	if best < 0 {
+		return Choice{Index: -1, Reason: failure}, false
+	}
+	return choose(candidates, best, bestClass), true
+}
+
+// class ranks a normal candidate; false when it must not be used now.
+func (c *Candidate) class(req *Request) (Reason, bool) {
+	switch {
+	case !c.free():
+		return Contended, c.Own == 0 && !c.Demoted
+	case c.Demoted:
+		return DemotedFree, true
+	case c.Domain == req.Domain || req.Domain == "":
+		return OwnDomain, true
+	default:
+		return OtherDomain, true
+	}
+}
+
+// better compares two candidates of one class.
+func better(a, b *Candidate) bool {
+	la, lb := a.load(), b.load()
+	if la != lb {
+		return la < lb
+	}
+	return a.Preference > b.Preference
+}
+
+// draw gives each upstream with a limited share its part of the attempts: one
+// of n candidates with share s is drawn with probability s/n. Without this
+// lottery an idle service would send every request to the preferred upstream,
+// and trials would never see traffic.
+func draw(candidates []Candidate, req *Request, full bool, rng *rand.Rand) (Choice, bool) {
+	usable, total := 0, 0.0
+	for i := range candidates {
+		if c := &candidates[i]; c.Share > 0 && !req.tried(c.ID) {
+			usable++
+			share, _ := c.limitedShare(req, full)
+			total += share
+		}
+	}
+	if total == 0 {
+		return Choice{}, false
+	}
+	ticket := rng.Float64() * float64(usable)
+	if ticket >= total {
+		return Choice{}, false
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		if req.tried(c.ID) {
+			continue
+		}
+		share, reason := c.limitedShare(req, full)
+		if ticket < share {
+			return choose(candidates, i, reason), c.free()
+		}
+		ticket -= share
+	}
+	return Choice{}, false
+}
+
+// limitedShare is the candidate's share in the lottery, zero when it takes no
+// part in it.
+func (c *Candidate) limitedShare(req *Request, full bool) (float64, Reason) {
+	switch {
+	case c.Share <= 0:
+		return 0, NoUpstream
+	case c.Demoted:
+		if !req.Idempotent {
+			return 0, NoUpstream
+		}
+		return min(c.Share, DemotedShare), Recovery
+	case c.Trial:
+		if !req.Idempotent {
+			return 0, NoUpstream
+		}
+		return min(c.Share, 1), Trial
+	case c.normal(full):
+		return 0, NoUpstream
+	default:
+		return c.Share, Ramp
+	}
+}
+
+func choose(candidates []Candidate, i int, reason Reason) Choice {
+	c := &candidates[i]
+	return Choice{Index: i, ID: c.ID, Domain: c.Domain, Reason: reason, Load: c.load()}
+}
--- /dev/null
+++ b/pkg/routing/routing_test.go
@@ -0,0 +1,76 @@
+package routing_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"shallotglade/internal/testkit"
+	"shallotglade/pkg/routing"
+)
+
+func TestRouting(t *testing.T) { testkit.RunSpecs(t, "routing") }
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(testkit.Seed, 1)) }
+
+var _ = Describe("Choose", func() {
+	req := routing.Request{Domain: "a", Idempotent: true}
+	pick := func(change func(c []routing.Candidate)) routing.Choice {
+		cs := []routing.Candidate{
+			{ID: "a1", Domain: "a", Slots: 3, Share: 1},
+			{ID: "a2", Domain: "a", Slots: 3, Share: 1, Own: 1},
+			{ID: "b1", Domain: "b", Slots: 3, Share: 1},
+		}
+		change(cs)
+		c, _ := routing.Choose(cs, req, newRand())
+		return c
+	}
+	DescribeTable("prefers", func(change func(c []routing.Candidate), id string, reason routing.Reason) {
+		c := pick(change)
+		Expect(c.ID).To(Equal(id))
+		Expect(c.Reason).To(Equal(reason))
+	},
+		Entry("the least loaded of its domain", func([]routing.Candidate) {}, "a1", routing.OwnDomain),
+		Entry("counting other homes", func(c []routing.Candidate) { c[0].Others = 1.5 }, "a2", routing.OwnDomain),
+		Entry("another domain to queueing", func(c []routing.Candidate) { c[0].Own, c[1].Own = 3, 3 }, "b1", routing.OtherDomain),
+		Entry("another domain to a demoted upstream", func(c []routing.Candidate) {
+			c[0].Demoted, c[1].Own = true, 3
+		}, "b1", routing.OtherDomain),
+		Entry("a demoted upstream to queueing", func(c []routing.Candidate) {
+			c[0].Demoted, c[1].Own, c[2].Own = true, 3, 3
+		}, "a1", routing.DemotedFree),
+		Entry("an unused contended upstream to none", func(c []routing.Candidate) {
+			c[0].Others, c[1].Own, c[2].Own = 3, 3, 3
+		}, "a1", routing.Contended),
+		Entry("none when all are busy", func(c []routing.Candidate) {
+			c[0].Own, c[1].Own, c[2].Own = 3, 3, 3
+		}, "", routing.AllBusy),
+		Entry("none when none may be used", func(c []routing.Candidate) {
+			c[0].Share, c[1].Share, c[2].Share = 0, 0, 0
+		}, "", routing.NoUpstream),
+	)
+
+	It("measures the mean in flight and fades reports", func() {
+		f := routing.NewInFlight()
+		f.Start(epoch, "u")
+		f.Start(epoch, "u")
+		f.End(epoch.Add(125*time.Millisecond), "u")
+		at := epoch.Add(250 * time.Millisecond)
+		Expect(f.Own("u")).To(Equal(1))
+		loads := f.Report(at)
+		Expect(loads).To(Equal([]routing.Load{{Upstream: "u", Mean: 1.5}}))
+		g := routing.NewInFlight()
+		g.Merge(at, "h1", loads)
+		for age, want := range map[time.Duration]float64{0: 1.5, routing.ReportFresh: 1.5, time.Second: 0.75} {
+			g.Refresh(at.Add(age))
+			Expect(g.Others("u")).To(BeNumerically("~", want, 1e-9))
+		}
+		g.Refresh(at.Add(routing.ReportStale))
+		Expect(g.Others("u")).To(BeZero())
+	})
+})
