--- /dev/null
+++ b/pkg/blackboard/attempt.go
@@ -0,0 +1,155 @@
+package blackboard
+
+import (
+	"slices"
+	"time"
+
+	"shallotglade/pkg/detector"
+	"shallotglade/pkg/poison"
+	"shallotglade/pkg/retry"
+	"shallotglade/pkg/routing"
+	"shallotglade/pkg/upstream"
+)
+
+// Attempt is one attempt of a request at one upstream, from Begin to End.
+type Attempt struct {
+	Upstream Upstream
+
+	id          uint64
+	fingerprint poison.Fingerprint
+	started     time.Time
+	overdue     bool
+}
+
+// AttemptRequest is what Begin needs to know of a request.
+type AttemptRequest struct {
+	Idempotent  bool
+	Tried       []string
+	Fingerprint poison.Fingerprint
+	// Alone means that the request is suspected of crashing upstreams.
+	Alone bool
+}
+
+// CheckPoison decides about a request before it is admitted.
+func (s *Service) CheckPoison(now time.Time, fp poison.Fingerprint) poison.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison.Check(now, fp, len(s.exclusion.Usable), s.floorLocked())
+}
+
+// Begin chooses the upstream of an attempt and counts it as in flight. The
+// choice says why; with ok false there is no attempt.
+func (s *Service) Begin(now time.Time, r AttemptRequest) (*Attempt, routing.Choice, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.candidates {
+		s.candidates[i].Own = s.inFlight.Own(s.candidates[i].ID)
+	}
+	choice, ok := s.chooseLocked(now, r)
+	if !ok {
+		return nil, choice, false
+	}
+	i := slices.IndexFunc(s.upstreams, func(u Upstream) bool { return u.ID == choice.ID })
+	if i < 0 {
+		return nil, choice, false
+	}
+	s.nextID++
+	a := &Attempt{Upstream: s.upstreams[i], id: s.nextID, fingerprint: r.Fingerprint, started: now}
+	s.attempts[a.id] = a
+	s.inFlight.Start(now, choice.ID)
+	s.poison.Start(now, choice.ID, r.Fingerprint)
+	if len(r.Tried) == 0 {
+		s.budget.Request()
+	}
+	return a, choice, true
+}
+
+func (s *Service) chooseLocked(now time.Time, r AttemptRequest) (routing.Choice, bool) {
+	if !r.Alone {
+		return routing.Choose(s.candidates, routing.Request{Domain: s.domain, Idempotent: r.Idempotent, Tried: r.Tried}, s.rng)
+	}
+	options := make([]poison.Option, 0, len(s.candidates))
+	for _, c := range s.candidates {
+		options = append(options, poison.Option{Upstream: c.ID, Free: c.Own < max(c.Slots, 1)})
+	}
+	id, ok := s.poison.Place(now, r.Fingerprint, options)
+	return routing.Choice{ID: id, Reason: routing.AllBusy}, ok
+}
+
+// Ended is what the end of an attempt leads to.
+type Ended struct {
+	// Assess asks for Refresh now: an upstream crossed the threshold.
+	Assess bool
+	// CheckDial asks for a dial of the upstream, to be reported by Dialed
+	// before the request is retried or answered.
+	CheckDial bool
+	// Share asks for the report of this home to be sent to the others now.
+	Share bool
+}
+
+// End takes the result of an attempt.
+func (s *Service) End(now time.Time, a *Attempt, r upstream.Result) Ended {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.attempts, a.id)
+	s.inFlight.End(now, a.Upstream.ID)
+	var ended Ended
+	blameless := false
+	switch r.Kind {
+	case upstream.Success, upstream.Failure:
+		if r.Response != nil {
+			report := s.poison.Complete(now, a.Upstream.ID, a.fingerprint)
+			ended.Share = report.Changed
+			s.forgiveLocked(now, report.Forgiven)
+		} else {
+			s.poison.Abandon(a.Upstream.ID, a.fingerprint)
+		}
+	case upstream.Lost:
+		loss := s.poison.Lost(now, a.Upstream.ID, a.fingerprint)
+		ended.CheckDial, ended.Share, blameless = loss.CheckDial, loss.Changed, loss.Excused
+		s.forgiveLocked(now, loss.Forgiven)
+	default:
+		s.poison.Abandon(a.Upstream.ID, a.fingerprint)
+	}
+	if kind, ok := evidence[r.Kind]; ok {
+		ended.Assess = s.group.Observe(now, detector.Outcome{
+			Upstream: a.Upstream.ID, Kind: kind, Latency: r.Latency, BlameWithheld: blameless, WasOverdue: a.overdue,
+		})
+	}
+	return ended
+}
+
+// Dialed reports the dial that End asked for.
+func (s *Service) Dialed(now time.Time, id string, refused bool) Ended {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report := s.poison.Dialed(now, id, refused)
+	s.forgiveLocked(now, report.Forgiven)
+	return Ended{Share: report.Changed}
+}
+
+// forgiveLocked drops the evidence against upstreams that a request crashed.
+func (s *Service) forgiveLocked(now time.Time, ids []string) {
+	for _, id := range ids {
+		s.group.Restart(now, id)
+	}
+}
+
+// DecideRetry says whether a failed attempt is repeated.
+func (s *Service) DecideRetry(now time.Time, a retry.Attempt, fp poison.Fingerprint) retry.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.Suspect = s.poison.Suspected(now, fp)
+	return s.budget.Decide(a)
+}
+
+// evidence maps ends of attempts that say something about an upstream.
+var evidence = map[upstream.Kind]detector.Kind{
+	upstream.Success:     detector.Success,
+	upstream.Failure:     detector.Failure,
+	upstream.Timeout:     detector.Timeout,
+	upstream.Truncated:   detector.Truncated,
+	upstream.Shed:        detector.Shed,
+	upstream.Unreachable: detector.Unreachable,
+	upstream.Lost:        detector.Crash,
+}
--- /dev/null
+++ b/pkg/blackboard/health.go
@@ -0,0 +1,129 @@
+package blackboard
+
+import (
+	"time"
+
+	"shallotglade/pkg/detector"
+	"shallotglade/pkg/ejection"
+	"shallotglade/pkg/routing"
+)
+
+// Refresh assesses the upstreams anew and rebuilds what requests choose from.
+// The health controller calls it a few times a second. It returns the
+// assessments that changed their condition.
+func (s *Service) Refresh(now time.Time) []detector.Assessment {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refreshLocked(now)
+}
+
+func (s *Service) refreshLocked(now time.Time) []detector.Assessment {
+	before := map[string]detector.Condition{}
+	for _, a := range s.assessments {
+		before[a.Upstream] = a.Condition
+	}
+	s.reportOverdueLocked(now)
+	s.assessments = s.group.Assess(now)
+	s.inFlight.Refresh(now)
+	view := s.viewLocked()
+	s.exclusion = ejection.Effective(view, s.record, s.policyLocked(), now)
+	clear(s.demotions)
+	for _, d := range ejection.Demotions(view, s.assessments, s.exclusion) {
+		s.demotions[d.Upstream] = d
+	}
+	s.rebuildCandidatesLocked()
+	s.Gate.SetCapacity(routing.Capacity(s.candidates))
+	var changed []detector.Assessment
+	for _, a := range s.assessments {
+		if a.Condition != before[a.Upstream] {
+			changed = append(changed, a)
+		}
+	}
+	return changed
+}
+
+func (s *Service) rebuildCandidatesLocked() {
+	s.candidates = s.candidates[:0]
+	for _, u := range s.upstreams {
+		standing := s.exclusion.Standing(u.ID)
+		if standing.Excluded || u.Leaving {
+			continue
+		}
+		d, demoted := s.demotions[u.ID]
+		c := routing.Candidate{
+			ID: u.ID, Domain: u.Domain, Slots: u.Slots,
+			Own: s.inFlight.Own(u.ID), Others: s.inFlight.Others(u.ID),
+			Demoted: demoted, Trial: standing.IdempotentOnly, Share: standing.Share,
+			Preference: routing.Preference(s.self, u.ID),
+		}
+		if demoted {
+			c.Share = min(c.Share, d.Share)
+		}
+		s.candidates = append(s.candidates, c)
+	}
+}
+
+// SetRecord replaces the ejection record if its version is higher. The zero
+// record with a higher version stands for a deleted one.
+func (s *Service) SetRecord(now time.Time, record ejection.Record, version uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version <= s.recordVersion {
+		return false
+	}
+	for _, e := range record.Entries {
+		old, had := s.record.Entry(e.Upstream)
+		if e.State == ejection.Trial && (!had || old.State != ejection.Trial) {
+			s.group.Restart(now, e.Upstream)
+		}
+	}
+	s.record, s.recordVersion = record, version
+	s.refreshLocked(now)
+	return true
+}
+
+// Propose returns the record that this home wants to store in place of the one
+// that it holds, the version to replace, and the decisions. A version of 0
+// means that no record is stored yet.
+func (s *Service) Propose(now time.Time) (ejection.Record, uint64, []ejection.Decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next, decisions := ejection.Propose(s.viewLocked(), s.record, s.assessments, s.policyLocked(), now, s.rng)
+	next.Service = s.Name
+	return next, s.recordVersion, decisions
+}
+
+// Observe adds the outcome of a probe. It reports whether to call Refresh now.
+func (s *Service) Observe(now time.Time, o detector.Outcome) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group.Observe(now, o)
+}
+
+// reportOverdueLocked tells the detector about attempts that take longer than
+// any upstream of the service should need, before they end.
+func (s *Service) reportOverdueLocked(now time.Time) {
+	limit := s.group.OverdueAfter()
+	if limit <= 0 {
+		return
+	}
+	for _, a := range s.attempts {
+		if age := now.Sub(a.started); !a.overdue && age > limit {
+			a.overdue = true
+			s.group.Observe(now, detector.Outcome{Upstream: a.Upstream.ID, Kind: detector.Overdue, Latency: age})
+		}
+	}
+}
+
+// Reachable reports whether this daemon can reach an upstream of the service,
+// as far as it knows. While it cannot, another home may.
+func (s *Service) Reachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.candidates {
+		if d, demoted := s.demotions[c.ID]; !demoted || !d.PathBad {
+			return true
+		}
+	}
+	return len(s.candidates) == 0
+}
--- /dev/null
+++ b/pkg/blackboard/service.go
@@ -0,0 +1,255 @@
+package blackboard
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shallotglade/pkg/detector"
+	"shallotglade/pkg/document"
+	"shallotglade/pkg/ejection"
+	"shallotglade/pkg/limits"
+	"shallotglade/pkg/poison"
+	"shallotglade/pkg/retry"
+	"shallotglade/pkg/routing"
+)
+
+// Upstream is one upstream of a service as this daemon knows it.
+type Upstream struct {
+	ID      string
+	Address string
+	Domain  string
+	Slots   int
+	// Leaving means that the membership list or a sign of the upstream itself
+	// says that it leaves. It does not go back for the same id.
+	Leaving bool
+	// Joined is when the upstream was added to a list that existed before.
+	Joined time.Time
+}
+
+// Service is what this daemon knows of one service. It is safe for concurrent
+// use.
+type Service struct {
+	Name string
+	// Gate admits requests; it has its own lock.
+	Gate *limits.Gate
+
+	self   string
+	domain string
+
+	mu        sync.Mutex
+	document  *document.Service
+	version   uint64
+	unknown   []string
+	homes     []string
+	upstreams []Upstream
+	// left remembers upstreams that announced themselves that they leave.
+	left map[string]bool
+
+	group         *detector.Group
+	assessments   []detector.Assessment
+	record        ejection.Record
+	recordVersion uint64
+	exclusion     ejection.Exclusion
+	demotions     map[string]ejection.Demotion
+
+	candidates []routing.Candidate
+	inFlight   *routing.InFlight
+	attempts   map[uint64]*Attempt
+	nextID     uint64
+	budget     *retry.Budget
+	poison     *poison.Tracker
+	rng        *rand.Rand
+}
+
+func newService(d *document.Service, self, domain string) *Service {
+	s := &Service{
+		Name: d.Service, self: self, domain: domain, document: d,
+		left:      map[string]bool{},
+		group:     detector.NewGroup(detector.TuningFor(d.Detection.Weight)),
+		record:    ejection.Record{Service: d.Service},
+		demotions: map[string]ejection.Demotion{},
+		inFlight:  routing.NewInFlight(),
+		attempts:  map[uint64]*Attempt{},
+		budget:    retry.NewBudget(retry.DefaultPolicy()),
+		poison:    poison.NewTracker(self, []string{self}),
+		rng:       rand.New(rand.NewPCG(xxhash.Sum64String(self), xxhash.Sum64String(d.Service))),
+	}
+	s.Gate = limits.NewGate(gatePolicy(d), 1, time.Now)
+	return s
+}
+
+// Document returns the document in force. It must not be changed.
+func (s *Service) Document() *document.Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.document
+}
+
+// Version returns the platform version of the document in force.
+func (s *Service) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// setDocument puts a document in force if its version is higher.
+func (s *Service) setDocument(d *document.Service, version uint64, unknown []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version <= s.version {
+		return false
+	}
+	s.document, s.version, s.unknown = d, version, unknown
+	s.group.SetTuning(detector.TuningFor(d.Detection.Weight))
+	s.budget.SetPolicy(retryPolicy(d))
+	s.Gate.SetPolicy(gatePolicy(d))
+	if static := d.Upstreams.Static; len(static) > 0 {
+		s.setUpstreamsLocked(time.Now(), staticUpstreams(static))
+	}
+	s.refreshLocked(time.Now())
+	return true
+}
+
+func gatePolicy(d *document.Service) limits.Policy {
+	p := limits.DefaultPolicy()
+	p.Default = limits.CallerPolicy{
+		Rate: d.Limits.CallerRate, Burst: float64(d.Limits.CallerBurst), Concurrency: d.Limits.CallerConcurrency,
+	}
+	if d.Limits.Queue > 0 {
+		p.MaxQueue = d.Limits.Queue
+	}
+	p.MaxWait = d.Timeouts.Request
+	return p
+}
+
+func retryPolicy(d *document.Service) retry.Policy {
+	p := retry.DefaultPolicy()
+	p.Ratio, p.MaxAttempts = float64(d.Retries.Budget), d.Retries.Attempts
+	return p
+}
+
+func staticUpstreams(list []document.StaticUpstream) []Upstream {
+	out := make([]Upstream, len(list))
+	for i, u := range list {
+		out[i] = Upstream{ID: u.ID, Address: u.Address, Domain: u.Domain, Slots: u.Slots}
+	}
+	return out
+}
+
+// SetHomes tells which daemons are the service's homes.
+func (s *Service) SetHomes(homes []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.homes = homes
+	s.poison.SetHomes(homes)
+}
+
+// IsHome reports whether this daemon is a home of the service.
+func (s *Service) IsHome() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.homes, s.self)
+}
+
+// SetUpstreams replaces the list of upstreams. The order does not matter.
+func (s *Service) SetUpstreams(now time.Time, list []Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.document.Upstreams.Static) > 0 {
+		return
+	}
+	s.setUpstreamsLocked(now, list)
+	s.refreshLocked(now)
+}
+
+func (s *Service) setUpstreamsLocked(now time.Time, list []Upstream) {
+	first := len(s.upstreams) == 0
+	known := map[string]Upstream{}
+	for _, u := range s.upstreams {
+		known[u.ID] = u
+	}
+	next := make([]Upstream, 0, len(list))
+	left := map[string]bool{}
+	for _, u := range list {
+		if old, ok := known[u.ID]; ok {
+			u.Joined = old.Joined
+		} else if !first {
+			u.Joined = now
+			s.group.SetWarmUp(now, u.ID, now.Add(s.document.Upstreams.WarmUp))
+		}
+		if s.left[u.ID] {
+			u.Leaving, left[u.ID] = true, true
+		}
+		if u.Slots == 0 {
+			u.Slots = s.document.Upstreams.Slots
+		}
+		delete(known, u.ID)
+		next = append(next, u)
+	}
+	for id := range known {
+		s.poison.Forget(id)
+	}
+	slices.SortFunc(next, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+	s.upstreams, s.left = next, left
+	ids := make([]string, len(next))
+	for i, u := range next {
+		ids[i] = u.ID
+	}
+	s.group.Retain(now, ids)
+}
+
+// MarkLeaving notes that an upstream announced that it leaves. It reports
+// whether that is news.
+func (s *Service) MarkLeaving(now time.Time, id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.left[id] {
+		return false
+	}
+	for i := range s.upstreams {
+		if s.upstreams[i].ID == id {
+			s.left[id] = true
+			s.upstreams[i].Leaving = true
+			s.refreshLocked(now)
+			return true
+		}
+	}
+	return false
+}
+
+// Upstreams returns a copy of the list.
+func (s *Service) Upstreams() []Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.upstreams)
+}
+
+// floorLocked is the floor in upstreams; leaving ones are no capacity.
+func (s *Service) floorLocked() int {
+	live := 0
+	for _, u := range s.upstreams {
+		if !u.Leaving {
+			live++
+		}
+	}
+	return s.document.Floor.Upstreams(live)
+}
+
+func (s *Service) viewLocked() ejection.View {
+	v := ejection.View{Upstreams: make([]ejection.UpstreamView, len(s.upstreams))}
+	for i, u := range s.upstreams {
+		v.Upstreams[i] = ejection.UpstreamView{ID: u.ID, Leaving: u.Leaving, Joined: u.Joined}
+	}
+	return v
+}
+
+func (s *Service) policyLocked() ejection.Policy {
+	p := ejection.DefaultPolicy(s.floorLocked())
+	p.RampFor = s.document.Upstreams.WarmUp
+	return p
+}
--- /dev/null
+++ b/pkg/blackboard/status.go
@@ -0,0 +1,99 @@
+package blackboard
+
+import (
+	"time"
+
+	"shallotglade/pkg/detector"
+)
+
+// Standings of an upstream in a Status.
+const (
+	StandingNormal  = "normal"
+	StandingDemoted = "demoted"
+	StandingEjected = "ejected"
+	StandingTrial   = "trial"
+	StandingRamp    = "ramp"
+	StandingLeaving = "leaving"
+)
+
+// Status is what this daemon sees of a service, for operators.
+type Status struct {
+	Service       string           `json:"service" yaml:"service"`
+	Version       uint64           `json:"version" yaml:"version"`
+	UnknownFields []string         `json:"unknownFields,omitempty" yaml:"unknownFields,omitempty"`
+	RecordVersion uint64           `json:"recordVersion" yaml:"recordVersion"`
+	Home          bool             `json:"home" yaml:"home"`
+	Homes         []string         `json:"homes" yaml:"homes"`
+	Floor         int              `json:"floor" yaml:"floor"`
+	Usable        int              `json:"usable" yaml:"usable"`
+	Running       int              `json:"running" yaml:"running"`
+	Waiting       int              `json:"waiting" yaml:"waiting"`
+	RetriesLeft   int              `json:"retriesLeft" yaml:"retriesLeft"`
+	Upstreams     []UpstreamStatus `json:"upstreams" yaml:"upstreams"`
+}
+
+// UpstreamStatus is what this daemon sees of one upstream, and why.
+type UpstreamStatus struct {
+	ID        string  `json:"id" yaml:"id"`
+	Address   string  `json:"address" yaml:"address"`
+	Domain    string  `json:"domain" yaml:"domain"`
+	Standing  string  `json:"standing" yaml:"standing"`
+	Share     float64 `json:"share" yaml:"share"`
+	Condition string  `json:"condition" yaml:"condition"`
+	Reason    string  `json:"reason,omitempty" yaml:"reason,omitempty"`
+	Score     float64 `json:"score" yaml:"score"`
+	// Until is when the next step of an ejection is due.
+	Until    time.Time `json:"until,omitzero" yaml:"until,omitempty"`
+	InFlight int       `json:"inFlight" yaml:"inFlight"`
+	Slots    int       `json:"slots" yaml:"slots"`
+}
+
+// Status returns what this daemon sees of the service.
+func (s *Service) Status() Status {
+	gate := s.Gate.Stats()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := Status{
+		Service: s.Name, Version: s.version, UnknownFields: s.unknown, RecordVersion: s.recordVersion,
+		Homes: s.homes, Floor: s.floorLocked(), Usable: len(s.exclusion.Usable),
+		Running: gate.Running, Waiting: gate.Waiting, RetriesLeft: s.budget.Available(),
+	}
+	for _, h := range s.homes {
+		st.Home = st.Home || h == s.self
+	}
+	assessed := map[string]detector.Assessment{}
+	for _, a := range s.assessments {
+		assessed[a.Upstream] = a
+	}
+	for _, u := range s.upstreams {
+		st.Upstreams = append(st.Upstreams, s.upstreamStatusLocked(u, assessed[u.ID]))
+	}
+	return st
+}
+
+func (s *Service) upstreamStatusLocked(u Upstream, a detector.Assessment) UpstreamStatus {
+	standing := s.exclusion.Standing(u.ID)
+	st := UpstreamStatus{
+		ID: u.ID, Address: u.Address, Domain: u.Domain, Standing: StandingNormal, Share: standing.Share,
+		Condition: a.Condition.String(), Reason: string(a.Reason), Score: a.Score,
+		InFlight: s.inFlight.Own(u.ID), Slots: u.Slots,
+	}
+	entry, recorded := s.record.Entry(u.ID)
+	_, demoted := s.demotions[u.ID]
+	switch {
+	case u.Leaving:
+		st.Standing = StandingLeaving
+	case standing.Excluded:
+		st.Standing = StandingEjected
+	case standing.IdempotentOnly:
+		st.Standing = StandingTrial
+	case demoted:
+		st.Standing = StandingDemoted
+	case standing.Share < 1:
+		st.Standing = StandingRamp
+	}
+	if recorded {
+		st.Until = time.UnixMilli(entry.Until)
+	}
+	return st
+}
--- /dev/null
+++ b/pkg/health/controller.go
@@ -0,0 +1,207 @@
+package health
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
+
+	"shallotglade/pkg/blackboard"
+	"shallotglade/pkg/detector"
+	"shallotglade/pkg/platform"
+	"shallotglade/pkg/telemetry"
+	"shallotglade/pkg/upstream"
+)
+
+const (
+	// roundInterval is the time between two assessments and reports of a home.
+	roundInterval = 250 * time.Millisecond
+	// proposeRounds is how many rounds lie between two proposals without a
+	// change of condition: trials and ramps advance by time.
+	proposeRounds = 4
+	// idleRounds is how many rounds lie between two refreshes of a service of
+	// which this daemon is no home.
+	idleRounds = 20
+	// poolSize bounds probes, reports and platform writes under way.
+	poolSize = 256
+	// writeTimeout bounds one write of an ejection record.
+	writeTimeout = 2 * time.Second
+)
+
+// Peer is another home of a service.
+type Peer struct {
+	ID      string
+	Address string
+}
+
+// Controller is the health controller of one daemon. All fields are required.
+type Controller struct {
+	Board *blackboard.Board
+	Store platform.Store
+	// Homes returns the live homes of a service other than this daemon.
+	Homes func(service string) []Peer
+	// Send sends a report, which may be lost.
+	Send func(ctx context.Context, to Peer, body []byte) error
+	// Publish takes over a newer object for distribution.
+	Publish func(platform.Object)
+	Sender  upstream.Sender
+	Log     zerolog.Logger
+	Metrics *telemetry.Metrics
+
+	pool     *ants.Pool
+	assess   chan *blackboard.Service
+	share    chan *blackboard.Service
+	mu       sync.Mutex
+	writing  map[string]bool
+	lastSeen map[string]time.Time
+}
+
+// Provision prepares the controller; Cleanup releases it.
+func (c *Controller) Provision() error {
+	pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true))
+	if err != nil {
+		return err
+	}
+	c.pool = pool
+	c.assess = make(chan *blackboard.Service, poolSize)
+	c.share = make(chan *blackboard.Service, poolSize)
+	c.writing = map[string]bool{}
+	c.lastSeen = map[string]time.Time{}
+	return nil
+}
+
+// Cleanup ends what is under way.
+func (c *Controller) Cleanup() { c.pool.Release() }
+
+// Assess implements the request path's notification. A full channel is no loss:
+// the next round assesses every service.
+func (c *Controller) Assess(s *blackboard.Service) {
+	select {
+	case c.assess <- s:
+	default:
+	}
+}
+
+// Share implements the request path's notification.
+func (c *Controller) Share(s *blackboard.Service) {
+	select {
+	case c.share <- s:
+	default:
+	}
+}
+
+// Run works until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	tick := time.NewTicker(roundInterval)
+	defer tick.Stop()
+	for round := 0; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-c.assess:
+			c.refresh(ctx, s, true)
+		case s := <-c.share:
+			c.report(ctx, s)
+		case <-tick.C:
+			round++
+			c.round(ctx, round)
+		}
+	}
+}
+
+// round assesses and reports the services of which this daemon is a home, and
+// now and then refreshes the others.
+func (c *Controller) round(ctx context.Context, round int) {
+	for _, s := range c.Board.Services() {
+		if s.IsHome() {
+			c.refresh(ctx, s, round%proposeRounds == 0)
+			c.report(ctx, s)
+			c.probe(ctx, s)
+		} else if round%idleRounds == 0 {
+			s.Refresh(time.Now())
+		}
+	}
+}
+
+// refresh assesses the upstreams of a service and proposes ejections if a
+// condition changed or propose is set.
+func (c *Controller) refresh(ctx context.Context, s *blackboard.Service, propose bool) {
+	changed := s.Refresh(time.Now())
+	for _, a := range changed {
+		c.logCondition(s.Name, a)
+	}
+	if len(changed) > 0 {
+		c.countStandings(s)
+		c.report(ctx, s)
+	}
+	if propose || len(changed) > 0 {
+		c.propose(ctx, s)
+	}
+}
+
+func (c *Controller) logCondition(service string, a detector.Assessment) {
+	c.Metrics.Ejections.WithLabelValues(service, "condition-"+a.Condition.String()).Inc()
+	c.Log.Info().Str("service", service).Str("upstream", a.Upstream).Stringer("condition", a.Condition).
+		Str("reason", string(a.Reason)).Float64("score", a.Score).Int("support", a.Support).
+		Msg("health: condition changed")
+}
+
+func (c *Controller) countStandings(s *blackboard.Service) {
+	counts := map[string]int{"normal": 0, "demoted": 0, "ejected": 0, "trial": 0, "ramp": 0, "leaving": 0}
+	for _, u := range s.Status().Upstreams {
+		counts[u.Standing]++
+	}
+	for standing, n := range counts {
+		c.Metrics.Standings.WithLabelValues(s.Name, standing).Set(float64(n))
+	}
+}
+
+// report sends this home's report to the service's other homes.
+func (c *Controller) report(ctx context.Context, s *blackboard.Service) {
+	homes := c.Homes(s.Name)
+	if len(homes) == 0 {
+		return
+	}
+	r, said := s.Report(time.Now())
+	if !said {
+		return
+	}
+	r.Home = c.Board.Self()
+	body, err := blackboard.EncodeReport(r)
+	if err != nil {
+		c.Log.Error().Str("service", s.Name).Err(err).Msg("health: report cannot be encoded")
+		return
+	}
+	for _, h := range homes {
+		c.background(func() {
+			ctx, cancel := context.WithTimeout(ctx, roundInterval)
+			defer cancel()
+			if err := c.Send(ctx, h, body); err != nil {
+				c.Log.Debug().Str("service", s.Name).Str("home", h.ID).Err(err).Msg("health: report not sent")
+			}
+		})
+	}
+}
+
+// Receive takes the report of another home. owns tells whether the sender may
+// speak for a daemon id.
+func (c *Controller) Receive(body []byte, owns func(id string) bool) {
+	r, err := blackboard.DecodeReport(body)
+	if err != nil || !owns(r.Home) {
+		c.Log.Warn().Str("home", r.Home).Err(err).Msg("health: report refused")
+		return
+	}
+	if s, ok := c.Board.Service(r.Service); ok {
+		s.Merge(time.Now(), r.Home, r)
+	}
+}
+
+// background runs a task in the pool. With a full pool the task is dropped: all
+// of them are repeated in a later round.
+func (c *Controller) background(task func()) {
+	if err := c.pool.Submit(task); err != nil {
+		c.Log.Debug().Err(err).Msg("health: task dropped")
+	}
+}
--- /dev/null
+++ b/pkg/health/propose.go
@@ -0,0 +1,94 @@
+package health
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotglade/pkg/blackboard"
+	"shallotglade/pkg/catalog"
+	"shallotglade/pkg/ejection"
+	"shallotglade/pkg/platform"
+)
+
+// propose writes the record that this home wants, if it differs from the one in
+// force. At most one write for a service is under way.
+func (c *Controller) propose(ctx context.Context, s *blackboard.Service) {
+	if !s.IsHome() {
+		return
+	}
+	next, version, decisions := s.Propose(time.Now())
+	if !ejection.Changed(decisions) || !c.beginWrite(s.Name) {
+		return
+	}
+	c.background(func() {
+		defer c.endWrite(s.Name)
+		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+		defer cancel()
+		c.write(ctx, s.Name, next, version, decisions)
+	})
+}
+
+func (c *Controller) write(ctx context.Context, service string, next ejection.Record, version uint64, decisions []ejection.Decision) {
+	value, err := next.Encode()
+	if err != nil {
+		c.Log.Error().Str("service", service).Err(err).Msg("ejection: record cannot be encoded")
+		return
+	}
+	key := catalog.EjectionsPrefix + service
+	var o platform.Object
+	if version == 0 {
+		o, err = c.Store.Create(ctx, key, value)
+	} else {
+		o, err = c.Store.Update(ctx, key, version, value)
+	}
+	switch {
+	case err == nil:
+		c.Publish(o)
+		c.logDecisions(service, o.Version, decisions)
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnknownOutcome):
+		// Another home was faster, or the reply was lost: take over what is
+		// stored and propose again in a later round.
+		c.reread(ctx, service, key)
+	default:
+		c.Log.Warn().Str("service", service).Err(err).Msg("ejection: record not written; demotion alone is in force")
+	}
+}
+
+func (c *Controller) reread(ctx context.Context, service, key string) {
+	o, err := c.Store.Get(ctx, key)
+	if err != nil {
+		c.Log.Warn().Str("service", service).Err(err).Msg("ejection: record not read")
+		return
+	}
+	c.Publish(o)
+}
+
+func (c *Controller) logDecisions(service string, version uint64, decisions []ejection.Decision) {
+	for _, d := range decisions {
+		if d.Action == ejection.Keep {
+			continue
+		}
+		c.Metrics.Ejections.WithLabelValues(service, d.Action.String()).Inc()
+		c.Log.Info().Str("service", service).Str("upstream", d.Upstream).Stringer("action", d.Action).
+			Str("reason", d.Reason).Int("round", d.Round).Time("until", d.Until).Uint64("version", version).
+			Msg("ejection: standing changed")
+	}
+}
+
+func (c *Controller) beginWrite(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing[service] {
+		return false
+	}
+	c.writing[service] = true
+	return true
+}
+
+func (c *Controller) endWrite(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.writing, service)
+}
--- /dev/null
+++ b/pkg/platform/members.go
@@ -0,0 +1,86 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MembersPrefix is the prefix under which WithMembers shows the membership list.
+const MembersPrefix = "members/"
+
+// WithMembers returns a Store that shows the membership list as read-only
+// objects "members/<id>", so that one mechanism distributes documents and
+// members. The value is the Member in JSON, the version the member's own. A
+// member that vanishes from the list becomes a tombstone whose version is the
+// revision of the list.
+func WithMembers(s Store) Store { return &memberStore{Store: s, known: map[string]uint64{}} }
+
+type memberStore struct {
+	Store
+
+	mu    sync.Mutex
+	known map[string]uint64
+}
+
+// List implements Store.
+func (s *memberStore) List(ctx context.Context, prefix string) ([]Object, uint64, error) {
+	if prefix != MembersPrefix {
+		return s.Store.List(ctx, prefix)
+	}
+	members, revision, err := s.Members(ctx, 0, 0)
+	if err != nil {
+		return nil, 0, err
+	}
+	objects, err := s.objects(members, revision, 0)
+	if err != nil {
+		return nil, 0, err
+	}
+	return slices.DeleteFunc(objects, func(o Object) bool { return o.Deleted }), revision, nil
+}
+
+// Watch implements Store.
+func (s *memberStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Object, uint64, error) {
+	if prefix != MembersPrefix {
+		return s.Store.Watch(ctx, prefix, after, wait)
+	}
+	members, revision, err := s.Members(ctx, after, wait)
+	if err != nil || members == nil {
+		return nil, after, err
+	}
+	objects, err := s.objects(members, revision, after)
+	return objects, revision, err
+}
+
+// objects returns the members that are newer than after, and tombstones of those
+// that have vanished.
+func (s *memberStore) objects(members []Member, revision, after uint64) ([]Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Object
+	current := make(map[string]uint64, len(members))
+	for _, m := range members {
+		current[m.ID] = m.Version
+		if m.Version <= after {
+			continue
+		}
+		value, err := json.Marshal(m)
+		if err != nil {
+			return nil, errors.Wrap(err, "platform: encode member")
+		}
+		out = append(out, Object{Key: MembersPrefix + m.ID, Version: m.Version, Value: value})
+	}
+	for id := range s.known {
+		if _, here := current[id]; !here {
+			out = append(out, Object{Key: MembersPrefix + id, Version: revision, Deleted: true})
+		}
+	}
+	s.known = current
+	slices.SortFunc(out, func(a, b Object) int { return strings.Compare(a.Key, b.Key) })
+	return out, nil
+}
--- /dev/null
+++ b/pkg/proxy/finish.go
@@ -0,0 +1,30 @@
+package proxy
+
+import (
+	"strconv"
+	"time"
+)
+
+// finish logs and counts the answer to a request.
+func (p *Proxy) finish(in *Incoming, service string, a *Answer) *Answer {
+	total := time.Since(in.Arrived)
+	p.Metrics.Requests.WithLabelValues(service, a.Verdict.String(), strconv.Itoa(a.Status/100)+"xx").Inc()
+	p.Metrics.RequestSeconds.WithLabelValues(service).Observe(total.Seconds())
+	p.Metrics.AddedSeconds.WithLabelValues(service).Observe(max(0, total-a.Waited).Seconds())
+	if a.Refusal != nil {
+		p.Metrics.Refusals.WithLabelValues(service, a.Refusal.Reason).Inc()
+	}
+	if !p.LogDecisions {
+		return a
+	}
+	line := p.Log.Info().Str("request", in.ID).Str("caller", in.Caller).Str("service", service).
+		Int("status", a.Status).Stringer("verdict", a.Verdict).Dur("ms", total)
+	if a.Refusal != nil {
+		line.Str("reason", a.Refusal.Reason).AnErr("cause", a.Refusal.Cause).Int("hops", in.Hops)
+		line.Msg("request: refused")
+		return a
+	}
+	line.Str("upstream", a.Upstream).Bool("replayed", a.Replayed).Int("hops", in.Hops)
+	line.Msg("request: answered")
+	return a
+}
--- /dev/null
+++ b/pkg/proxy/proxy.go
@@ -0,0 +1,207 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"shallotglade/pkg/blackboard"
+	"shallotglade/pkg/claims"
+	"shallotglade/pkg/document"
+	"shallotglade/pkg/limits"
+	"shallotglade/pkg/poison"
+	"shallotglade/pkg/telemetry"
+	"shallotglade/pkg/upstream"
+	"shallotglade/pkg/verdict"
+)
+
+// Peer is another daemon that is a home of a service.
+type Peer struct {
+	ID      string
+	Address string
+	Domain  string
+}
+
+// Directory names the homes of a service.
+type Directory interface {
+	// Homes returns the live homes other than this daemon, the best first.
+	Homes(service string) []Peer
+}
+
+// Forwarder passes a request to another daemon. An error of ErrNotSent
+// certainly had no effect.
+type Forwarder interface {
+	Forward(ctx context.Context, to Peer, in *Incoming, left time.Duration) (*Answer, error)
+}
+
+// ErrNotSent marks errors of a Forwarder whose request certainly did not leave.
+var ErrNotSent = errors.New("proxy: the request was not sent to the peer")
+
+// Notifier tells the health controller that something happened which should not
+// wait for its next round.
+type Notifier interface {
+	// Assess asks for a new assessment of the service's upstreams.
+	Assess(service *blackboard.Service)
+	// Share asks for this home's report to be sent to the other homes.
+	Share(service *blackboard.Service)
+}
+
+// Proxy is the request path of one daemon. All fields are required.
+type Proxy struct {
+	Board     *blackboard.Board
+	Sender    upstream.Sender
+	Ledger    claims.Ledger
+	Directory Directory
+	Forwarder Forwarder
+	Notifier  Notifier
+	Log       zerolog.Logger
+	Metrics   *telemetry.Metrics
+	// LogDecisions turns the line for each routing decision on.
+	LogDecisions bool
+}
+
+// maxHops is how often daemons may pass a request on. A suspect may need a
+// second hop, from a home to the one home that runs it.
+const maxHops = 2
+
+// Serve brings back the answer to a request. It never returns nil.
+func (p *Proxy) Serve(ctx context.Context, in *Incoming) *Answer {
+	p.Metrics.InFlight.Inc()
+	defer p.Metrics.InFlight.Dec()
+	service, ok := p.Board.Route(in.Service, in.Host, in.Path)
+	if !ok {
+		return p.finish(in, "", refused(verdict.Refuse(404, "unknown-service", "No service has this name or route.")))
+	}
+	d := service.Document()
+	if err := checkRequest(d, in); err != nil {
+		return p.finish(in, service.Name, refused(err))
+	}
+	ctx, cancel := requestContext(ctx, d, in)
+	defer cancel()
+	return p.finish(in, service.Name, p.route(ctx, service, in))
+}
+
+// requestContext bounds a request by the document's time limit and its own
+// deadline. A request that is not idempotent goes on when its caller leaves, so
+// that its outcome becomes known and can be stored.
+func requestContext(ctx context.Context, d *document.Service, in *Incoming) (context.Context, context.CancelFunc) {
+	deadline := in.Arrived.Add(d.Timeouts.Request)
+	if !in.Deadline.IsZero() && in.Deadline.Before(deadline) {
+		deadline = in.Deadline
+	}
+	if !d.Idempotent(in.Method, in.Path) {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
+const (
+	maxKeyBytes    = 255
+	maxCallerBytes = 128
+)
+
+func checkRequest(d *document.Service, in *Incoming) *verdict.Error {
+	switch {
+	case len(in.Body) > d.Requests.MaxBodyBytes:
+		return verdict.Refuse(413, "body-too-large", fmt.Sprintf("The service takes bodies of at most %d bytes.", d.Requests.MaxBodyBytes))
+	case !isToken(in.Caller, maxCallerBytes):
+		return verdict.Refuse(400, "bad-caller", "Shallotglade-Caller must be 1 to 128 visible ASCII characters.")
+	case in.Key != "" && !isToken(in.Key, maxKeyBytes):
+		return verdict.Refuse(400, "bad-key", "Idempotency-Key must be at most 255 visible ASCII characters.")
+	case in.Key == "" && d.Requests.Key == document.KeyRequired && !d.Idempotent(in.Method, in.Path):
+		return verdict.Refuse(400, "key-required", "This request needs an Idempotency-Key header.")
+	}
+	return nil
+}
+
+func isToken(s string, limit int) bool {
+	if len(s) == 0 || len(s) > limit {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] < '!' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// route serves the request here or passes it to a home.
+func (p *Proxy) route(ctx context.Context, service *blackboard.Service, in *Incoming) *Answer {
+	if in.Hops == 0 && (!service.IsHome() || !service.Reachable()) {
+		if answer, sent := p.forwardToHome(ctx, service, in); sent {
+			return answer
+		}
+	}
+	fp := in.fingerprint(service.Name)
+	alone, answer := p.screen(ctx, service, in, fp)
+	if answer != nil {
+		return answer
+	}
+	start := time.Now()
+	permit, err := service.Gate.Acquire(ctx, limits.Request{Caller: in.Caller, Deadline: deadlineOf(ctx)})
+	if err != nil {
+		return refused(asVerdict(err))
+	}
+	defer permit.Release()
+	x := &exchange{proxy: p, service: service, document: service.Document(), in: in, fingerprint: fp, alone: alone}
+	answer = x.run(ctx)
+	answer.Waited += time.Since(start) - x.own
+	return answer
+}
+
+// suspectPoll is how often a suspect checks whether the copy before it ended.
+const suspectPoll = 10 * time.Millisecond
+
+// screen holds back requests that are suspected of crashing upstreams. It
+// returns an answer if the request does not run here.
+func (p *Proxy) screen(ctx context.Context, service *blackboard.Service, in *Incoming, fp poison.Fingerprint) (bool, *Answer) {
+	for {
+		d := service.CheckPoison(time.Now(), fp)
+		switch d.Action {
+		case poison.Run:
+			return false, nil
+		case poison.RunAlone:
+			return true, nil
+		case poison.Forward:
+			return false, p.forwardSuspect(ctx, service, in, d.Home)
+		case poison.Refuse:
+			err := verdict.Refuse(d.Status, d.Reason, "Upstreams crashed while this request ran.")
+			err.RetryAfter = d.RetryAfter
+			return false, refused(err)
+		case poison.Wait:
+			if !sleep(ctx, suspectPoll) {
+				return false, refused(verdict.Refuse(503, "suspect-waits", "A copy of this request is running; no time is left to wait for it."))
+			}
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func deadlineOf(ctx context.Context) time.Time {
+	d, _ := ctx.Deadline()
+	return d
+}
+
+// asVerdict returns the verdict.Error behind err. An error without one is told
+// as "may have run", which is never false.
+func asVerdict(err error) *verdict.Error {
+	var e *verdict.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &verdict.Error{Verdict: verdict.MayHaveRun, Status: 500, Reason: "internal", Detail: "The daemon failed.", Cause: err}
+}
--- /dev/null
+++ b/pkg/proxy/request.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"time"
+
+	"shallotglade/pkg/poison"
+	"shallotglade/pkg/upstream"
+	"shallotglade/pkg/verdict"
+)
+
+// Header names that callers and daemons exchange.
+const (
+	HeaderService  = "Shallotglade-Service"
+	HeaderCaller   = "Shallotglade-Caller"
+	HeaderKey      = "Idempotency-Key"
+	HeaderUpstream = "Shallotglade-Upstream"
+	HeaderReplayed = "Shallotglade-Replayed"
+)
+
+// Incoming is a caller's request, copied out of the HTTP library's memory.
+type Incoming struct {
+	// ID is unique to the request and is passed to upstreams.
+	ID string
+	// Caller is the account that the request counts against.
+	Caller string
+	// Service is the service that the request names; empty means that Host and
+	// Path decide.
+	Service string
+	Method  string
+	Host    string
+	// URI is the path and query as the caller sent them, Path the path alone.
+	URI     string
+	Path    string
+	Query   string
+	Headers []upstream.Header
+	Body    []byte
+	// Key is the Idempotency-Key, or empty.
+	Key string
+	// Arrived is when the request had arrived, Deadline when its answer is
+	// due; a zero Deadline means that the document's time limit alone counts.
+	Arrived  time.Time
+	Deadline time.Time
+	// Hops is how many daemons have passed the request on.
+	Hops int
+}
+
+func (in *Incoming) fingerprint(service string) poison.Fingerprint {
+	return poison.Of(poison.Request{
+		Service: service, Method: in.Method, Path: in.Path, Query: in.Query, IdempotencyKey: in.Key, Body: in.Body,
+	})
+}
+
+// Answer is what the caller gets: a whole answer of an upstream, or a refusal.
+type Answer struct {
+	Status  int
+	Headers []upstream.Header
+	Body    []byte
+	Verdict verdict.Verdict
+	// Upstream is the id of the upstream that answered, or empty.
+	Upstream string
+	// Replayed means that the answer was stored when an earlier request with
+	// the same key ran.
+	Replayed bool
+	// Refusal is set when there is no answer of an upstream.
+	Refusal *verdict.Error
+	// Waited is the time spent in the queue and at upstreams.
+	Waited time.Duration
+}
+
+func refused(err *verdict.Error) *Answer {
+	return &Answer{Status: err.Status, Verdict: err.Verdict, Refusal: err}
+}
+
+func answered(r *upstream.Response, v verdict.Verdict, id string) *Answer {
+	return &Answer{Status: r.Status, Headers: r.Headers, Body: r.Body, Verdict: v, Upstream: id}
+}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/netip"
 	"net/url"
 	"os"
@@ -15,22 +14,17 @@
 )
 
 const (
-	minKeyBytes = 16
-	maxIDBytes  = 128
-	maxDuration = time.Hour
-	maxBytes    = 1 << 30
-	maxCount    = 1_000_000
+	minKeyBytes  = 16
+	maxNameBytes = 128
+	maxDuration  = time.Hour
+	maxBytes     = 1 << 30
+	maxCount     = 1_000_000
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`)
 
 var levels = []string{"debug", "info", "warn", "error"}
 
-// newID makes an id that no earlier process had.
-func newID(domain string) string {
-	return fmt.Sprintf("%s-%012x", domain, rand.Uint64()>>16)
-}
-
 type checker struct {
 	src      *strictyaml.Source
 	problems strictyaml.Problems
@@ -43,7 +37,6 @@
 }
 
 func (c *checker) check(s *Settings) {
-	c.name("id", s.ID)
 	c.name("region", s.Region)
 	c.name("domain", s.Domain)
 	c.address("listen.callers", s.Listen.Callers)
@@ -79,7 +72,7 @@
 }
 
 func (c *checker) name(field, value string) {
-	c.require(len(value) <= maxIDBytes && namePattern.MatchString(value), field, "letters, digits, dots, dashes and underscores")
+	c.require(len(value) <= maxNameBytes && namePattern.MatchString(value), field, "letters, digits, dots, dashes and underscores")
 }
 
 // secret reports a short key without repeating it.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -16,10 +16,6 @@
 
 // Settings are the start-up settings of one daemon.
 type Settings struct {
-	// ID names the process. It must be new at every start, since other daemons
-	// take an id that comes back for the same process. Default: the failure
-	// domain and a random suffix.
-	ID string `yaml:"id"`
 	// Region is the region of the host.
 	Region string `yaml:"region"`
 	// Domain is the failure domain of the host.
@@ -144,9 +140,6 @@
 func Parse(file string, data []byte) (*Settings, error) {
 	s := defaults()
 	src, problems := strictyaml.Decode(file, data, s)
-	if s.ID == "" {
-		s.ID = newID(s.Domain)
-	}
 	c := &checker{src: src, problems: problems}
 	c.check(s)
 	if err := c.problems.Err(); err != nil {
