Test the request path with scripted upstreams and real connections

Cause: 'not run' must be true and an order must run at most once, whatever the upstreams do; malformed and slow input must not disturb other callers. Found: the decision to close a connection was taken before the answer, so a drain during a request kept it open; the HTTP library answered 408 on connections that had sent nothing. Both are fixed.

--- a/pkg/listener/conn.go
+++ b/pkg/listener/conn.go
@@ -43,17 +43,22 @@
 	return context.WithValue(context.Background(), contextKey{}, c)
 }
 
-// Begin marks that a handler has taken over the request. It reports whether the
-// connection stays open after the answer.
-func Begin(ctx context.Context) bool {
+// Begin marks that a handler has taken over the request.
+func Begin(ctx context.Context) {
 	c, ok := ctx.Value(contextKey{}).(*Conn)
 	if !ok {
-		return true
+		return
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.phase = handling
-	c.mu.Unlock()
-	return !c.listener.Draining()
+}
+
+// Ending reports whether the connection is to be closed after this answer. The
+// handler asks when the answer is ready, since a drain may begin meanwhile.
+func Ending(ctx context.Context) bool {
+	c, ok := ctx.Value(contextKey{}).(*Conn)
+	return ok && c.listener.Draining()
 }
 
 // Read implements net.Conn. The first byte of a request starts the time within
@@ -121,10 +126,17 @@
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	unhandled := c.phase == idle || c.phase == reading
-	c.phase = written
+	before := c.phase
+	if before != idle {
+		c.phase = written
+	}
 	c.mu.Unlock()
-	if !unhandled || !bytes.HasPrefix(b, []byte("HTTP/1.1 4")) {
+	if before == idle {
+		// The HTTP library answers a time-out before the first byte of a request
+		// too; nobody has asked anything.
+		return len(b), nil
+	}
+	if before != reading || !bytes.HasPrefix(b, []byte("HTTP/1.1 4")) {
 		return c.Conn.Write(b)
 	}
 	line, rest, found := bytes.Cut(b, statusLineEnd)
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -82,7 +82,7 @@
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
 func (s *Server) handle(ctx context.Context, c *app.RequestContext) {
-	keep := listener.Begin(ctx)
+	listener.Begin(ctx)
 	in, problem := incoming(c)
 	var answer *Answer
 	if problem != nil {
@@ -91,7 +91,7 @@
 		answer = s.serve(ctx, in)
 	}
 	write(c, in, answer)
-	if !keep {
+	if listener.Ending(ctx) {
 		c.SetConnectionClose()
 	}
 }
@@ -213,7 +213,7 @@
 }
 
 func (s *Server) handleAddresses(ctx context.Context, c *app.RequestContext) {
-	keep := listener.Begin(ctx)
+	listener.Begin(ctx)
 	q := AddressQuery{Service: c.Query("service"), Domain: c.Query("domain"), Caller: string(c.GetHeader(HeaderCaller))}
 	if q.Caller == "" {
 		q.Caller = c.RemoteAddr().String()
@@ -228,7 +228,7 @@
 		c.JSON(200, answer)
 		c.Response.Header.Set("Cache-Control", fmt.Sprintf("max-age=%d", answer.LifetimeMs/1000))
 	}
-	if !keep {
+	if listener.Ending(ctx) {
 		c.SetConnectionClose()
 	}
 }
--- /dev/null
+++ b/pkg/proxy/server_test.go
@@ -0,0 +1,163 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"shallotglade/pkg/platform/memstore"
+	"shallotglade/pkg/proxy"
+	"shallotglade/pkg/settings"
+	"shallotglade/pkg/upstream"
+	"shallotglade/pkg/verdict"
+)
+
+// slowSender echoes the body after a delay that the body's length decides, so
+// that answers end in another order than requests began.
+type slowSender struct{ scriptedSender }
+
+func (s *slowSender) Do(ctx context.Context, t upstream.Target, r *upstream.Request) upstream.Result {
+	select {
+	case <-time.After(time.Duration(len(r.Body)%7) * 5 * time.Millisecond):
+	case <-ctx.Done():
+		return upstream.Result{Kind: upstream.Timeout, Verdict: verdict.MayHaveRun, Err: ctx.Err()}
+	}
+	return s.scriptedSender.Do(ctx, t, r)
+}
+
+var _ = Describe("Server", func() {
+	var address string
+	var server *proxy.Server
+	BeforeEach(func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address = ln.Addr().String()
+		sender := &slowSender{scriptedSender{runs: map[string]int{}}}
+		p := newProxy("home-1", orders+"requests: {key: optional}\ntimeouts: {request: 200ms}\n", memstore.New(), sender, &directory{})
+		server = proxy.NewServer(ln, settings.Callers{
+			MaxConnections: 200, MaxHeaderBytes: 4096, MaxBodyBytes: 1000, RequestArrival: 200 * time.Millisecond, Idle: time.Second,
+		}, p, func(proxy.AddressQuery) (proxy.AddressAnswer, *verdict.Error) {
+			return proxy.AddressAnswer{Service: "orders", Addresses: []string{"127.0.0.1:1"}, LifetimeMs: 1000}, nil
+		})
+		go server.Run()
+		DeferCleanup(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_ = server.Shutdown(ctx)
+		})
+	})
+	// raw sends bytes and returns the first answer.
+	raw := func(text string) *http.Response {
+		c, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		_, err = io.WriteString(c, text)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		return r
+	}
+
+	DescribeTable("answers bad input with a 4xx and the verdict not-run",
+		func(text string, status int) {
+			r := raw(text)
+			Expect(r.StatusCode).To(Equal(status))
+			Expect(r.Header.Values(verdict.Header)).To(Equal([]string{"not-run"}))
+		},
+		Entry("no HTTP", "hello there\r\n\r\n", 400),
+		Entry("a header without a colon, whose end the HTTP library waits for", "GET / HTTP/1.1\r\nHost: x\r\nbroken\r\n\r\n", 408),
+		Entry("a content length that is no number", "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: ten\r\n\r\n", 400),
+		Entry("a large header", "GET / HTTP/1.1\r\nHost: x\r\nX: "+strings.Repeat("a", 8000)+"\r\n\r\n", 431),
+		Entry("a large body", "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n"+strings.Repeat("a", 2000), 413),
+		Entry("an unknown service", "GET / HTTP/1.1\r\nHost: x\r\nShallotglade-Service: nobody\r\n\r\n", 404),
+		Entry("a bad deadline", "GET / HTTP/1.1\r\nHost: x\r\nShallotglade-Service: orders\r\nShallotglade-Deadline-Ms: soon\r\n\r\n", 400),
+		Entry("a host that is no host", "GET / HTTP/1.1\r\nHost: a/b@c\r\nShallotglade-Service: orders\r\n\r\n", 400),
+	)
+
+	// Guards against a sender that trickles bytes and holds a connection for ever.
+	It("ends a request that takes too long to arrive, however its bytes trickle in", func() {
+		c, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		_, _ = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n")
+		start := time.Now()
+		for time.Since(start) < 5*time.Second {
+			if _, err = io.WriteString(c, "a"); err != nil {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		Expect(err).To(HaveOccurred())
+	})
+
+	// Guards against the HTTP library's pooled memory carrying one caller's
+	// answer to another, also when requests time out.
+	It("gives every caller its own answer while others time out or hang up", func() {
+		var wg sync.WaitGroup
+		for worker := range 20 {
+			wg.Add(1)
+			go func() {
+				defer GinkgoRecover()
+				defer wg.Done()
+				client := &http.Client{Transport: &http.Transport{}}
+				defer client.CloseIdleConnections()
+				for i := range 30 {
+					body := strings.Repeat(fmt.Sprintf("%d-%d.", worker, i), 1+(worker+i)%9)
+					ctx, cancel := context.WithTimeout(context.Background(), time.Duration(5+i)*time.Millisecond)
+					r, _ := http.NewRequestWithContext(ctx, "POST", "http://"+address+"/x", strings.NewReader(body))
+					r.Header.Set(proxy.HeaderService, "orders")
+					r.Header.Set(upstream.HeaderDeadlineMs, fmt.Sprint(3+i))
+					answer, err := client.Do(r)
+					if err == nil {
+						got, err := io.ReadAll(answer.Body)
+						answer.Body.Close()
+						if err == nil && answer.StatusCode == 200 {
+							Expect(string(got)).To(Equal(body))
+						}
+					}
+					cancel()
+				}
+			}()
+		}
+		wg.Wait()
+	})
+
+	It("answers which addresses to use", func() {
+		r := raw("GET " + proxy.AddressesPath + "?service=orders HTTP/1.1\r\nHost: x\r\n\r\n")
+		body, _ := io.ReadAll(r.Body)
+		Expect(string(body)).To(MatchJSON(`{"service":"orders","addresses":["127.0.0.1:1"],"lifetimeMs":1000}`))
+	})
+
+	// Guards against a daemon that leaves while a request is in flight or a
+	// connection waits for its next request.
+	It("ends connections between requests when it drains, and never during one", func() {
+		idle, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer idle.Close()
+		busy, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer busy.Close()
+		body := strings.Repeat("a", 6)
+		_, _ = fmt.Fprintf(busy, "POST /x HTTP/1.1\r\nHost: x\r\nShallotglade-Service: orders\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		time.Sleep(10 * time.Millisecond)
+		server.Drain()
+		r, err := http.ReadResponse(bufio.NewReader(busy), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.StatusCode).To(Equal(200))
+		Expect(r.Close).To(BeTrue())
+		Expect(idle.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, err = idle.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+		Eventually(server.OpenConnections, 5*time.Second).Should(BeZero())
+	})
+})
