--- /dev/null
+++ b/cmd/shallotctl/fleet.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"shallotglade/pkg/admin"
+	"shallotglade/pkg/proxy"
+)
+
+func newStatus(o *options) *cobra.Command {
+	var one bool
+	c := &cobra.Command{
+		Use: "status SERVICE", Short: "Show what each home sees of a service's upstreams, and why", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			client, err := o.client()
+			if err != nil {
+				return err
+			}
+			list, err := client.Status(cmd.Context(), args[0], !one)
+			if err != nil {
+				return err
+			}
+			return o.print(cmd.OutOrStdout(), list, func() [][]string { return statusRows(list) })
+		},
+	}
+	c.Flags().BoolVar(&one, "one", false, "ask only the daemon that answers")
+	return c
+}
+
+func statusRows(list []admin.DaemonStatus) [][]string {
+	rows := [][]string{{"DAEMON", "VERSION", "FLOOR", "USABLE", "UPSTREAM", "STANDING", "CONDITION", "REASON", "SCORE", "IN FLIGHT"}}
+	for _, d := range list {
+		if d.Status == nil {
+			rows = append(rows, []string{d.Daemon, "-", "-", "-", "-", "-", "-", d.Error, "-", "-"})
+			continue
+		}
+		for _, u := range d.Status.Upstreams {
+			rows = append(rows, []string{
+				d.Daemon, fmt.Sprint(d.Status.Version), fmt.Sprint(d.Status.Floor), fmt.Sprint(d.Status.Usable),
+				u.ID, u.Standing, u.Condition, u.Reason, fmt.Sprintf("%.2f", u.Score), fmt.Sprintf("%d/%d", u.InFlight, u.Slots),
+			})
+		}
+	}
+	return rows
+}
+
+func newDaemons(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "daemons", Short: "List the daemons that the asked one knows", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			client, err := o.client()
+			if err != nil {
+				return err
+			}
+			list, err := client.Daemons(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return o.print(cmd.OutOrStdout(), list, func() [][]string {
+				rows := [][]string{{"DAEMON", "DOMAIN", "ADDRESS", "STATE"}}
+				for _, d := range list {
+					rows = append(rows, []string{d.ID, d.Domain, d.Address, d.State})
+				}
+				return rows
+			})
+		},
+	}
+}
+
+func newDrain(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "drain", Short: "Make the daemon at the first --admin address leave without loss", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if len(o.admin) > 1 {
+				return errors.New("drain takes exactly one --admin address: the daemon that is to leave")
+			}
+			client, err := o.client()
+			if err != nil {
+				return err
+			}
+			return client.Drain(cmd.Context())
+		},
+	}
+}
+
+func newAddresses(o *options) *cobra.Command {
+	var from, domain, failed string
+	c := &cobra.Command{
+		Use: "addresses SERVICE --from IP:PORT", Short: "Ask which addresses a caller should use", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			q := url.Values{"service": {args[0]}, "domain": {domain}, "failed": {failed}}
+			http, err := client.NewClient()
+			if err != nil {
+				return err
+			}
+			status, body, err := http.Get(cmd.Context(), nil, "http://"+from+proxy.AddressesPath+"?"+q.Encode())
+			if err != nil {
+				return err
+			}
+			if status != 200 {
+				return errors.Newf("status %d: %s", status, body)
+			}
+			var answer proxy.AddressAnswer
+			if err := json.Unmarshal(body, &answer); err != nil {
+				return err
+			}
+			return o.print(cmd.OutOrStdout(), answer, func() [][]string {
+				rows := [][]string{{"ADDRESS"}}
+				for _, a := range answer.Addresses {
+					rows = append(rows, []string{a})
+				}
+				return rows
+			})
+		},
+	}
+	c.Flags().StringVar(&from, "from", "", "callers' address of any daemon")
+	c.Flags().StringVar(&domain, "domain", "", "the caller's failure domain")
+	c.Flags().StringVar(&failed, "failed", "", "addresses that failed, comma-separated")
+	_ = c.MarkFlagRequired("from")
+	return c
+}
--- /dev/null
+++ b/cmd/shallotctl/main.go
@@ -0,0 +1,48 @@
+// Command shallotctl is the operators' tool.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotglade/internal/strictyaml"
+	"shallotglade/pkg/admin"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitInvalid  = 2
+	exitConflict = 3
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := newRoot().ExecuteContext(ctx)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(exitCode(err))
+}
+
+func exitCode(err error) int {
+	var problems strictyaml.Problems
+	var failure *admin.Failure
+	switch {
+	case errors.As(err, &problems):
+		return exitInvalid
+	case errors.As(err, &failure) && failure.Reason == admin.ReasonInvalid:
+		return exitInvalid
+	case errors.As(err, &failure) && failure.Reason == admin.ReasonConflict:
+		return exitConflict
+	default:
+		return exitFailure
+	}
+}
--- /dev/null
+++ b/cmd/shallotctl/output.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// print writes value in the chosen form; table makes the rows of the table
+// form, the first of them the heads.
+func (o *options) print(w io.Writer, value any, table func() [][]string) error {
+	switch o.output {
+	case "json":
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(value)
+	case "yaml":
+		return yaml.NewEncoder(w).Encode(value)
+	case "table":
+		t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+		for _, row := range table() {
+			fmt.Fprintln(t, strings.Join(row, "\t"))
+		}
+		return t.Flush()
+	default:
+		return errors.Newf("--output: found %q, allowed: table, yaml, json", o.output)
+	}
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -19,6 +19,8 @@
 // subcommands are the stand-ins of this program.
 var subcommands = []subcommand{
 	newPlatformCommand,
+	newUpstreamCommand,
+	newRegisterCommand,
 }
 
 func main() {
--- /dev/null
+++ b/pkg/admin/documents.go
@@ -0,0 +1,217 @@
+package admin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pmezard/go-difflib/difflib"
+
+	"shallotglade/pkg/blackboard"
+	"shallotglade/pkg/document"
+	"shallotglade/pkg/platform"
+)
+
+// History keeps earlier versions of documents.
+type History interface {
+	Append(ctx context.Context, service string, change Change) error
+	List(ctx context.Context, service string) ([]Change, error)
+}
+
+// Documents changes service documents in the platform.
+type Documents struct {
+	Store   platform.Store
+	Board   *blackboard.Board
+	History History
+	// Publish takes over an accepted object for distribution.
+	Publish func(platform.Object)
+	Now     func() time.Time
+}
+
+// AllTeams is the team of keys that reach every service.
+const AllTeams = "*"
+
+// Get returns a document, or a Failure.
+func (d *Documents) Get(ctx context.Context, name string) (Service, error) {
+	o, err := d.Store.Get(ctx, document.Prefix+name)
+	if err != nil {
+		return Service{}, platformFailure(err)
+	}
+	return describe(name, o)
+}
+
+func describe(name string, o platform.Object) (Service, error) {
+	stored, err := document.DecodeStored(o.Value)
+	if err != nil {
+		return Service{}, err
+	}
+	s := Service{Name: name, Version: o.Version, Author: stored.Author, At: stored.At, Document: stored.Document}
+	if parsed, _, err := document.Load([]byte(stored.Document)); err == nil {
+		s.Team = parsed.Team
+	}
+	return s, nil
+}
+
+// Put creates a document (version 0) or replaces the given version. team is the
+// team of the operator's key.
+func (d *Documents) Put(ctx context.Context, team, name string, version uint64, text []byte) (Service, error) {
+	parsed, problems := document.Parse(name+".yaml", text)
+	if len(problems) > 0 {
+		return Service{}, &Failure{Status: 422, Reason: ReasonInvalid, Detail: "The document has problems.", Problems: problems}
+	}
+	if parsed.Service != name {
+		return Service{}, &Failure{Status: 422, Reason: ReasonInvalid, Detail: "The document describes service " + parsed.Service + ", not " + name + "."}
+	}
+	if err := d.mayChange(ctx, team, name, parsed); err != nil {
+		return Service{}, err
+	}
+	if other, taken := d.routeTaken(parsed); taken {
+		return Service{}, &Failure{Status: 409, Reason: ReasonRouteTaken, Detail: "Service " + other + " has one of the routes."}
+	}
+	stored := document.Stored{Document: string(text), Author: team, At: d.Now().UTC()}
+	value, err := stored.Encode()
+	if err != nil {
+		return Service{}, err
+	}
+	o, err := d.write(ctx, name, version, value)
+	if errors.Is(err, platform.ErrConflict) {
+		return Service{}, d.conflict(ctx, name, string(text))
+	}
+	if err != nil {
+		return Service{}, platformFailure(err)
+	}
+	return d.accepted(ctx, name, o)
+}
+
+// mayChange reports whether the team owns the service before and after.
+func (d *Documents) mayChange(ctx context.Context, team, name string, parsed *document.Service) error {
+	if team == AllTeams {
+		return nil
+	}
+	if parsed.Team != team {
+		return &Failure{Status: 403, Reason: ReasonForbidden, Detail: "The key belongs to team " + team + ", the document to team " + parsed.Team + "."}
+	}
+	current, err := d.Get(ctx, name)
+	var f *Failure
+	if errors.As(err, &f) && f.Reason == ReasonNotFound {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return ownedBy(current, team)
+}
+
+func ownedBy(s Service, team string) error {
+	if team != AllTeams && s.Team != team {
+		return &Failure{Status: 403, Reason: ReasonForbidden, Detail: "The service belongs to another team."}
+	}
+	return nil
+}
+
+// routeTaken returns another service that has one of the routes.
+func (d *Documents) routeTaken(parsed *document.Service) (string, bool) {
+	for _, s := range d.Board.Services() {
+		if s.Name == parsed.Service {
+			continue
+		}
+		for _, r := range s.Document().Routes {
+			if slices.Contains(parsed.Routes, r) {
+				return s.Name, true
+			}
+		}
+	}
+	return "", false
+}
+
+// write stores a value and settles a lost reply by reading back: the value holds
+// team and time, so that it equals what another operator wrote only by chance.
+func (d *Documents) write(ctx context.Context, name string, version uint64, value []byte) (platform.Object, error) {
+	key := document.Prefix + name
+	var o platform.Object
+	var err error
+	if version == 0 {
+		o, err = d.Store.Create(ctx, key, value)
+	} else {
+		o, err = d.Store.Update(ctx, key, version, value)
+	}
+	if !errors.Is(err, platform.ErrUnknownOutcome) {
+		return o, err
+	}
+	back, getErr := d.Store.Get(ctx, key)
+	switch {
+	case getErr == nil && string(back.Value) == string(value):
+		return back, nil
+	case getErr == nil && back.Version != version:
+		return platform.Object{}, platform.ErrConflict
+	case getErr == nil, errors.Is(getErr, platform.ErrNotFound):
+		return platform.Object{}, platform.ErrUnavailable
+	default:
+		return platform.Object{}, err
+	}
+}
+
+func (d *Documents) accepted(ctx context.Context, name string, o platform.Object) (Service, error) {
+	d.Publish(o)
+	s, err := describe(name, o)
+	if err == nil && d.History != nil {
+		// The change is accepted; a lost line of history does not undo it.
+		_ = d.History.Append(ctx, name, Change{Version: s.Version, At: s.At, Author: s.Author, Document: s.Document})
+	}
+	return s, err
+}
+
+func (d *Documents) conflict(ctx context.Context, name, yours string) error {
+	f := &Failure{Status: 409, Reason: ReasonConflict, Detail: "The document was changed meanwhile; nothing was overwritten.", Yours: yours}
+	current, err := d.Get(ctx, name)
+	if err != nil {
+		f.Detail += " The present document could not be read."
+		return f
+	}
+	f.Current = &current
+	f.Difference = Diff(current.Document, yours, "in force", "yours")
+	return f
+}
+
+// Delete removes a document at the given version.
+func (d *Documents) Delete(ctx context.Context, team, name string, version uint64) error {
+	current, err := d.Get(ctx, name)
+	if err != nil {
+		return err
+	}
+	if err := ownedBy(current, team); err != nil {
+		return err
+	}
+	if err := d.Store.Delete(ctx, document.Prefix+name, version); err != nil {
+		if errors.Is(err, platform.ErrConflict) {
+			return d.conflict(ctx, name, "")
+		}
+		return platformFailure(err)
+	}
+	return nil
+}
+
+// Diff returns a unified diff, empty for equal texts.
+func Diff(from, to, fromName, toName string) string {
+	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A: difflib.SplitLines(strings.TrimRight(from, "\n")), B: difflib.SplitLines(strings.TrimRight(to, "\n")),
+		FromFile: fromName, ToFile: toName, Context: 2,
+	})
+	if err != nil {
+		return ""
+	}
+	return text
+}
+
+func platformFailure(err error) error {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return &Failure{Status: 404, Reason: ReasonNotFound, Detail: "No such service."}
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		return &Failure{Status: 502, Reason: ReasonUnknown, Detail: "The platform did not say whether the change was stored; read the document to see."}
+	default:
+		return &Failure{Status: 503, Reason: ReasonPlatform, Detail: "The platform does not answer; nothing was changed. Documents stay in force."}
+	}
+}
--- /dev/null
+++ b/pkg/admin/server.go
@@ -0,0 +1,255 @@
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"shallotglade/pkg/document"
+	"shallotglade/pkg/listener"
+	"shallotglade/pkg/settings"
+)
+
+// Fleet is what the API tells about this and other daemons.
+type Fleet interface {
+	// Status returns what this daemon sees of a service, or, with all set, what
+	// every home sees.
+	Status(ctx context.Context, service string, all bool) []DaemonStatus
+	Daemons() []Daemon
+	// Drain makes this daemon leave.
+	Drain()
+	// Ready reports whether callers may be sent here.
+	Ready() bool
+}
+
+// Server serves the administration API.
+type Server struct {
+	Documents *Documents
+	Fleet     Fleet
+	Keys      []settings.AdminKey
+	Registry  *prometheus.Registry
+	Log       zerolog.Logger
+
+	listener *listener.Listener
+	http     *server.Hertz
+}
+
+const (
+	maxConnections = 200
+	arrivalTime    = 10 * time.Second
+	callTimeout    = 5 * time.Second
+)
+
+// Provision prepares the server on ln; Run serves it.
+func (s *Server) Provision(ln net.Listener) {
+	s.listener = listener.New(ln, listener.Limits{RequestArrival: arrivalTime, Connections: maxConnections})
+	s.http = server.New(
+		server.WithListener(s.listener), server.WithTransport(standard.NewTransporter), server.WithOnAccept(listener.ContextFor),
+		server.WithMaxRequestBodySize(2*document.MaxBytes), server.WithReadTimeout(arrivalTime),
+		server.WithIdleTimeout(arrivalTime), server.WithDisablePrintRoute(true),
+	)
+	s.http.Use(func(ctx context.Context, c *app.RequestContext) {
+		listener.Begin(ctx)
+		c.Next(ctx)
+		if listener.Ending(ctx) {
+			c.SetConnectionClose()
+		}
+	})
+	s.http.GET("/livez", func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
+	s.http.GET("/readyz", s.readyz)
+	s.http.GET("/metrics", adaptor.HertzHandler(promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{})))
+	api := s.http.Group("/v1", s.authenticate)
+	api.GET("/services", s.list)
+	api.GET("/services/:name", s.get)
+	api.PUT("/services/:name", s.put)
+	api.DELETE("/services/:name", s.remove)
+	api.GET("/services/:name/history", s.history)
+	api.GET("/services/:name/status", s.status)
+	api.POST("/validate", s.validate)
+	api.GET("/daemons", s.daemons)
+	api.POST("/drain", s.drain)
+}
+
+// Run serves until Shutdown.
+func (s *Server) Run() error { return s.http.Run() }
+
+// Shutdown ends the connections and stops.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.listener.Drain()
+	return s.http.Shutdown(ctx)
+}
+
+const teamKey = "team"
+
+// authenticate finds the team of the bearer key. Keys are compared by their
+// hashes in constant time, so that answers' timing tells nothing about a key.
+func (s *Server) authenticate(ctx context.Context, c *app.RequestContext) {
+	given, _ := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
+	sum := sha256.Sum256([]byte(given))
+	team := ""
+	for _, k := range s.Keys {
+		want := sha256.Sum256([]byte(k.Key))
+		if subtle.ConstantTimeCompare(sum[:], want[:]) == 1 {
+			team = k.Team
+		}
+	}
+	if team == "" {
+		c.Header("WWW-Authenticate", "Bearer")
+		fail(c, &Failure{Status: 401, Reason: ReasonUnauthorized, Detail: "A valid administration key is needed."})
+		c.Abort()
+		return
+	}
+	c.Set(teamKey, team)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c.Next(ctx)
+}
+
+func team(c *app.RequestContext) string { return c.GetString(teamKey) }
+
+func fail(c *app.RequestContext, err error) {
+	var f *Failure
+	if !errors.As(err, &f) {
+		f = &Failure{Status: 500, Reason: "internal", Detail: err.Error()}
+	}
+	c.JSON(f.Status, f)
+}
+
+func (s *Server) readyz(_ context.Context, c *app.RequestContext) {
+	if !s.Fleet.Ready() {
+		c.String(503, "not ready\n")
+		return
+	}
+	c.String(200, "ready\n")
+}
+
+func (s *Server) list(_ context.Context, c *app.RequestContext) {
+	out := []Service{}
+	for _, svc := range s.Documents.Board.Services() {
+		d := svc.Document()
+		if t := team(c); t == AllTeams || t == d.Team {
+			out = append(out, Service{Name: svc.Name, Team: d.Team, Version: svc.Version()})
+		}
+	}
+	c.JSON(200, out)
+}
+
+func (s *Server) get(ctx context.Context, c *app.RequestContext) {
+	svc, err := s.owned(ctx, c)
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	c.JSON(200, svc)
+}
+
+// owned returns the service of the path if the key's team owns it.
+func (s *Server) owned(ctx context.Context, c *app.RequestContext) (Service, error) {
+	svc, err := s.Documents.Get(ctx, c.Param("name"))
+	if err != nil {
+		return Service{}, err
+	}
+	return svc, ownedBy(svc, team(c))
+}
+
+func (s *Server) put(ctx context.Context, c *app.RequestContext) {
+	version, err := conditionOf(c)
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	name := c.Param("name")
+	svc, err := s.Documents.Put(ctx, team(c), name, version, append([]byte(nil), c.Request.Body()...))
+	if err != nil {
+		s.Log.Info().Str("service", name).Str("team", team(c)).Err(err).Msg("admin: change refused")
+		fail(c, err)
+		return
+	}
+	s.Log.Info().Str("service", name).Str("team", team(c)).Uint64("version", svc.Version).Msg("admin: change accepted")
+	c.JSON(200, svc)
+}
+
+// conditionOf returns the version that the operator edited, 0 for a new service.
+func conditionOf(c *app.RequestContext) (uint64, error) {
+	if string(c.GetHeader("If-None-Match")) == "*" {
+		return 0, nil
+	}
+	version, err := strconv.ParseUint(strings.Trim(string(c.GetHeader("If-Match")), `"`), 10, 64)
+	if err != nil || version == 0 {
+		return 0, &Failure{Status: 428, Reason: ReasonNoVersion, Detail: "State the version that was edited in If-Match, or If-None-Match: * for a new service."}
+	}
+	return version, nil
+}
+
+func (s *Server) remove(ctx context.Context, c *app.RequestContext) {
+	version, err := conditionOf(c)
+	if err == nil {
+		err = s.Documents.Delete(ctx, team(c), c.Param("name"), version)
+	}
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	s.Log.Info().Str("service", c.Param("name")).Str("team", team(c)).Msg("admin: service removed")
+	c.SetStatusCode(204)
+}
+
+func (s *Server) history(ctx context.Context, c *app.RequestContext) {
+	svc, err := s.owned(ctx, c)
+	if err != nil {
+		fail(c, err)
+		return
+	}
+	changes, err := s.Documents.History.List(ctx, svc.Name)
+	if err != nil {
+		fail(c, platformFailure(err))
+		return
+	}
+	c.JSON(200, changes)
+}
+
+func (s *Server) status(ctx context.Context, c *app.RequestContext) {
+	svc, ok := s.Documents.Board.Service(c.Param("name"))
+	if !ok {
+		fail(c, &Failure{Status: 404, Reason: ReasonNotFound, Detail: "No such service."})
+		return
+	}
+	if err := ownedBy(Service{Team: svc.Document().Team}, team(c)); err != nil {
+		fail(c, err)
+		return
+	}
+	c.JSON(200, s.Fleet.Status(ctx, svc.Name, c.Query("all") != ""))
+}
+
+func (s *Server) validate(_ context.Context, c *app.RequestContext) {
+	_, problems := document.Parse("document", append([]byte(nil), c.Request.Body()...))
+	if len(problems) > 0 {
+		fail(c, &Failure{Status: 422, Reason: ReasonInvalid, Detail: "The document has problems.", Problems: problems})
+		return
+	}
+	c.SetStatusCode(204)
+}
+
+func (s *Server) daemons(_ context.Context, c *app.RequestContext) { c.JSON(200, s.Fleet.Daemons()) }
+
+func (s *Server) drain(_ context.Context, c *app.RequestContext) {
+	if team(c) != AllTeams {
+		fail(c, &Failure{Status: 403, Reason: ReasonForbidden, Detail: "Only a key of team * may drain a daemon."})
+		return
+	}
+	s.Fleet.Drain()
+	c.SetStatusCode(202)
+}
--- a/pkg/proxy/server_test.go
+++ b/pkg/proxy/server_test.go
@@ -48,7 +48,7 @@
 		}, p, func(proxy.AddressQuery) (proxy.AddressAnswer, *verdict.Error) {
 			return proxy.AddressAnswer{Service: "orders", Addresses: []string{"127.0.0.1:1"}, LifetimeMs: 1000}, nil
 		})
-		go server.Run()
+		go func() { _ = server.Run() }()
 		DeferCleanup(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
