Distribute platform objects to every daemon with confsync

Cause: an accepted change to a document or an ejection record must be in force everywhere within 5 s and must never revert, also while the platform, a relay or a path between domains is down.

Change: Replica keeps the higher of two versions, and tombstones. Syncer lists and watches the platform on relays, pushes changes through the domain and to one relay of each other domain, compares digests with a random peer each second, and reports ready after a list or comparisons with ready peers of several domains.

The property test found that a deleted object came back when every daemon but one had restarted after the deletion: the one that missed it offered its copy to relays whose lists do not name deleted objects. An object that a list did not hold at a later revision now becomes a tombstone.

The property fails with the naive replica that keeps what arrives last.

--- /dev/null
+++ b/pkg/confsync/boot.go
@@ -0,0 +1,171 @@
+package confsync
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// bootPeers is how many ready peers a starting daemon compares with.
+	bootPeers = 3
+	// bootDomains is how many failure domains they are to be from, so that a
+	// daemon that starts in a domain that is cut off learns what others hold.
+	bootDomains = 2
+	// bootPatience is how long a starting daemon tries to meet both numbers.
+	// Then one ready peer is enough, and without any it lists the platform
+	// itself.
+	bootPatience = 10 * time.Second
+)
+
+// bootState is how far a starting daemon has come.
+type bootState struct {
+	started time.Time
+	readyC  chan struct{}
+
+	mu sync.Mutex
+	// peers maps the ready peers compared with to their domains.
+	peers map[string]string
+	// unlisted are the prefixes that were not listed at the platform.
+	unlisted map[string]bool
+	ready    bool
+	// tried counts attempts, to spread them over the peers.
+	tried map[string]int
+	// lastList is when the daemon last listed the platform for itself.
+	lastList time.Time
+}
+
+func newBootState(now time.Time, prefixes []string) *bootState {
+	unlisted := map[string]bool{}
+	for _, p := range prefixes {
+		unlisted[p] = true
+	}
+	return &bootState{
+		started: now, readyC: make(chan struct{}),
+		peers: map[string]string{}, unlisted: unlisted, tried: map[string]int{},
+	}
+}
+
+// Ready says whether the replica holds what the fleet holds.
+func (s *Syncer) Ready() bool {
+	s.boot.mu.Lock()
+	defer s.boot.mu.Unlock()
+	return s.boot.ready
+}
+
+// starting says whether the daemon still tries to meet enough peers.
+func (s *Syncer) starting() bool {
+	return !s.Ready() && s.config.Now().Sub(s.boot.started) < bootPatience
+}
+
+// ReadyC returns a channel that is closed when the daemon is ready.
+func (s *Syncer) ReadyC() <-chan struct{} { return s.boot.readyC }
+
+// exchanged notes a completed comparison with a ready peer.
+func (b *bootState) exchanged(p Peer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers[p.Address] = p.Domain
+}
+
+// listed notes that a prefix was listed at the platform.
+func (b *bootState) listed(prefix string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.unlisted, prefix)
+}
+
+// chooseBootPeer returns a peer that was tried least, of a new domain if
+// possible.
+func (s *Syncer) chooseBootPeer(peers []Peer) (Peer, bool) {
+	s.shuffle(peers)
+	s.boot.mu.Lock()
+	defer s.boot.mu.Unlock()
+	covered := map[string]bool{}
+	for _, domain := range s.boot.peers {
+		covered[domain] = true
+	}
+	best, bestCost := Peer{}, -1
+	for _, p := range peers {
+		if _, done := s.boot.peers[p.Address]; done {
+			continue
+		}
+		cost := 2 * s.boot.tried[p.Address]
+		if covered[p.Domain] {
+			cost++
+		}
+		if bestCost < 0 || cost < bestCost {
+			best, bestCost = p, cost
+		}
+	}
+	if bestCost < 0 {
+		return Peer{}, false
+	}
+	s.boot.tried[best.Address]++
+	return best, true
+}
+
+// checkReady makes the daemon ready when it has seen enough.
+func (s *Syncer) checkReady(ctx context.Context) {
+	if s.Ready() {
+		return
+	}
+	patient := s.starting()
+	if !patient && s.boot.compared() == 0 && s.boot.mayList(s.config.Now()) {
+		s.listAll(ctx)
+	}
+	peers, domains := s.known()
+	s.boot.mu.Lock()
+	defer s.boot.mu.Unlock()
+	covered := map[string]bool{}
+	for _, domain := range s.boot.peers {
+		covered[domain] = true
+	}
+	compared := len(s.boot.peers)
+	enough := compared > 0 && compared >= min(bootPeers, peers) && len(covered) >= min(bootDomains, domains)
+	if s.boot.ready || len(s.boot.unlisted) > 0 && !enough && (patient || compared == 0) {
+		return
+	}
+	s.boot.ready = true
+	close(s.boot.readyC)
+	s.config.Log.Info().Int("peers", compared).Bool("listed", len(s.boot.unlisted) == 0).Msg("confsync: ready")
+}
+
+func (b *bootState) compared() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.peers)
+}
+
+// mayList says whether the next list is due, and notes it.
+func (b *bootState) mayList(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.lastList) < maxBackoff {
+		return false
+	}
+	b.lastList = now
+	return true
+}
+
+// known returns how many peers there are and in how many domains.
+func (s *Syncer) known() (peers, domains int) {
+	own, other := s.others()
+	seen := map[string]bool{}
+	for _, p := range append(own, other...) {
+		seen[p.Domain] = true
+	}
+	return len(own) + len(other), len(seen)
+}
+
+// listAll lists the platform once for each prefix. It pushes nothing: a daemon
+// that is not a relay does this only when many start at once.
+func (s *Syncer) listAll(ctx context.Context) {
+	for _, prefix := range s.config.Prefixes {
+		p := poller{syncer: s, prefix: prefix}
+		if _, err := p.list(ctx); err != nil {
+			s.platformErrors.Add(1)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/confsync/exchange.go
@@ -0,0 +1,169 @@
+package confsync
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotglade/pkg/platform"
+)
+
+const (
+	// otherDomainShare is the share of comparisons with another domain. A domain
+	// of 12 daemons then has several such comparisons a second; in a domain of
+	// fewer than four the share is larger.
+	otherDomainShare = 0.25
+	// maxRounds bounds the messages of one exchange.
+	maxRounds = 256
+	// versionsPerMessage bounds the versions sent at once, unless one bucket
+	// alone holds more. With the longest keys, and one object of the largest
+	// size in the reply, messages stay below MaxMessageBytes.
+	versionsPerMessage = 1 << 10
+)
+
+// Tick compares digests with one peer. Run calls it at each interval; tests
+// call it themselves.
+func (s *Syncer) Tick(ctx context.Context) {
+	peer, ok := s.choosePeer()
+	if ok {
+		ready, err := s.exchange(ctx, peer)
+		if err != nil {
+			s.digestErrors.Add(1)
+			s.config.Log.Debug().Err(err).Str("peer", peer.Address).Msg("confsync: digest comparison failed")
+		} else if ready {
+			s.boot.exchanged(peer)
+		}
+	}
+	s.checkReady(ctx)
+}
+
+// choosePeer returns a random peer, mostly of the own domain.
+func (s *Syncer) choosePeer() (Peer, bool) {
+	own, other := s.others()
+	if !s.Ready() {
+		return s.chooseBootPeer(append(own, other...))
+	}
+	from := own
+	share := max(otherDomainShare, 1/float64(len(own)+1))
+	if len(other) > 0 && s.float() < share {
+		from = other
+	}
+	if len(from) == 0 {
+		return Peer{}, false
+	}
+	return from[int(s.float()*float64(len(from)))], true
+}
+
+// exchange brings the own replica and that of a peer to the newer of both, and
+// says whether the peer is ready.
+func (s *Syncer) exchange(ctx context.Context, peer Peer) (ready bool, err error) {
+	mine := s.config.Replica.Digest()
+	body, err := s.call(ctx, peer.Address, KindDigest, digestMessage{Root: mine.Root()})
+	if err != nil {
+		return false, err
+	}
+	var reply digestReply
+	if err := decode(body, &reply); err != nil {
+		return false, err
+	}
+	if len(reply.Buckets) == 0 {
+		return reply.Ready, nil
+	}
+	if len(reply.Buckets) != DigestBuckets {
+		return false, errors.Wrapf(errMessage, "digest has %d buckets", len(reply.Buckets))
+	}
+	buckets := mine.Differing(Digest(reply.Buckets))
+	for round := 0; len(buckets) > 0; round++ {
+		if round == maxRounds {
+			return false, errors.Newf("confsync: replicas still differ after %d rounds", maxRounds)
+		}
+		done, err := s.exchangeBuckets(ctx, peer, buckets)
+		if err != nil {
+			return false, err
+		}
+		buckets = buckets[done:]
+	}
+	return reply.Ready, nil
+}
+
+// exchangeBuckets exchanges as many of the buckets as fit one message and
+// returns how many are done.
+func (s *Syncer) exchangeBuckets(ctx context.Context, peer Peer, buckets []uint16) (done int, err error) {
+	var m versionsMessage
+	for _, b := range buckets {
+		versions := s.config.Replica.Versions(b)
+		if len(m.Buckets) > 0 && len(m.Versions)+len(versions) > versionsPerMessage {
+			break
+		}
+		m.Buckets = append(m.Buckets, b)
+		m.Versions = append(m.Versions, versions...)
+	}
+	body, err := s.call(ctx, peer.Address, KindVersions, m)
+	if err != nil {
+		return 0, err
+	}
+	var reply versionsReply
+	if err := decode(body, &reply); err != nil {
+		return 0, err
+	}
+	if err := checkObjects(reply.Objects, s.config.Prefixes); err != nil {
+		return 0, err
+	}
+	s.gossip(s.config.Replica.applyAll(reply.Objects))
+	if err := s.sendWanted(ctx, peer, reply.Wanted); err != nil {
+		return 0, err
+	}
+	if reply.More {
+		return 0, nil
+	}
+	return len(m.Buckets), nil
+}
+
+// sendWanted sends a peer the objects that it asked for.
+func (s *Syncer) sendWanted(ctx context.Context, peer Peer, keys []string) error {
+	var objects []platform.Object
+	for _, key := range keys {
+		if o, ok := s.config.Replica.held(key); ok {
+			objects = append(objects, o)
+		}
+	}
+	for _, batch := range batches(objects) {
+		m := objectsMessage{Objects: batch, Spread: spreadGossip}
+		if _, err := s.call(ctx, peer.Address, KindObjects, m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Syncer) handleDigest(body []byte) ([]byte, error) {
+	var m digestMessage
+	if err := decode(body, &m); err != nil {
+		return nil, err
+	}
+	// Ready is read first: the digest then covers all that made it ready.
+	reply := digestReply{Ready: s.Ready()}
+	mine := s.config.Replica.Digest()
+	if mine.Root() != m.Root {
+		reply.Buckets = mine[:]
+	}
+	return encode(reply)
+}
+
+func (s *Syncer) handleVersions(body []byte) ([]byte, error) {
+	var m versionsMessage
+	if err := decode(body, &m); err != nil {
+		return nil, err
+	}
+	if err := checkBuckets(m.Buckets); err != nil {
+		return nil, err
+	}
+	for _, v := range m.Versions {
+		if !validKey(v.Key, s.config.Prefixes) {
+			return nil, errors.Wrapf(errMessage, "key %.64q", v.Key)
+		}
+	}
+	var reply versionsReply
+	reply.Objects, reply.More, reply.Wanted = s.config.Replica.Diff(m.Buckets, m.Versions, batchBytes)
+	return encode(reply)
+}
--- /dev/null
+++ b/pkg/confsync/message_test.go
@@ -0,0 +1,132 @@
+package confsync_test
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"shallotglade/pkg/confsync"
+	"shallotglade/pkg/platform"
+	"shallotglade/pkg/platform/memstore"
+)
+
+// loop is a transport that delivers to one other syncer.
+type loop struct {
+	to    *confsync.Syncer
+	calls int
+	// largest is the size of the largest message.
+	largest int
+}
+
+func (l *loop) Call(ctx context.Context, _, kind string, body []byte) ([]byte, error) {
+	if l.to == nil {
+		return nil, errNetwork
+	}
+	reply, err := l.to.Handle(ctx, kind, body)
+	l.calls++
+	l.largest = max(l.largest, len(body), len(reply))
+	return reply, err
+}
+
+// pair returns a syncer that is alone but for what the transport reaches.
+func pair(t *loop) (*confsync.Syncer, *confsync.Replica) {
+	r := confsync.NewReplica()
+	s, err := confsync.New(confsync.Config{
+		Self: confsync.Peer{Address: "a", Domain: "fes"}, Prefixes: []string{prefix}, Replica: r,
+		Store: memstore.New(), Transport: t, Rand: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(),
+		Peers:  func() []confsync.Peer { return []confsync.Peer{{Address: "b", Domain: "fes"}} },
+		Relays: func(string) []confsync.Peer { return nil },
+		Spawn:  func(task func()) bool { task(); return true },
+	})
+	if err != nil {
+		panic(err)
+	}
+	return s, r
+}
+
+var _ = Describe("Messages", func() {
+	// Guards against messages beyond the size that transport and decoder take,
+	// and against an exchange that ends before both sides hold everything.
+	It("stay within the limit for the largest objects and for many", func() {
+		link := &loop{}
+		s, here := pair(link)
+		other, there := pair(&loop{})
+		link.to = other
+		for i := range 3 {
+			here.Apply(platform.Object{Key: prefix + strings.Repeat("x", i+1), Version: 5, Value: make([]byte, platform.MaxValueBytes)})
+			there.Apply(platform.Object{Key: prefix + strings.Repeat("y", i+1), Version: 5, Value: make([]byte, platform.MaxValueBytes)})
+		}
+		for i := range 30_000 {
+			r := []*confsync.Replica{here, there}[i%2]
+			key := prefix + strings.Repeat("k", i%400) + string(rune('a'+i%26)) + string(rune(0x4e00+i%15_000))
+			r.Apply(platform.Object{Key: key, Version: uint64(i%7 + 1), Value: []byte("v")})
+		}
+		s.Tick(context.Background())
+		Expect(s.Stats().DigestErrors).To(BeZero())
+		Expect(here.Digest()).To(Equal(there.Digest()))
+		Expect(link.largest).To(BeNumerically("<=", confsync.MaxMessageBytes))
+		Expect(link.calls).To(BeNumerically("<", 120))
+	})
+
+	// Guards against a digest that depends on the order of changes.
+	It("have a digest that stands for what is held", func() {
+		a, b := confsync.NewReplica(), confsync.NewReplica()
+		objects := []platform.Object{{Key: "x", Version: 1}, {Key: "y", Version: 3}, {Key: "x", Version: 4, Deleted: true}}
+		for _, o := range objects {
+			a.Apply(o)
+		}
+		slices.Reverse(objects)
+		for _, o := range objects {
+			b.Apply(o)
+		}
+		Expect(a.Digest()).To(Equal(b.Digest()))
+		b.Apply(platform.Object{Key: "y", Version: 5})
+		Expect(a.Digest().Differing(b.Digest())).To(HaveLen(1))
+	})
+})
+
+// FuzzHandle guards against a message that crashes a daemon, brings in an
+// object that is not valid, or makes it send more than it may.
+func FuzzHandle(f *testing.F) {
+	kinds := []string{confsync.KindObjects, confsync.KindDigest, confsync.KindVersions}
+	object := map[int]any{1: prefix + "a", 2: 7, 3: []byte("v")}
+	for kind, message := range []any{
+		map[int]any{1: []any{object}, 2: 2, 3: []string{"10.0.0.1:7"}},
+		map[int]any{1: uint64(9)},
+		map[int]any{1: []int{0, 5}, 2: []any{map[int]any{1: prefix + "a", 2: 3}}},
+		map[int]any{1: []any{map[int]any{1: "claims/x", 2: 7}}},
+		map[int]any{1: []any{map[int]any{1: prefix + "a", 2: 7, 3: []byte("v"), 4: true}}},
+	} {
+		body, err := cbor.Marshal(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(uint8(kind), body)
+		f.Add(uint8(kind), body[:len(body)/2])
+	}
+	f.Fuzz(func(t *testing.T, kind uint8, body []byte) {
+		s, r := pair(&loop{})
+		r.Apply(platform.Object{Key: prefix + "held", Version: 5, Value: []byte("v")})
+		before := bytes.Clone(body)
+		reply, err := s.Handle(context.Background(), kinds[int(kind)%len(kinds)], body)
+		if err != nil && reply != nil || len(reply) > confsync.MaxMessageBytes {
+			t.Fatalf("reply of %d bytes, error %v", len(reply), err)
+		}
+		if !bytes.Equal(before, body) {
+			t.Fatal("the body was changed")
+		}
+		for _, o := range r.All() {
+			if !strings.HasPrefix(o.Key, prefix) || o.Version == 0 || o.Deleted && len(o.Value) > 0 {
+				t.Fatalf("holds %v", o)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/confsync/poll.go
@@ -0,0 +1,164 @@
+package confsync
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotglade/pkg/platform"
+)
+
+const (
+	// watchWait is how long the platform holds one watch.
+	watchWait = 50 * time.Second
+	// minBackoff and maxBackoff bound the pause after a failed call. The upper
+	// bound leaves time for a change made right after an outage to be in force
+	// within 5 s.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 2 * time.Second
+	// relayCheck is how often a daemon checks whether it is a relay.
+	relayCheck = time.Second
+	// relistInterval is the time between lists of a relay. They repair what a
+	// watch may have left out, at little cost.
+	relistInterval = time.Hour
+)
+
+// runRelay runs the pollers while the daemon is a relay of its domain.
+func (s *Syncer) runRelay(ctx context.Context) {
+	var stop context.CancelFunc
+	var pollers sync.WaitGroup
+	defer pollers.Wait()
+	for {
+		relay := s.isRelay()
+		switch {
+		case relay && stop == nil:
+			s.config.Log.Info().Str("domain", s.config.Self.Domain).Msg("confsync: relay role taken")
+			var active context.Context
+			active, stop = context.WithCancel(ctx)
+			for _, prefix := range s.config.Prefixes {
+				p := &poller{syncer: s, prefix: prefix}
+				pollers.Go(func() { p.run(active) })
+			}
+		case !relay && stop != nil:
+			s.config.Log.Info().Str("domain", s.config.Self.Domain).Msg("confsync: relay role left")
+			stop()
+			stop = nil
+		}
+		if !sleep(ctx, s.jitter(relayCheck)) {
+			break
+		}
+	}
+	if stop != nil {
+		stop()
+	}
+}
+
+func (s *Syncer) isRelay() bool {
+	for _, r := range s.config.Relays(s.config.Self.Domain) {
+		if r.Address == s.config.Self.Address {
+			return true
+		}
+	}
+	return false
+}
+
+// poller follows one prefix at the platform.
+type poller struct {
+	syncer *Syncer
+	prefix string
+	// after is the revision from which the next watch continues.
+	after uint64
+	// listedAt is when the prefix was listed; zero means that it must be.
+	listedAt time.Time
+	failures int
+}
+
+func (p *poller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := p.step(ctx); err != nil && !sleep(ctx, p.backoff()) {
+			return
+		}
+	}
+}
+
+// step makes one call to the platform and pushes what is new.
+func (p *poller) step(ctx context.Context) error {
+	s := p.syncer
+	var err error
+	var learned []platform.Object
+	if p.listedAt.IsZero() || s.config.Now().Sub(p.listedAt) > relistInterval {
+		learned, err = p.list(ctx)
+	} else {
+		learned, err = p.watch(ctx)
+	}
+	s.pushAll(learned)
+	if err == nil {
+		p.failures = 0
+		return nil
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	p.failures++
+	s.platformErrors.Add(1)
+	if p.failures == 1 {
+		s.config.Log.Warn().Err(err).Str("prefix", p.prefix).Msg("confsync: platform call failed, will retry")
+	}
+	return err
+}
+
+// list takes over all objects under the prefix and marks the missing ones as
+// deleted. It returns what was new.
+func (p *poller) list(ctx context.Context) ([]platform.Object, error) {
+	s := p.syncer
+	objects, revision, err := s.config.Store.List(ctx, p.prefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "list")
+	}
+	learned := s.config.Replica.Listed(p.prefix, p.valid(objects), revision)
+	p.after, p.listedAt = revision, s.config.Now()
+	s.boot.listed(p.prefix)
+	return learned, nil
+}
+
+// watch waits for changes under the prefix and returns what was new.
+func (p *poller) watch(ctx context.Context) ([]platform.Object, error) {
+	s := p.syncer
+	objects, revision, err := s.config.Store.Watch(ctx, p.prefix, p.after, watchWait)
+	if err != nil {
+		if !errors.Is(err, platform.ErrUnavailable) {
+			// The platform no longer knows the revision, or answers in a way
+			// that cannot be trusted to continue from it.
+			p.listedAt = time.Time{}
+		}
+		return nil, errors.Wrap(err, "watch")
+	}
+	learned := s.config.Replica.applyAll(p.valid(objects))
+	if revision < p.after {
+		p.listedAt = time.Time{}
+		return learned, errors.Newf("watch went back from revision %d to %d", p.after, revision)
+	}
+	p.after = revision
+	return learned, nil
+}
+
+// valid leaves out objects that peers would reject.
+func (p *poller) valid(objects []platform.Object) []platform.Object {
+	out := objects[:0]
+	for _, o := range objects {
+		if err := checkObjects([]platform.Object{o}, []string{p.prefix}); err != nil {
+			p.syncer.config.Log.Error().Err(err).Str("key", o.Key).Msg("confsync: object left out")
+			continue
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// backoff doubles with each failure and takes a random half of the result.
+func (p *poller) backoff() time.Duration {
+	d := min(minBackoff<<min(p.failures, 10), maxBackoff)
+	return d/2 + time.Duration(p.syncer.float()*float64(d/2))
+}
--- /dev/null
+++ b/pkg/confsync/push.go
@@ -0,0 +1,156 @@
+package confsync
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotglade/pkg/platform"
+)
+
+const (
+	// fanout is how many copies a daemon sends of a push. In a domain of 320
+	// daemons each receiver then passes it on to at most 19 others.
+	fanout = 16
+	// relayStandIns is how many daemons of another domain are tried when none of
+	// its relays answers.
+	relayStandIns = 2
+	// gossipFanout is how many daemons of the domain get what a daemon learned
+	// from a digest comparison. With 3 a change reaches all but a few percent
+	// of a domain without the relays; the rest follow by comparison.
+	gossipFanout = 3
+	// gossipObjects is how many objects are passed on in this way. A daemon
+	// that learns more was cut off or has started, and its peers hold them.
+	gossipObjects = 16
+)
+
+// handleObjects applies pushed objects and passes the new ones on. Objects
+// that are not new are not passed on, which ends every loop.
+func (s *Syncer) handleObjects(body []byte) error {
+	var m objectsMessage
+	if err := decode(body, &m); err != nil {
+		return err
+	}
+	if err := checkObjects(m.Objects, s.config.Prefixes); err != nil {
+		return err
+	}
+	if err := checkAddresses(m.Forward); err != nil {
+		return err
+	}
+	if m.Spread >= spreadEnd {
+		return errors.Wrapf(errMessage, "spread %d", m.Spread)
+	}
+	applied := s.config.Replica.applyAll(m.Objects)
+	if len(applied) == 0 {
+		return nil
+	}
+	switch m.Spread {
+	case spreadForward:
+		s.pushTree(m.Forward, applied)
+	case spreadDomain:
+		s.pushDomain(applied)
+	case spreadGossip:
+		s.gossip(applied)
+	}
+	return nil
+}
+
+// pushAll sends objects that came from the platform to the own domain and to
+// one relay of each other domain.
+func (s *Syncer) pushAll(objects []platform.Object) {
+	if len(objects) == 0 {
+		return
+	}
+	_, other := s.others()
+	s.shuffle(other)
+	domains := map[string][]Peer{}
+	for _, p := range other {
+		domains[p.Domain] = append(domains[p.Domain], p)
+	}
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		s.pushRelay(domain, domains[domain], objects)
+	}
+	s.pushDomain(objects)
+}
+
+// pushDomain sends objects to all daemons of the own domain.
+func (s *Syncer) pushDomain(objects []platform.Object) {
+	own, _ := s.others()
+	s.shuffle(own)
+	addresses := make([]string, len(own))
+	for i, p := range own {
+		addresses[i] = p.Address
+	}
+	s.pushTree(addresses, objects)
+}
+
+// pushRelay sends objects to one relay of another domain. When none answers, a
+// few of its other daemons take the place of the relay.
+func (s *Syncer) pushRelay(domain string, peers []Peer, objects []platform.Object) {
+	candidates := append(slices.Clone(s.config.Relays(domain)), peers[:min(relayStandIns, len(peers))]...)
+	s.spawn(func() {
+		for _, p := range candidates {
+			if s.send(p.Address, objects, spreadDomain, nil) {
+				return
+			}
+		}
+	})
+}
+
+// gossip sends objects to a few random daemons of the own domain.
+func (s *Syncer) gossip(objects []platform.Object) {
+	if len(objects) == 0 || len(objects) > gossipObjects || !s.Ready() {
+		return
+	}
+	own, _ := s.others()
+	s.shuffle(own)
+	for _, p := range own[:min(gossipFanout, len(own))] {
+		s.spawn(func() { s.send(p.Address, objects, spreadGossip, nil) })
+	}
+}
+
+// pushTree sends objects to the addresses: the first of each group gets them
+// with the rest of the group to pass them on to. When it does not answer, the
+// next of the group takes its place.
+func (s *Syncer) pushTree(addresses []string, objects []platform.Object) {
+	for _, group := range groups(addresses, fanout) {
+		s.spawn(func() {
+			for i, head := range group {
+				if s.send(head, objects, spreadForward, group[i+1:]) {
+					return
+				}
+			}
+		})
+	}
+}
+
+// send sends objects to one daemon and says whether it answered.
+func (s *Syncer) send(to string, objects []platform.Object, how spread, forward []string) bool {
+	for _, batch := range batches(objects) {
+		m := objectsMessage{Objects: batch, Spread: how, Forward: forward}
+		if _, err := s.call(s.background, to, KindObjects, m); err != nil {
+			s.pushErrors.Add(1)
+			s.config.Log.Debug().Err(err).Str("peer", to).Msg("confsync: push failed")
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Syncer) spawn(task func()) {
+	if !s.config.Spawn(task) {
+		s.dropped.Add(1)
+	}
+}
+
+// groups splits addresses into at most n groups whose sizes differ by at most one.
+func groups(addresses []string, n int) [][]string {
+	n = min(n, len(addresses))
+	out := make([][]string, 0, n)
+	for i := range n {
+		from, to := i*len(addresses)/n, (i+1)*len(addresses)/n
+		out = append(out, addresses[from:to])
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/confsync/syncer.go
@@ -0,0 +1,232 @@
+package confsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
+
+	"shallotglade/pkg/platform"
+)
+
+// Defaults of Config and other constants of the protocol.
+const (
+	// DefaultDigestInterval is the time between two digest comparisons.
+	DefaultDigestInterval = time.Second
+	// DefaultCallTimeout limits one call to a peer. It is far above the round
+	// trip between domains and leaves time for a second peer within 5 s.
+	DefaultCallTimeout = 800 * time.Millisecond
+	// bootInterval is the time between comparisons until the daemon is ready.
+	bootInterval = 100 * time.Millisecond
+	// poolSize bounds the pushes in progress. What exceeds it is dropped and
+	// reaches its target through digest comparison.
+	poolSize = 512
+)
+
+// Peer is a daemon as confsync sees it.
+type Peer struct {
+	// Address is what Transport takes; it identifies the peer.
+	Address string
+	// Domain is its failure domain.
+	Domain string
+}
+
+// Transport sends one message to a peer and returns its reply. An error does
+// not mean that the peer did not receive the message.
+type Transport interface {
+	Call(ctx context.Context, peer string, kind string, body []byte) ([]byte, error)
+}
+
+// Config is what a Syncer needs.
+type Config struct {
+	Self Peer
+	// Prefixes are the prefixes of the keys to distribute.
+	Prefixes []string
+	Replica  *Replica
+	Store    platform.Store
+	// Transport reaches the other daemons.
+	Transport Transport
+	// Peers returns the daemons that are believed to be alive; Self may be
+	// among them.
+	Peers func() []Peer
+	// Relays returns the relays of a domain, the preferred first.
+	Relays func(domain string) []Peer
+	// Rand chooses peers and jitter; the Syncer guards it by a lock.
+	Rand *rand.Rand
+	Log  zerolog.Logger
+	// DigestInterval is the time between comparisons; 0 means the default.
+	DigestInterval time.Duration
+	// CallTimeout limits one call to a peer; 0 means the default.
+	CallTimeout time.Duration
+	// Now returns the time; nil means time.Now.
+	Now func() time.Time
+	// Spawn runs a task in the background or drops it and returns false; nil
+	// means a pool of the Syncer's own.
+	Spawn func(task func()) bool
+}
+
+// Stats are totals since the Syncer was made.
+type Stats struct {
+	// PushErrors are pushes that got no reply, DigestErrors comparisons.
+	PushErrors, DigestErrors uint64
+	// Dropped are pushes that were not tried because the pool was full.
+	Dropped uint64
+	// PlatformErrors are failed lists and watches.
+	PlatformErrors uint64
+}
+
+// Syncer keeps a Replica up to date. It is safe for concurrent use.
+type Syncer struct {
+	config Config
+	pool   *ants.Pool
+	// background ends when the Syncer is closed; pushes run under it.
+	background context.Context
+	stop       context.CancelFunc
+
+	randMu sync.Mutex
+	boot   *bootState
+
+	pushErrors, digestErrors, dropped, platformErrors atomic.Uint64
+}
+
+// New returns a Syncer that answers messages; Run makes it active.
+func New(c Config) (*Syncer, error) {
+	if c.Replica == nil || c.Store == nil || c.Transport == nil || c.Peers == nil || c.Relays == nil || c.Rand == nil {
+		return nil, errors.New("confsync: incomplete configuration")
+	}
+	if c.DigestInterval <= 0 {
+		c.DigestInterval = DefaultDigestInterval
+	}
+	if c.CallTimeout <= 0 {
+		c.CallTimeout = DefaultCallTimeout
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	s := &Syncer{config: c}
+	if c.Spawn == nil {
+		pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true))
+		if err != nil {
+			return nil, errors.Wrap(err, "confsync: pool")
+		}
+		s.pool = pool
+		s.config.Spawn = func(task func()) bool { return pool.Submit(task) == nil }
+	}
+	s.background, s.stop = context.WithCancel(context.Background())
+	s.boot = newBootState(c.Now(), c.Prefixes)
+	return s, nil
+}
+
+// Run keeps the replica up to date until ctx ends, and then closes the Syncer.
+func (s *Syncer) Run(ctx context.Context) {
+	defer s.Close()
+	var loops sync.WaitGroup
+	loops.Go(func() { s.runDigests(ctx) })
+	loops.Go(func() { s.runRelay(ctx) })
+	loops.Wait()
+}
+
+// Close ends pushes in progress and releases the pool.
+func (s *Syncer) Close() {
+	s.stop()
+	if s.pool != nil {
+		s.pool.Release()
+	}
+}
+
+// Stats returns the totals so far.
+func (s *Syncer) Stats() Stats {
+	return Stats{
+		PushErrors: s.pushErrors.Load(), DigestErrors: s.digestErrors.Load(),
+		Dropped: s.dropped.Load(), PlatformErrors: s.platformErrors.Load(),
+	}
+}
+
+// Handle answers a message from a peer. Errors mean that the message is not
+// valid; valid parts may have been applied. The body is not retained.
+func (s *Syncer) Handle(_ context.Context, kind string, body []byte) ([]byte, error) {
+	switch kind {
+	case KindObjects:
+		return nil, s.handleObjects(body)
+	case KindDigest:
+		return s.handleDigest(body)
+	case KindVersions:
+		return s.handleVersions(body)
+	default:
+		return nil, errors.Wrapf(errMessage, "kind %.32q", kind)
+	}
+}
+
+// runDigests compares digests with a random peer at each interval.
+func (s *Syncer) runDigests(ctx context.Context) {
+	for {
+		interval := s.config.DigestInterval
+		if s.starting() {
+			interval = min(interval, bootInterval)
+		}
+		// Jitter keeps daemons that started together from calling in step.
+		if !sleep(ctx, s.jitter(interval)) {
+			return
+		}
+		s.Tick(ctx)
+	}
+}
+
+// jitter returns a duration between 0.8 and 1.2 of d.
+func (s *Syncer) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.8 + 0.4*s.float()))
+}
+
+func (s *Syncer) float() float64 {
+	s.randMu.Lock()
+	defer s.randMu.Unlock()
+	return s.config.Rand.Float64()
+}
+
+func (s *Syncer) shuffle(peers []Peer) {
+	s.randMu.Lock()
+	defer s.randMu.Unlock()
+	s.config.Rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+}
+
+// others returns the peers inside and outside the own domain, without self.
+func (s *Syncer) others() (own, other []Peer) {
+	for _, p := range s.config.Peers() {
+		switch {
+		case p.Address == s.config.Self.Address:
+		case p.Domain == s.config.Self.Domain:
+			own = append(own, p)
+		default:
+			other = append(other, p)
+		}
+	}
+	return own, other
+}
+
+// call sends one message to a peer within the call timeout.
+func (s *Syncer) call(ctx context.Context, peer, kind string, message any) ([]byte, error) {
+	body, err := encode(message)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.config.CallTimeout)
+	defer cancel()
+	return s.config.Transport.Call(ctx, peer, kind, body)
+}
+
+// sleep waits and says whether ctx is still running.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
