--- a/pkg/poison/doc.go
+++ b/pkg/poison/doc.go
@@ -16,7 +16,7 @@
 // Place and Start belong under one hold of the lock. Before a
 // request that was lost is retried or answered, dial its upstream if CheckDial
 // says so and report the result; a Suspected request must not be retried by
-// the daemon. Whenever a call reports Changed, send Summary to the service's
+// the daemon. A forward carries About, which the home merges before Check. Whenever a call reports Changed, send Summary to the service's
 // other homes at once, and Merge what they send.
 //
 // A fingerprint in flight at one crash is a suspect: it runs one copy at a
--- a/pkg/poison/entry.go
+++ b/pkg/poison/entry.go
@@ -90,6 +90,19 @@
 	delete(e.events, oldest)
 }
 
+// appendTo appends the events of the last ForgetAfter.
+func (e *entry) appendTo(events []Event, now time.Time, fp Fingerprint) []Event {
+	for id, ev := range e.events {
+		if age := max(0, now.Sub(ev.at)); age < ForgetAfter {
+			events = append(events, Event{
+				ID: id, Fingerprint: fp, Upstream: ev.upstream,
+				AgeMS: uint64(age / time.Millisecond), Cleared: ev.cleared,
+			})
+		}
+	}
+	return events
+}
+
 // worth orders entries by what dropping them costs: cleared ones first, then
 // suspects, then those refused; older ones first.
 type worth struct {
--- a/pkg/poison/summary.go
+++ b/pkg/poison/summary.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,6 +60,15 @@
 	return m
 }
 
+// newest sorts the events, newest first, and drops those beyond the limit.
+func (s Summary) newest() Summary {
+	slices.SortFunc(s.Events, func(a, b Event) int {
+		return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	s.Events = s.Events[:min(len(s.Events), MaxSummaryEvents)]
+	return s
+}
+
 // Encode returns the CBOR form.
 func (s Summary) Encode() ([]byte, error) {
 	b, err := cbor.Marshal(s)
--- a/pkg/poison/tracker.go
+++ b/pkg/poison/tracker.go
@@ -1,7 +1,6 @@
 package poison
 
 import (
-	"cmp"
 	"encoding/binary"
 	"net/http"
 	"slices"
@@ -113,6 +112,12 @@
 		return Decision{Action: Forward, Home: home}
 	}
 	if t.copies[fp] > 0 {
+		for _, f := range t.upstreams {
+			t.dropLosses(now, f)
+		}
+	}
+	// Suspects that run here at the same time could take an upstream down each.
+	if t.copies[fp] > 0 || usable-1-t.suspectCopies(now) < floor {
 		return Decision{Action: Wait}
 	}
 	return Decision{Action: RunAlone}
@@ -183,11 +188,13 @@
 // are a crash; a single one is so if the upstream then refuses connections.
 func (t *Tracker) Lost(now time.Time, upstream string, fp Fingerprint) Loss {
 	f := t.flight(upstream)
-	if !t.end(upstream, fp) {
+	if !f.remove(fp) {
 		// The copy was counted when the crash was found.
 		return Loss{Report: Report{Crashed: now.Sub(f.crashed) <= DialWindow}}
 	}
-	f.dropLosses(now)
+	t.dropLosses(now, f)
+	// Until the dial tells, the copy still counts, so that no other copy of a
+	// suspect runs in between.
 	f.lost = append(f.lost, loss{fp: fp, at: now})
 	if n := len(f.lost); n > 1 && now.Sub(f.lost[n-2].at) <= CrashWindow {
 		return Loss{Report: t.crash(now, upstream)}
@@ -198,14 +205,14 @@
 // Dialed reports the dial that Lost asked for.
 func (t *Tracker) Dialed(now time.Time, upstream string, refused bool) Report {
 	f := t.flight(upstream)
-	f.dropLosses(now)
+	t.dropLosses(now, f)
 	switch {
 	case len(f.lost) == 0:
 		return Report{Crashed: now.Sub(f.crashed) <= DialWindow}
 	case refused:
 		return t.crash(now, upstream)
 	default:
-		f.lost = nil
+		t.settle(f)
 		return Report{}
 	}
 }
@@ -220,7 +227,8 @@
 	for _, fp := range f.running {
 		t.uncount(fp)
 	}
-	f.running, f.lost, f.crashed = nil, nil, now
+	t.settle(f)
+	f.running, f.crashed = nil, now
 	return t.Crash(now, upstream, seen)
 }
 
@@ -243,19 +251,20 @@
 	t.expire(now)
 	var s Summary
 	for fp, e := range t.entries {
-		for id, ev := range e.events {
-			age := max(0, now.Sub(ev.at))
-			s.Events = append(s.Events, Event{
-				ID: id, Fingerprint: fp, Upstream: ev.upstream,
-				AgeMS: uint64(age / time.Millisecond), Cleared: ev.cleared,
-			})
-		}
+		s.Events = e.appendTo(s.Events, now, fp)
 	}
-	slices.SortFunc(s.Events, func(a, b Event) int {
-		return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Fingerprint, b.Fingerprint))
-	})
-	s.Events = s.Events[:min(len(s.Events), MaxSummaryEvents)]
-	return s
+	return s.newest()
+}
+
+// About returns what is known about one fingerprint. It goes with a forwarded
+// suspect, and the home merges it before Check: the forward may arrive before
+// the summary that told of the crash.
+func (t *Tracker) About(now time.Time, fp Fingerprint) Summary {
+	var s Summary
+	if e := t.entries[fp]; e != nil {
+		s.Events = e.appendTo(nil, now, fp)
+	}
+	return s.newest()
 }
 
 // Merge adds what another home knows. Merging twice, late or in any order
@@ -322,20 +331,16 @@
 		for _, fp := range f.running {
 			t.uncount(fp)
 		}
+		t.settle(f)
 		delete(t.upstreams, upstream)
 	}
 }
 
 // end removes one copy; false when there is none.
 func (t *Tracker) end(upstream string, fp Fingerprint) bool {
-	f := t.flight(upstream)
-	i := slices.Index(f.running, fp)
-	if i < 0 {
+	if !t.flight(upstream).remove(fp) {
 		return false
 	}
-	last := len(f.running) - 1
-	f.running[i] = f.running[last]
-	f.running = f.running[:last]
 	t.uncount(fp)
 	return true
 }
@@ -346,6 +351,16 @@
 	}
 }
 
+func (t *Tracker) suspectCopies(now time.Time) int {
+	n := 0
+	for fp, copies := range t.copies {
+		if t.entry(now, fp) != nil {
+			n += copies
+		}
+	}
+	return n
+}
+
 func (t *Tracker) suspectAt(now time.Time, upstream string) bool {
 	f := t.upstreams[upstream]
 	return f != nil && slices.ContainsFunc(f.running, func(fp Fingerprint) bool {
@@ -396,6 +411,32 @@
 	return EventID(d.Sum64())
 }
 
-func (f *flight) dropLosses(now time.Time) {
-	f.lost = slices.DeleteFunc(f.lost, func(l loss) bool { return now.Sub(l.at) > DialWindow })
+// dropLosses gives up losses whose dial was never reported.
+func (t *Tracker) dropLosses(now time.Time, f *flight) {
+	f.lost = slices.DeleteFunc(f.lost, func(l loss) bool {
+		old := now.Sub(l.at) > DialWindow
+		if old {
+			t.uncount(l.fp)
+		}
+		return old
+	})
+}
+
+// settle ends the losses of an upstream.
+func (t *Tracker) settle(f *flight) {
+	for _, l := range f.lost {
+		t.uncount(l.fp)
+	}
+	f.lost = nil
+}
+
+func (f *flight) remove(fp Fingerprint) bool {
+	i := slices.Index(f.running, fp)
+	if i < 0 {
+		return false
+	}
+	last := len(f.running) - 1
+	f.running[i] = f.running[last]
+	f.running = f.running[:last]
+	return true
 }
