--- a/internal/bench/traffic/crashsim/sim.go
+++ b/internal/bench/traffic/crashsim/sim.go
@@ -4,11 +4,13 @@
 package crashsim
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"shallotglade/internal/bench/traffic/vtime"
 	"shallotglade/pkg/poison"
 )
 
@@ -102,9 +104,7 @@
 type sim struct {
 	cfg    Config
 	rng    *rand.Rand
-	now    time.Time
-	queue  events
-	seq    int
+	loop   vtime.Loop
 	guards []Guard
 	homes  []string
 	ups    []*upstream
@@ -114,7 +114,7 @@
 
 // Run simulates until all requests have ended.
 func Run(cfg Config, rng *rand.Rand, guard func(self string, homes []string) Guard) Result {
-	s := &sim{cfg: cfg, rng: rng, now: time.Unix(1_800_000_000, 0)}
+	s := &sim{cfg: cfg, rng: rng, loop: vtime.Loop{Now: time.Unix(1_800_000_000, 0)}}
 	for i := range cfg.Homes {
 		s.homes = append(s.homes, fmt.Sprintf("home-%d", i))
 	}
@@ -131,11 +131,7 @@
 	for i := range cfg.Innocents {
 		s.send(s.within(cfg.Span), &request{fp: crasher + 1 + poison.Fingerprint(i), left: cfg.Resends})
 	}
-	for len(s.queue) > 0 {
-		e := heap.Pop(&s.queue).(*event)
-		s.now = e.at
-		e.run()
-	}
+	s.loop.Run()
 	return s.result
 }
 
@@ -144,27 +140,27 @@
 
 func (s *sim) send(after time.Duration, r *request) {
 	home := s.rng.IntN(len(s.homes))
-	s.after(after, func() { s.arrive(home, r) })
+	s.loop.After(after, func() { s.arrive(home, r) })
 }
 
 // arrive handles a request at a home.
 func (s *sim) arrive(home int, r *request) {
 	g := s.guards[home]
-	d := g.Check(s.now, r.fp, s.usable(), s.cfg.Floor)
+	d := g.Check(s.loop.Now, r.fp, s.usable(), s.cfg.Floor)
 	switch d.Action {
 	case poison.Run:
 		s.dispatch(home, r, s.anyFree())
 	case poison.RunAlone:
-		id, ok := g.Place(s.now, r.fp, s.options())
+		id, ok := g.Place(s.loop.Now, r.fp, s.options())
 		r.alone = ok
 		s.dispatch(home, r, s.find(id, ok))
 	case poison.Wait:
-		s.after(recheck, func() { s.arrive(home, r) })
+		s.loop.After(recheck, func() { s.arrive(home, r) })
 	case poison.Forward:
-		about := g.About(s.now, r.fp)
-		s.after(s.within(hop)+hop/2, func() {
+		about := g.About(s.loop.Now, r.fp)
+		s.loop.After(s.within(hop)+hop/2, func() {
 			to := s.home(d.Home)
-			s.guards[to].Merge(s.now, about)
+			s.guards[to].Merge(s.loop.Now, about)
 			s.arrive(to, r)
 		})
 	default:
@@ -181,7 +177,7 @@
 
 func (s *sim) dispatch(home int, r *request, up *upstream) {
 	if up == nil {
-		s.after(recheck, func() { s.arrive(home, r) })
+		s.loop.After(recheck, func() { s.arrive(home, r) })
 		return
 	}
 	if r.fp == crasher && !r.alone {
@@ -189,8 +185,8 @@
 	}
 	c := &copyOf{req: r, home: home, up: up, crashes: s.result.Crashes}
 	up.running[c] = true
-	s.guards[home].Start(s.now, up.id, r.fp)
-	s.after(minRun+s.within(maxRun-minRun), func() { s.finish(c) })
+	s.guards[home].Start(s.loop.Now, up.id, r.fp)
+	s.loop.After(minRun+s.within(maxRun-minRun), func() { s.finish(c) })
 }
 
 // finish completes a copy, or crashes its upstream.
@@ -204,7 +200,7 @@
 	}
 	delete(c.up.running, c)
 	s.result.Completed++
-	if s.guards[c.home].Complete(s.now, c.up.id, c.req.fp).Changed {
+	if s.guards[c.home].Complete(s.loop.Now, c.up.id, c.req.fp).Changed {
 		s.share(c.home)
 	}
 }
@@ -216,10 +212,10 @@
 	if by.req.alone && by.crashes+1 == s.result.Crashes && s.usable() < s.cfg.Floor {
 		s.result.FloorBreaches++
 	}
-	s.after(restartTime, func() { up.down = false })
+	s.loop.After(restartTime, func() { up.down = false })
 	// The order of the losses must not depend on the order of a map.
 	for _, c := range sorted(up.running) {
-		s.after(s.within(dialTime), func() { s.lose(c) })
+		s.loop.After(s.within(dialTime), func() { s.lose(c) })
 	}
 	up.running = map[*copyOf]bool{}
 }
@@ -229,10 +225,10 @@
 		s.result.InnocentLost++
 	}
 	c.req.alone = false
-	loss := s.guards[c.home].Lost(s.now, c.up.id, c.req.fp)
+	loss := s.guards[c.home].Lost(s.loop.Now, c.up.id, c.req.fp)
 	if loss.CheckDial {
-		s.after(dialTime, func() {
-			s.answer(c, s.guards[c.home].Dialed(s.now, c.up.id, true))
+		s.loop.After(dialTime, func() {
+			s.answer(c, s.guards[c.home].Dialed(s.loop.Now, c.up.id, true))
 		})
 		return
 	}
@@ -248,23 +244,23 @@
 	// showed it: any of them may be sent again to a home that knows nothing.
 	var told time.Duration
 	if s.cfg.Hold {
-		told = max(0, s.told[c.home].Sub(s.now))
+		told = max(0, s.told[c.home].Sub(s.loop.Now))
 	}
 	s.again(told, c.req)
 }
 
 // share sends the summary of a home and notes when the last one has it.
 func (s *sim) share(from int) {
-	summary := s.guards[from].Summary(s.now)
+	summary := s.guards[from].Summary(s.loop.Now)
 	for to := range s.guards {
 		if to == from {
 			continue
 		}
 		delay := s.within(s.cfg.SummaryDelay)
-		if at := s.now.Add(delay); at.After(s.told[from]) {
+		if at := s.loop.Now.Add(delay); at.After(s.told[from]) {
 			s.told[from] = at
 		}
-		s.after(delay, func() { s.guards[to].Merge(s.now, summary) })
+		s.loop.After(delay, func() { s.guards[to].Merge(s.loop.Now, summary) })
 	}
 }
 
@@ -325,3 +321,14 @@
 func (s *sim) within(limit time.Duration) time.Duration {
 	return time.Duration(s.rng.Int64N(int64(limit) + 1))
 }
+
+func sorted(running map[*copyOf]bool) []*copyOf {
+	out := make([]*copyOf, 0, len(running))
+	for c := range running {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b *copyOf) int {
+		return cmp.Or(cmp.Compare(a.req.fp, b.req.fp), cmp.Compare(a.home, b.home), cmp.Compare(a.req.left, b.req.left))
+	})
+	return out
+}
