Add the daemon, the demo and tests with real processes

Cause: the parts need one process that wires them, and proofs that kill, freeze and replace real daemons. Found: a dead upstream cost a caller its request while the retry budget was empty, although a refused dial puts no load on anybody; such attempts are now free, bounded by the upstreams left to try and the deadline.

--- a/cmd/shallotctl/root.go
+++ b/cmd/shallotctl/root.go
@@ -38,7 +38,7 @@
 	flags.StringVar(&o.keyFile, "key-file", "", "file that holds the administration key")
 	flags.StringVarP(&o.output, "output", "o", "table", "output form: table, yaml or json")
 	o.key = os.Getenv("SHALLOTCTL_KEY")
-	root.AddCommand(newService(o), newStatus(o), newDaemons(o), newDrain(o), newAddresses(o))
+	root.AddCommand(newService(o), newStatus(o), newDaemons(o), newDrain(o), newAddresses(o), newCerts())
 	return root
 }
 
--- /dev/null
+++ b/cmd/shallotgladed/main.go
@@ -0,0 +1,91 @@
+// Command shallotgladed is the daemon of a shallotglade fleet.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"shallotglade/internal/strictyaml"
+	"shallotglade/pkg/daemon"
+	"shallotglade/pkg/settings"
+	"shallotglade/pkg/telemetry"
+)
+
+// exitInvalid is the exit code for settings that are not valid.
+const exitInvalid = 2
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := newRoot().ExecuteContext(ctx)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var problems strictyaml.Problems
+	if errors.As(err, &problems) {
+		os.Exit(exitInvalid)
+	}
+	os.Exit(1)
+}
+
+func newRoot() *cobra.Command {
+	var file string
+	var check bool
+	root := &cobra.Command{
+		Use:   "shallotgladed --config FILE",
+		Short: "Serve callers in front of upstreams that fail grayly",
+		Long: `shallotgladed is one daemon of a fleet. It reads its settings, checks all of
+them before it opens a port, and serves until SIGTERM, on which it leaves
+without cutting a request. SIGHUP makes it read the peer keys again.
+
+Exit codes: 0 left without loss, 1 failure, 2 invalid settings.`,
+		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.Read(file)
+			if err != nil || check {
+				return err
+			}
+			return run(cmd.Context(), s)
+		},
+	}
+	root.Flags().StringVar(&file, "config", "", "settings file")
+	root.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	_ = root.MarkFlagRequired("config")
+	return root
+}
+
+func run(ctx context.Context, s *settings.Settings) error {
+	log := telemetry.NewLogger(os.Stderr, s.Log.Level, s.Listen.Callers)
+	telemetry.CaptureHTTP(log)
+	d, err := daemon.New(s, log)
+	if err != nil {
+		return err
+	}
+	go reloadOnHangup(ctx, d, log)
+	return d.Run(ctx)
+}
+
+func reloadOnHangup(ctx context.Context, d *daemon.Daemon, log zerolog.Logger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			if err := d.Reload(); err != nil {
+				log.Error().Err(err).Msg("daemon: peer keys not changed")
+				continue
+			}
+			log.Info().Msg("daemon: peer keys read again")
+		}
+	}
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,6 +21,7 @@
 	newPlatformCommand,
 	newUpstreamCommand,
 	newRegisterCommand,
+	newDemoCommand,
 }
 
 func main() {
--- /dev/null
+++ b/internal/fleettest/fleet.go
@@ -0,0 +1,399 @@
+package fleettest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotglade/internal/standin"
+	"shallotglade/internal/testcerts"
+	"shallotglade/pkg/admin"
+	"shallotglade/pkg/document"
+	"shallotglade/pkg/platform"
+	"shallotglade/pkg/platform/memstore"
+)
+
+// AdminKey is the key of team "*" of all daemons.
+const AdminKey = "test-key-of-all-teams"
+
+// Region is the region of all hosts.
+const Region = "maroc-nord"
+
+// Daemon is a daemon process.
+type Daemon struct {
+	*Process
+	Domain, Callers, Peers, Admin string
+}
+
+// Upstream is an upstream process.
+type Upstream struct {
+	*Process
+	Service, Domain, Address string
+	Slots                    int
+}
+
+// Fleet is a set of processes on loopback.
+type Fleet struct {
+	// Bin holds the programs, Dir settings, keys and logs.
+	Bin, Dir string
+	// Lifetime is how long callers may keep an answer.
+	Lifetime time.Duration
+	// LogDecisions turns on a line for each routing decision.
+	LogDecisions bool
+
+	PlatformURL string
+	Platform    *Process
+	Daemons     []*Daemon
+	Upstreams   []*Upstream
+
+	mu      sync.Mutex
+	ca      *testcerts.CA
+	http    *http.Client
+	started []*Process
+}
+
+// New returns an empty fleet.
+func New(bin, dir string) *Fleet {
+	return &Fleet{Bin: bin, Dir: dir, Lifetime: time.Second, http: &http.Client{Timeout: 5 * time.Second}}
+}
+
+// Close ends all processes.
+func (f *Fleet) Close() {
+	for _, p := range f.started {
+		_ = p.cmd.Process.Kill()
+	}
+	for _, p := range f.started {
+		<-p.done
+	}
+}
+
+func (f *Fleet) start(id, program string, args ...string) (*Process, error) {
+	log := filepath.Join(f.Dir, fmt.Sprintf("%s-%d.log", id, len(f.started)))
+	p, err := start(id, log, filepath.Join(f.Bin, program), args...)
+	if err == nil {
+		f.started = append(f.started, p)
+	}
+	return p, err
+}
+
+// Ports are taken below the range from which the system takes the ports of
+// outgoing connections, so that none of them gets in between.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
+var nextPort atomic.Int32
+
+// freePorts returns n ports of loopback that are free for TCP and UDP.
+func freePorts(n int) ([]string, error) {
+	var out []string
+	for len(out) < n {
+		port := firstPort + int(nextPort.Add(1))
+		if port > lastPort {
+			return nil, errors.New("no free port")
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		u, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		u.Close()
+		out = append(out, address)
+	}
+	return out, nil
+}
+
+// StartPlatform starts the platform stand-in.
+func (f *Fleet) StartPlatform() error {
+	ports, err := freePorts(1)
+	if err != nil {
+		return err
+	}
+	f.PlatformURL = "http://" + ports[0]
+	if f.Platform, err = f.start("platform", "standin", "platform", "--listen", ports[0]); err != nil {
+		return err
+	}
+	return f.await(10*time.Second, func() bool { return f.SetFaults(memstore.Faults{}) == nil })
+}
+
+func (f *Fleet) await(limit time.Duration, ok func() bool) error {
+	for start := time.Now(); time.Since(start) < limit; time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return nil
+		}
+	}
+	return errors.Newf("not so after %v", limit)
+}
+
+// put sends a JSON body to the platform stand-in.
+func (f *Fleet) put(path string, value any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequest(http.MethodPut, f.PlatformURL+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return f.do(r)
+}
+
+func (f *Fleet) do(r *http.Request) error {
+	resp, err := f.http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= 300 {
+		return errors.Newf("%s %s: status %d", r.Method, r.URL.Path, resp.StatusCode)
+	}
+	return nil
+}
+
+// SetFaults replaces the platform's faults.
+func (f *Fleet) SetFaults(faults memstore.Faults) error { return f.put("/standin/faults", faults) }
+
+// Counts returns the platform's calls so far.
+func (f *Fleet) Counts() (memstore.Counts, error) {
+	var c memstore.Counts
+	resp, err := f.http.Get(f.PlatformURL + "/standin/counts")
+	if err != nil {
+		return c, err
+	}
+	defer resp.Body.Close()
+	return c, json.NewDecoder(resp.Body).Decode(&c)
+}
+
+// Register enters a host into the membership list, as the platform does.
+func (f *Fleet) Register(m platform.Member) error {
+	m.Region = Region
+	return f.put("/v1/members/"+url.PathEscape(m.ID), m)
+}
+
+// Unregister removes a host from the membership list.
+func (f *Fleet) Unregister(id string) error {
+	r, err := http.NewRequest(http.MethodDelete, f.PlatformURL+"/v1/members/"+url.PathEscape(id), nil)
+	if err != nil {
+		return err
+	}
+	return f.do(r)
+}
+
+// StartUpstream starts and registers an upstream.
+func (f *Fleet) StartUpstream(service, id, domain string, slots int, flags ...string) (*Upstream, error) {
+	ports, err := freePorts(1)
+	if err != nil {
+		return nil, err
+	}
+	args := append([]string{"upstream", "--name", id, "--listen", ports[0], "--slots", strconv.Itoa(slots)}, flags...)
+	p, err := f.start(id, "standin", args...)
+	if err != nil {
+		return nil, err
+	}
+	u := &Upstream{Process: p, Service: service, Domain: domain, Address: ports[0], Slots: slots}
+	f.Upstreams = append(f.Upstreams, u)
+	if err := f.await(10*time.Second, func() bool {
+		_, err := standin.Executions(context.Background(), u.Address)
+		return err == nil
+	}); err != nil {
+		return nil, err
+	}
+	return u, f.Register(platform.Member{
+		ID: id, Role: platform.RoleUpstream, Service: service, Address: u.Address, Domain: domain, Slots: slots, State: platform.Live,
+	})
+}
+
+const daemonSettings = `region: %s
+domain: %s
+listen: {callers: %q, peers: %q, admin: %q}
+platform: {addresses: [%q]}
+peers: {ca: %s, certificate: %s, key: %s, seeds: [%s]}
+admin: {keys: [{team: "*", key: %s}]}
+addresses: {lifetime: %v}
+log: {decisions: %v}
+`
+
+// writeKeys makes a certificate for a daemon and returns the three files.
+func (f *Fleet) writeKeys(id string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ca == nil {
+		ca, err := testcerts.NewCA("test")
+		if err != nil {
+			return nil, err
+		}
+		f.ca = ca
+	}
+	cert, key, err := f.ca.Issue(id)
+	if err != nil {
+		return nil, err
+	}
+	files := []string{filepath.Join(f.Dir, "ca.pem"), filepath.Join(f.Dir, id+".pem"), filepath.Join(f.Dir, id+"-key.pem")}
+	for i, text := range []string{f.ca.PEM(), cert, key} {
+		if err := os.WriteFile(files[i], []byte(text), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	return files, nil
+}
+
+// StartDaemon starts and registers a daemon; AwaitReady waits for it.
+func (f *Fleet) StartDaemon(id, domain string) (*Daemon, error) {
+	keys, err := f.writeKeys(id)
+	if err != nil {
+		return nil, err
+	}
+	ports, err := freePorts(3)
+	if err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf(daemonSettings, Region, domain, ports[0], ports[1], ports[2], f.PlatformURL, keys[0], keys[1], keys[2], f.seeds(), AdminKey, f.Lifetime, f.LogDecisions)
+	file := filepath.Join(f.Dir, id+".yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	d := &Daemon{Domain: domain, Callers: ports[0], Peers: ports[1], Admin: ports[2]}
+	if err := f.Register(platform.Member{ID: id, Role: platform.RoleDaemon, Address: d.Callers, PeerAddress: d.Peers, Domain: domain, State: platform.Live}); err != nil {
+		return nil, err
+	}
+	if d.Process, err = f.start(id, "shallotgladed", "--config", file); err != nil {
+		return nil, err
+	}
+	f.Daemons = append(f.Daemons, d)
+	return d, nil
+}
+
+// seeds returns the settings of up to two running daemons of each domain.
+func (f *Fleet) seeds() string {
+	count := map[string]int{}
+	var out []string
+	for _, d := range f.Live() {
+		if count[d.Domain]++; count[d.Domain] <= 2 {
+			out = append(out, fmt.Sprintf("{address: %q, domain: %s}", d.Peers, d.Domain))
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
+// Live returns the daemons that run.
+func (f *Fleet) Live() []*Daemon {
+	var out []*Daemon
+	for _, d := range f.Daemons {
+		if !d.Exited() {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// AwaitReady waits until the given daemons, or all that run, are ready.
+func (f *Fleet) AwaitReady(limit time.Duration, daemons ...*Daemon) error {
+	if len(daemons) == 0 {
+		daemons = f.Live()
+	}
+	for _, d := range daemons {
+		if err := f.await(limit, func() bool { return f.ready(d) }); err != nil {
+			return errors.Wrapf(err, "daemon %s ready", d.ID)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) ready(d *Daemon) bool {
+	resp, err := f.http.Get("http://" + d.Admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == 200
+}
+
+// Client returns an administration client of the given daemons, or of all that
+// run.
+func (f *Fleet) Client(daemons ...*Daemon) (*admin.Client, error) {
+	if len(daemons) == 0 {
+		daemons = f.Live()
+	}
+	var addresses []string
+	for _, d := range daemons {
+		addresses = append(addresses, d.Admin)
+	}
+	return admin.NewClient(addresses, AdminKey)
+}
+
+// Apply creates a service and returns its version.
+func (f *Fleet) Apply(ctx context.Context, text string) (uint64, error) {
+	parsed, problems := document.Parse("test", []byte(text))
+	if err := problems.Err(); err != nil {
+		return 0, err
+	}
+	client, err := f.Client()
+	if err != nil {
+		return 0, err
+	}
+	s, err := client.Put(ctx, parsed.Service, 0, []byte(text))
+	return s.Version, err
+}
+
+// AwaitInForce waits until every running daemon has a version of a document in
+// force, and returns how long that took.
+func (f *Fleet) AwaitInForce(ctx context.Context, service string, version uint64, limit time.Duration) (time.Duration, error) {
+	start := time.Now()
+	for _, d := range f.Live() {
+		client, err := f.Client(d)
+		if err != nil {
+			return 0, err
+		}
+		if err := f.await(limit, func() bool {
+			list, err := client.Status(ctx, service, false)
+			return err == nil && len(list) == 1 && list[0].Status != nil && list[0].Status.Version >= version
+		}); err != nil {
+			return 0, errors.Wrapf(err, "version %d in force at %s", version, d.ID)
+		}
+	}
+	return time.Since(start), nil
+}
+
+// Callers returns n callers, spread over the domains, that know all running
+// daemons.
+func (f *Fleet) Callers(name string, n int) []*standin.Caller {
+	var seeds []string
+	for _, d := range f.Live() {
+		seeds = append(seeds, d.Callers)
+	}
+	out := make([]*standin.Caller, n)
+	for i := range out {
+		out[i] = standin.NewCaller(name, f.Daemons[i%len(f.Daemons)].Domain, seeds)
+	}
+	return out
+}
+
+// Runs adds up how often each key ran at the upstreams of a service that run.
+func (f *Fleet) Runs(ctx context.Context, service string) (map[string]int, error) {
+	var addresses []string
+	for _, u := range f.Upstreams {
+		if u.Service == service && !u.Exited() {
+			addresses = append(addresses, u.Address)
+		}
+	}
+	return standin.RunsByKey(ctx, addresses)
+}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -29,6 +29,8 @@
 	Domain string
 	// Seeds are callers' addresses of daemons that are asked first.
 	Seeds []string
+	// Crash makes the upstream that runs a request crash.
+	Crash bool
 
 	http *http.Client
 	mu   sync.Mutex
@@ -162,6 +164,9 @@
 	if key != "" {
 		r.Header.Set(proxy.HeaderKey, key)
 	}
+	if c.Crash {
+		r.Header.Set(crashHeader, "1")
+	}
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return Outcome{Err: err}
--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,207 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"shallotglade/pkg/admin"
+	"shallotglade/pkg/blackboard"
+	"shallotglade/pkg/catalog"
+	"shallotglade/pkg/claims"
+	"shallotglade/pkg/confsync"
+	"shallotglade/pkg/health"
+	"shallotglade/pkg/peer"
+	"shallotglade/pkg/platform"
+	"shallotglade/pkg/proxy"
+	"shallotglade/pkg/settings"
+	"shallotglade/pkg/telemetry"
+	"shallotglade/pkg/upstream"
+)
+
+// Kinds of messages between daemons, besides those of confsync, membership and
+// proxy.
+const (
+	kindSummary = "summary"
+	kindStatus  = "status"
+)
+
+// Daemon is one running daemon.
+type Daemon struct {
+	settings *settings.Settings
+	log      zerolog.Logger
+	metrics  *telemetry.Metrics
+
+	store   platform.Store
+	board   *blackboard.Board
+	node    *peer.Node
+	roster  *roster
+	replica *confsync.Replica
+	syncer  *confsync.Syncer
+	catalog *catalog.Catalog
+	health  *health.Controller
+	sender  *upstream.Client
+	ledger  claims.Ledger
+	proxy   *proxy.Proxy
+	callers *proxy.Server
+	admin   *admin.Server
+
+	callersListener net.Listener
+	serving         atomic.Bool
+	leave           chan struct{}
+	leaveOnce       sync.Once
+}
+
+// New opens the ports of a daemon and prepares its parts.
+func New(s *settings.Settings, log zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, metrics: telemetry.NewMetrics(), leave: make(chan struct{})}
+	if err := d.provision(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) provision() error {
+	client, err := platform.NewClient(platform.ClientConfig{
+		URLs: d.settings.Platform.Addresses, Key: d.settings.Platform.Key, ReadTimeout: d.settings.Platform.Timeout,
+	})
+	if err != nil {
+		return errors.Wrap(err, "platform")
+	}
+	d.store = platform.WithMembers(client)
+	d.node, err = peer.Listen(peer.Config{
+		Listen:      d.settings.Listen.Peers,
+		Credentials: d.credentials(),
+		Logger:      d.log,
+	})
+	if err != nil {
+		return errors.Wrapf(err, "listen for peers on %s", d.settings.Listen.Peers)
+	}
+	d.board = blackboard.New(d.node.ID(), d.settings.Domain)
+	d.catalog = catalog.New(d.board, d.log, d.metrics)
+	d.roster, err = newRoster(d)
+	if err != nil {
+		return errors.Wrap(err, "membership")
+	}
+	if err := d.provisionSync(); err != nil {
+		return errors.Wrap(err, "config")
+	}
+	if err := d.provisionPath(); err != nil {
+		return err
+	}
+	return d.provisionServers()
+}
+
+func (d *Daemon) credentials() peer.Credentials {
+	p := d.settings.Peers
+	return peer.Credentials{CA: []string{p.CA}, Cert: p.Certificate, Key: p.Key}
+}
+
+// Reload reads the peer keys again.
+func (d *Daemon) Reload() error { return d.node.Reload(d.credentials()) }
+
+func (d *Daemon) provisionSync() error {
+	d.replica = confsync.NewReplica()
+	d.replica.OnChange(d.catalog.Changed)
+	d.catalog.OnDaemons(d.roster.setRoster)
+	var err error
+	d.syncer, err = confsync.New(confsync.Config{
+		Self:      confsync.Peer{Address: d.node.Addr(), Domain: d.settings.Domain},
+		Prefixes:  catalog.Prefixes(),
+		Replica:   d.replica,
+		Store:     d.store,
+		Transport: d.node,
+		Peers:     d.roster.syncPeers,
+		Relays:    d.roster.relays,
+		Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Log:       d.log,
+	})
+	if err != nil {
+		return err
+	}
+	for _, kind := range []string{confsync.KindObjects, confsync.KindDigest, confsync.KindVersions} {
+		d.node.Handle(kind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
+			return d.syncer.Handle(ctx, kind, body)
+		})
+	}
+	return nil
+}
+
+func (d *Daemon) provisionPath() error {
+	d.sender = upstream.NewClient()
+	var err error
+	d.ledger, err = claims.New(claims.Config{Store: d.store})
+	if err != nil {
+		return errors.Wrap(err, "claims")
+	}
+	d.health = &health.Controller{
+		Board: d.board, Store: d.store, Sender: d.sender, Log: d.log, Metrics: d.metrics,
+		Homes:   d.roster.reportPeers,
+		Publish: func(o platform.Object) { d.replica.Apply(o) },
+		Send: func(ctx context.Context, to health.Peer, body []byte) error {
+			return d.node.Send(ctx, to.Address, kindSummary, body)
+		},
+	}
+	if err := d.health.Provision(); err != nil {
+		return errors.Wrap(err, "health")
+	}
+	d.proxy = &proxy.Proxy{
+		Board: d.board, Sender: d.sender, Ledger: d.ledger, Directory: d.roster, Forwarder: &forwarder{d.node},
+		Notifier: d.health, Log: d.log, Metrics: d.metrics, LogDecisions: d.settings.Log.Decisions,
+	}
+	d.node.Handle(proxy.ForwardKind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
+		return d.proxy.HandleForward(ctx, body)
+	})
+	d.node.HandleMessage(kindSummary, func(_ context.Context, from peer.Identity, body []byte) {
+		d.health.Receive(body, from.Owns)
+	})
+	d.node.Handle(kindStatus, d.handleStatus)
+	return nil
+}
+
+func (d *Daemon) provisionServers() error {
+	var err error
+	d.callersListener, err = net.Listen("tcp", d.settings.Listen.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	d.callers = proxy.NewServer(d.callersListener, d.settings.Callers, d.proxy, d.addresses)
+	ln, err := net.Listen("tcp", d.settings.Listen.Admin)
+	if err != nil {
+		return errors.Wrap(err, "listen for administration")
+	}
+	d.admin = &admin.Server{
+		Documents: &admin.Documents{
+			Store: d.store, Board: d.board, History: newHistory(d.store), Now: time.Now,
+			Publish: func(o platform.Object) { d.replica.Apply(o) },
+		},
+		Fleet: d, Keys: d.settings.Admin.Keys, Registry: d.metrics.Registry, Log: d.log,
+	}
+	d.admin.Provision(ln)
+	return nil
+}
+
+// forwarder passes requests to homes over the peer transport.
+type forwarder struct{ node *peer.Node }
+
+// Forward implements proxy.Forwarder.
+func (f *forwarder) Forward(ctx context.Context, to proxy.Peer, in *proxy.Incoming, left time.Duration) (*proxy.Answer, error) {
+	body, err := proxy.EncodeForward(in, left)
+	if err != nil {
+		return nil, errors.Mark(err, proxy.ErrNotSent)
+	}
+	reply, err := f.node.Call(ctx, to.Address, proxy.ForwardKind, body)
+	if errors.Is(err, peer.ErrNotSent) {
+		return nil, errors.Mark(err, proxy.ErrNotSent)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return proxy.DecodeForwardAnswer(reply)
+}
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -32,6 +32,8 @@
 	claimed bool
 
 	tried []string
+	// sent counts the attempts for which a connection was open.
+	sent int
 	// sofar joins the verdicts of the attempts that have ended.
 	sofar verdict.Verdict
 	// own is time spent neither at upstreams nor at the platform.
@@ -73,6 +75,9 @@
 		result := x.send(ctx, attempt)
 		x.end(ctx, attempt, result)
 		x.sofar = verdict.Join(x.sofar, result.Verdict)
+		if !notSent(result.Kind) {
+			x.sent++
+		}
 		if final := x.afterAttempt(ctx, attempt, result); final != nil {
 			return final
 		}
@@ -133,7 +138,7 @@
 		return refused(x.failure(r, 499))
 	}
 	d := x.service.DecideRetry(time.Now(), retry.Attempt{
-		Verdict: r.Verdict, Idempotent: x.idempotent(), Attempts: len(x.tried),
+		Verdict: r.Verdict, Idempotent: x.idempotent(), Attempts: x.sent, NotSent: notSent(r.Kind),
 		EarlierMayHaveRun: x.sofar != verdict.NotRun, TimeLeft: time.Until(deadlineOf(ctx)),
 	}, x.fingerprint)
 	if x.proxy.LogDecisions {
@@ -150,6 +155,9 @@
 	return refused(x.failure(r, statusOf(r.Kind)))
 }
 
+// notSent reports whether no connection to the upstream was open.
+func notSent(k upstream.Kind) bool { return k == upstream.Unreachable || k == upstream.Refused }
+
 func statusOf(k upstream.Kind) int {
 	switch k {
 	case upstream.Timeout:
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -46,12 +46,16 @@
 	Verdict verdict.Verdict
 	// Idempotent is whether running the request twice does no harm.
 	Idempotent bool
-	// Attempts is how many were made so far, this one included.
+	// Attempts is how many were sent so far, this one included.
 	Attempts int
 	// EarlierMayHaveRun is whether an earlier attempt may have run.
 	EarlierMayHaveRun bool
 	// TimeLeft is the time until the request's deadline.
 	TimeLeft time.Duration
+	// NotSent is whether no connection to the upstream could be opened. Such an
+	// attempt put no load on any upstream, so that another one costs nothing
+	// and is not counted; the upstreams left to try bound them.
+	NotSent bool
 	// Suspect is whether the request was in flight at a crash, see pkg/poison.
 	Suspect bool
 }
@@ -131,10 +135,12 @@
 		return Decision{Reason: Suspected}
 	case !notRun && !a.Idempotent:
 		return Decision{Reason: MayHaveRun}
-	case a.Attempts >= b.policy.MaxAttempts:
-		return Decision{Reason: TooManyAttempts}
 	case a.TimeLeft < b.policy.MinTimeLeft:
 		return Decision{Reason: NoTime}
+	case a.NotSent:
+		return Decision{Retry: true, Reason: NotRun}
+	case a.Attempts >= b.policy.MaxAttempts:
+		return Decision{Reason: TooManyAttempts}
 	case b.tokens+rounding < 1:
 		return Decision{Reason: NoBudget}
 	}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -46,6 +46,11 @@
 	c.file("peers.ca", s.Peers.CA)
 	c.file("peers.certificate", s.Peers.Certificate)
 	c.file("peers.key", s.Peers.Key)
+	for i, seed := range s.Peers.Seeds {
+		field := fmt.Sprintf("peers.seeds[%d]", i)
+		c.address(field+".address", seed.Address)
+		c.name(field+".domain", seed.Domain)
+	}
 	for i, k := range s.Admin.Keys {
 		field := fmt.Sprintf("admin.keys[%d]", i)
 		c.require(k.Team == "*" || namePattern.MatchString(k.Team), field+".team", "a team name or *")
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -66,6 +66,18 @@
 	// Certificate and Key are the daemon's own.
 	Certificate string `yaml:"certificate"`
 	Key         string `yaml:"key"`
+	// Seeds are daemons that ran when the settings were written. A daemon that
+	// starts while the platform is away learns everything from them; some of
+	// them in each failure domain are enough. Default: none.
+	Seeds []Seed `yaml:"seeds"`
+}
+
+// Seed is another daemon.
+type Seed struct {
+	// Address is its listen.peers address.
+	Address string `yaml:"address"`
+	// Domain is its failure domain.
+	Domain string `yaml:"domain"`
 }
 
 // Admin lists the keys of the administration API.
