Add the QUIC transport between daemons

Daemons need requests and small messages between them whose errors tell "certainly not handled" from "perhaps handled". pkg/peer offers Call and Send over QUIC with mutual TLS; internal/testcerts makes certificates.

--- /dev/null
+++ b/pkg/peer/outgoing.go
@@ -0,0 +1,211 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+)
+
+// helloByte is sent by the accepting side when it has verified the dialling
+// side. In TLS 1.3 the dialling side finishes its handshake earlier, and could
+// not tell a request that was refused with the connection from a lost one.
+const helloByte = 1
+
+// outgoing is a connection to one peer address. conn and err are set before
+// ready is closed; the other fields are guarded by the node's lock.
+type outgoing struct {
+	address string
+	ready   chan struct{}
+	conn    *quic.Conn
+	err     error
+
+	users    int
+	lastUsed time.Time
+	// retired is set when the connection has left the table while in use.
+	retired bool
+}
+
+func (c *outgoing) close(reason string) {
+	<-c.ready
+	if c.conn != nil {
+		// The error only repeats that the connection is closed already.
+		_ = c.conn.CloseWithError(codeIdle, reason)
+	}
+}
+
+// acquire returns a usable connection to the address and counts a user, which
+// release must undo.
+func (n *Node) acquire(ctx context.Context, address string) (*outgoing, error) {
+	c, evicted, err := n.reserve(address)
+	if err != nil {
+		return nil, err
+	}
+	if evicted != nil {
+		evicted.close("replaced")
+	}
+	select {
+	case <-c.ready:
+	case <-ctx.Done():
+		n.release(c)
+		return nil, ctx.Err()
+	}
+	if c.err != nil {
+		n.release(c)
+		return nil, c.err
+	}
+	return c, nil
+}
+
+// reserve returns the connection of the address, which it begins to dial if
+// there is none, and a connection that the caller must close to keep the bound.
+func (n *Node) reserve(address string) (c, evicted *outgoing, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return nil, nil, ErrClosed
+	}
+	c = n.outgoing[address]
+	if c != nil && c.broken() {
+		delete(n.outgoing, address)
+		c = nil
+	}
+	if c == nil {
+		if len(n.outgoing) >= n.config.MaxConns {
+			if evicted = n.longestIdle(); evicted == nil {
+				return nil, nil, ErrTooManyConnections
+			}
+			delete(n.outgoing, evicted.address)
+		}
+		c = &outgoing{address: address, ready: make(chan struct{})}
+		n.outgoing[address] = c
+		n.tasks.Add(1)
+		go n.dial(c)
+	}
+	c.users++
+	n.calls++
+	c.lastUsed = time.Now()
+	return c, evicted, nil
+}
+
+// dialled tells whether the dial has ended.
+func (c *outgoing) dialled() bool {
+	select {
+	case <-c.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// broken tells whether the dial failed or the connection ended.
+func (c *outgoing) broken() bool {
+	return c.dialled() && (c.err != nil || c.conn.Context().Err() != nil)
+}
+
+func (n *Node) longestIdle() *outgoing {
+	var oldest *outgoing
+	for _, c := range n.outgoing {
+		if c.users == 0 && c.dialled() && (oldest == nil || c.lastUsed.Before(oldest.lastUsed)) {
+			oldest = c
+		}
+	}
+	return oldest
+}
+
+func (n *Node) release(c *outgoing) {
+	n.mu.Lock()
+	c.users--
+	n.calls--
+	c.lastUsed = time.Now()
+	if c.users == 0 && c.broken() {
+		n.forget(c)
+	}
+	if n.calls == 0 {
+		n.idle.Broadcast()
+	}
+	last := c.retired && c.users == 0
+	n.mu.Unlock()
+	if last {
+		c.close("silent")
+	}
+}
+
+// forget removes the connection from the table, so that the next call dials.
+// The caller holds the lock.
+func (n *Node) forget(c *outgoing) {
+	if n.outgoing[c.address] == c {
+		delete(n.outgoing, c.address)
+	}
+}
+
+// retire removes a connection from the table; its last user closes it.
+func (n *Node) retire(c *outgoing) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.forget(c)
+	c.retired = true
+}
+
+// takeIdle removes and returns the connections unused since the given time.
+func (n *Node) takeIdle(since time.Time) []*outgoing {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var idle []*outgoing
+	for address, c := range n.outgoing {
+		if c.users == 0 && c.dialled() && c.lastUsed.Before(since) {
+			idle = append(idle, c)
+			delete(n.outgoing, address)
+		}
+	}
+	return idle
+}
+
+// dial connects and waits for the peer's hello. It does not depend on the
+// context of the call that began it, because other calls wait for it too.
+func (n *Node) dial(c *outgoing) {
+	defer n.tasks.Done()
+	defer close(c.ready)
+	n.counters.dials.Add(1)
+	ctx, cancel := context.WithTimeout(n.ctx, n.config.DialTimeout)
+	defer cancel()
+	c.conn, c.err = n.connect(ctx, c.address)
+	if c.err != nil {
+		n.counters.dialErrors.Add(1)
+	}
+}
+
+func (n *Node) connect(ctx context.Context, address string) (*quic.Conn, error) {
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer address")
+	}
+	conn, err := n.transport.Dial(ctx, to, n.keys.Load().client, n.quic)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", address)
+	}
+	if err := awaitHello(ctx, conn); err != nil {
+		return nil, errors.CombineErrors(errors.Wrapf(err, "hello of %s", address),
+			conn.CloseWithError(codeRefused, "no hello"))
+	}
+	return conn, nil
+}
+
+func awaitHello(ctx context.Context, conn *quic.Conn) error {
+	stream, err := conn.AcceptUniStream(ctx)
+	if err != nil {
+		return err
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := stream.SetReadDeadline(deadline); err != nil {
+			return err
+		}
+	}
+	var hello [1]byte
+	if _, err := stream.Read(hello[:]); hello[0] != helloByte {
+		return errors.CombineErrors(errors.New("unexpected hello"), err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/peer/peer_test.go
@@ -0,0 +1,298 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"shallotglade/internal/testcerts"
+	"shallotglade/internal/testkit"
+	"shallotglade/pkg/peer"
+)
+
+func TestPeer(t *testing.T) { testkit.RunSpecs(t, "peer") }
+
+func must[T any](v T, err error) T {
+	GinkgoHelper()
+	Expect(err).NotTo(HaveOccurred())
+	return v
+}
+
+func credentials(ca *testcerts.CA, id string, more ...*testcerts.CA) peer.Credentials {
+	GinkgoHelper()
+	cert, key, err := ca.Issue(id)
+	Expect(err).NotTo(HaveOccurred())
+	c := peer.Credentials{CA: []string{ca.PEM()}, Cert: cert, Key: key}
+	for _, other := range more {
+		c.CA = append(c.CA, other.PEM())
+	}
+	return c
+}
+
+// listen starts a node that is closed at the end of the spec.
+func listen(c peer.Config) *peer.Node {
+	GinkgoHelper()
+	c.Listen = "127.0.0.1:0"
+	n := must(peer.Listen(c))
+	DeferCleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = n.Close(ctx)
+	})
+	return n
+}
+
+func echo(_ context.Context, from peer.Identity, body []byte) ([]byte, error) {
+	return append([]byte(from.ID+":"), body...), nil
+}
+
+var _ = Describe("Node", func() {
+	var (
+		ca  *testcerts.CA
+		ctx context.Context
+	)
+	BeforeEach(func() {
+		// The check for leaked goroutines runs after the nodes are closed.
+		leaks := goleak.IgnoreCurrent()
+		DeferCleanup(func() { Expect(goleak.Find(leaks)).To(Succeed()) })
+		ca = must(testcerts.NewCA("a"))
+		limited, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		DeferCleanup(cancel)
+		ctx = limited
+	})
+	pair := func(server, client peer.Config) (s, c *peer.Node) {
+		server.Credentials, client.Credentials = credentials(ca, "server"), credentials(ca, "client")
+		return listen(server), listen(client)
+	}
+
+	// Guards against replies that reach another call and against one
+	// connection per call.
+	It("gives each of many concurrent calls its own reply over one connection", func() {
+		s, c := pair(peer.Config{}, peer.Config{})
+		s.Handle("echo", echo)
+		var wg sync.WaitGroup
+		for i := range 300 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				body := strings.Repeat(fmt.Sprint(i, " "), 1+i*40)
+				Expect(string(must(c.Call(ctx, s.Addr(), "echo", []byte(body))))).To(Equal("client:" + body))
+			})
+		}
+		wg.Wait()
+		Expect(c.Stats().Dials).To(BeEquivalentTo(1))
+		big := make([]byte, 5<<20)
+		Expect(must(c.Call(ctx, s.Addr(), "echo", big))).To(HaveLen(len(big) + len("client:")))
+	})
+
+	// Guards the rule "told not run means not run": every refusal before a
+	// handler is ErrNotSent, every doubt is ErrNoReply.
+	It("tells not handled from perhaps handled", func() {
+		s, c := pair(peer.Config{MaxFrameBytes: 1 << 20}, peer.Config{DialTimeout: 200 * time.Millisecond})
+		var ran atomic.Int32
+		entered := make(chan struct{}, 1)
+		s.Handle("hang", func(ctx context.Context, _ peer.Identity, _ []byte) ([]byte, error) {
+			entered <- struct{}{}
+			<-ctx.Done()
+			ran.Add(1)
+			return nil, ctx.Err()
+		})
+		s.Handle("refuse", func(context.Context, peer.Identity, []byte) ([]byte, error) {
+			return nil, errors.Wrap(peer.ErrRefused, "not home")
+		})
+		s.Handle("fail", func(context.Context, peer.Identity, []byte) ([]byte, error) { return nil, errors.New("no") })
+		s.Handle("panic", func(context.Context, peer.Identity, []byte) ([]byte, error) { panic("broken") })
+		call := func(addr, kind string, size int) error {
+			_, err := c.Call(ctx, addr, kind, make([]byte, size))
+			return err
+		}
+		for name, err := range map[string]error{
+			"nobody there":     call("127.0.0.1:9", "hang", 0),
+			"unknown kind":     call(s.Addr(), "other", 0),
+			"too large there":  call(s.Addr(), "hang", 2<<20),
+			"too large here":   call(s.Addr(), "hang", 9<<20),
+			"handler refuses":  call(s.Addr(), "refuse", 0),
+			"kind is too long": call(s.Addr(), strings.Repeat("k", 65), 0),
+		} {
+			Expect(errors.Is(err, peer.ErrNotSent)).To(BeTrue(), "%s: %v", name, err)
+			Expect(errors.Is(err, peer.ErrNoReply)).To(BeFalse(), name)
+		}
+		for _, kind := range []string{"fail", "panic"} {
+			var remote *peer.RemoteError
+			Expect(errors.As(call(s.Addr(), kind, 0), &remote)).To(BeTrue())
+		}
+		cancelled, cancel := context.WithCancel(ctx)
+		go func() { <-entered; cancel() }()
+		_, err := c.Call(cancelled, s.Addr(), "hang", nil)
+		Expect(errors.Is(err, peer.ErrNoReply)).To(BeTrue())
+		Expect(errors.Is(err, context.Canceled)).To(BeTrue())
+		Eventually(ran.Load, 10*time.Second).Should(BeEquivalentTo(1), "the handler's context ends with the call")
+		Expect(s.Stats().Panics).To(BeEquivalentTo(1))
+	})
+
+	// Guards against daemons of another authority, and against an outage while
+	// the authority is changed.
+	It("verifies both sides and changes keys without closing connections", func() {
+		s, c := pair(peer.Config{}, peer.Config{})
+		s.Handle("echo", echo)
+		call := func(n *peer.Node) error { _, err := n.Call(ctx, s.Addr(), "echo", nil); return err }
+		Expect(call(c)).To(Succeed())
+
+		next := must(testcerts.NewCA("b"))
+		stranger := listen(peer.Config{Credentials: credentials(next, "server")})
+		Expect(errors.Is(call(stranger), peer.ErrNotSent)).To(BeTrue())
+		trusting := listen(peer.Config{Credentials: credentials(next, "client", ca)})
+		Expect(errors.Is(call(trusting), peer.ErrNotSent)).To(BeTrue(), "the server does not trust the client")
+
+		Expect(s.Reload(credentials(ca, "server", next))).To(Succeed())
+		Expect(call(c)).To(Succeed())
+		Expect(call(trusting)).To(Succeed())
+		Expect(s.Reload(credentials(next, "server"))).To(Succeed())
+		Expect(call(c)).To(Succeed(), "an open connection survives")
+		Expect(c.Stats().Dials).To(BeEquivalentTo(1))
+		late := listen(peer.Config{Credentials: credentials(ca, "client")})
+		Expect(errors.Is(call(late), peer.ErrNotSent)).To(BeTrue(), "the old authority is gone")
+		Expect(s.Reload(peer.Credentials{CA: []string{"/nonexistent"}})).NotTo(Succeed())
+		Expect(call(c)).To(Succeed())
+	})
+
+	// Guards against a cut request or reply in a rolling replacement.
+	It("finishes running handlers before it closes", func() {
+		s, c := pair(peer.Config{}, peer.Config{})
+		entered, release := make(chan struct{}), make(chan struct{})
+		s.Handle("slow", func(context.Context, peer.Identity, []byte) ([]byte, error) {
+			close(entered)
+			<-release
+			return make([]byte, 3<<20), nil
+		})
+		type result struct {
+			body []byte
+			err  error
+		}
+		results := make(chan result, 1)
+		go func() {
+			body, err := c.Call(ctx, s.Addr(), "slow", nil)
+			results <- result{body, err}
+		}()
+		<-entered
+		closed := make(chan error, 1)
+		go func() { closed <- s.Close(ctx) }()
+		Eventually(func() bool {
+			_, err := c.Call(ctx, s.Addr(), "slow", nil)
+			return errors.Is(err, peer.ErrNotSent)
+		}, 10*time.Second).Should(BeTrue(), "new requests are refused")
+		Consistently(closed, 100*time.Millisecond).ShouldNot(Receive())
+		close(release)
+		r := <-results
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.body).To(HaveLen(3 << 20))
+		Expect(<-closed).To(Succeed())
+		_, err := s.Call(ctx, c.Addr(), "echo", nil)
+		Expect(errors.Is(err, peer.ErrNotSent) && errors.Is(err, peer.ErrClosed)).To(BeTrue())
+	})
+
+	// Guards against a full mesh at 1,600 daemons, and against evicting a
+	// connection in use.
+	It("bounds its connections and closes the one idle longest", func() {
+		c := listen(peer.Config{Credentials: credentials(ca, "client"), MaxConns: 2, DialTimeout: 2 * time.Second})
+		hold := make(chan struct{})
+		var addrs []string
+		for i := range 3 {
+			s := listen(peer.Config{Credentials: credentials(ca, fmt.Sprint("s", i)), MaxIncoming: 1})
+			s.Handle("echo", echo)
+			s.Handle("hold", func(context.Context, peer.Identity, []byte) ([]byte, error) { <-hold; return nil, nil })
+			addrs = append(addrs, s.Addr())
+		}
+		call := func(addr, kind string) error { _, err := c.Call(ctx, addr, kind, nil); return err }
+		for _, addr := range append(addrs, addrs...) {
+			Expect(call(addr, "echo")).To(Succeed())
+			Expect(c.Stats().Outgoing).To(BeNumerically("<=", 2))
+		}
+		held := make(chan error, 2)
+		for _, addr := range addrs[1:] {
+			go func() { held <- call(addr, "hold") }()
+		}
+		Eventually(func() error { return call(addrs[0], "echo") }, 10*time.Second).Should(MatchError(peer.ErrTooManyConnections))
+		close(hold)
+		Expect(<-held).To(Succeed())
+		Expect(<-held).To(Succeed())
+		Expect(call(addrs[0], "echo")).To(Succeed())
+	})
+
+	// Guards against one peer that does not answer blocking the calls to others,
+	// and against calls that go on using a connection to a dead peer.
+	It("is not blocked by a silent peer, and dials again", func() {
+		var cut atomic.Pointer[string]
+		drop := func(from, to string) bool { a := cut.Load(); return a != nil && from == *a }
+		s, c := pair(peer.Config{}, peer.Config{Drop: drop, DialTimeout: 300 * time.Millisecond})
+		other := listen(peer.Config{Credentials: credentials(ca, "other")})
+		s.Handle("echo", echo)
+		other.Handle("echo", echo)
+		Expect(c.Call(ctx, s.Addr(), "echo", nil)).NotTo(BeNil())
+		addr := s.Addr()
+		cut.Store(&addr)
+		short, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+		defer cancel()
+		_, err := c.Call(short, addr, "echo", nil)
+		Expect(errors.Is(err, peer.ErrNoReply)).To(BeTrue(), "the request arrives in a one-way cut")
+		Expect(c.Call(ctx, other.Addr(), "echo", nil)).NotTo(BeNil())
+		_, err = c.Call(ctx, addr, "echo", nil)
+		Expect(errors.Is(err, peer.ErrNotSent)).To(BeTrue(), "the next call dials and fails")
+		cut.Store(nil)
+		Expect(c.Call(ctx, addr, "echo", nil)).NotTo(BeNil())
+	})
+
+	// Guards against overload of a daemon by forwarded requests.
+	It("refuses requests beyond the bound on handlers", func() {
+		s, c := pair(peer.Config{MaxHandlers: 1}, peer.Config{})
+		entered, release := make(chan struct{}), make(chan struct{})
+		s.Handle("hold", func(context.Context, peer.Identity, []byte) ([]byte, error) {
+			close(entered)
+			<-release
+			return nil, nil
+		})
+		held := make(chan error, 1)
+		go func() { _, err := c.Call(ctx, s.Addr(), "hold", nil); held <- err }()
+		<-entered
+		_, err := c.Call(ctx, s.Addr(), "hold", nil)
+		Expect(errors.Is(err, peer.ErrNotSent)).To(BeTrue())
+		close(release)
+		Expect(<-held).To(Succeed())
+	})
+
+	It("delivers messages, large ones too, and survives their handler's panic", func() {
+		s, c := pair(peer.Config{}, peer.Config{})
+		got := make(chan int, 8)
+		s.HandleMessage("m", func(_ context.Context, from peer.Identity, body []byte) {
+			Expect(from.ID).To(Equal("client"))
+			got <- len(body)
+			panic("broken")
+		})
+		for _, size := range []int{10, 1000, 100_000} {
+			Expect(c.Send(ctx, s.Addr(), "m", make([]byte, size))).To(Succeed())
+			Eventually(got, 10*time.Second).Should(Receive(Equal(size)))
+		}
+		Expect(errors.Is(c.Send(ctx, s.Addr(), "m", make([]byte, 9<<20)), peer.ErrNotSent)).To(BeTrue())
+	})
+
+	It("reads credentials from files and owns only its host ids", func() {
+		dir := GinkgoT().TempDir()
+		Expect(testcerts.WriteDir(dir, "d1")).To(Succeed())
+		n := listen(peer.Config{Credentials: peer.Credentials{CA: []string{dir + "/ca.pem"}, Cert: dir + "/d1.pem", Key: dir + "/d1-key.pem"}})
+		Expect(n.ID()).To(Equal("d1"))
+		Expect(os.ReadDir(dir)).To(HaveLen(3))
+		for id, owned := range map[string]bool{"d1": true, "d1#17": true, "d12": false, "d2": false, "#1": false, "": false} {
+			Expect(peer.Identity{ID: "d1"}.Owns(id)).To(Equal(owned), id)
+		}
+		Expect(peer.Identity{}.Owns("#1")).To(BeFalse())
+	})
+})
