Bound Close of the peer transport by its context

A repeated run hung: a spec failed by a race of its own (an eviction before the held calls had begun) and Close then waited for the stuck handler without limit. Close now returns when its context ends, and the spec waits until both handlers have been entered; it no longer retries.

--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -201,8 +201,7 @@
 	n.stop()
 	err := errors.CombineErrors(n.listener.Close(), n.transport.Close())
 	err = errors.CombineErrors(err, n.socket.Close())
-	n.tasks.Wait()
-	if cut {
+	if !n.awaitTasks(ctx) || cut {
 		return ctx.Err()
 	}
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, quic.ErrServerClosed) {
@@ -211,6 +210,22 @@
 	return err
 }
 
+// awaitTasks waits for the goroutines of the node and returns false when ctx
+// ends first: a handler that ignores its context must not block Close.
+func (n *Node) awaitTasks(ctx context.Context) bool {
+	ended := make(chan struct{})
+	go func() {
+		n.tasks.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // detachAll empties the connection tables. The caller holds the lock.
 func (n *Node) detachAll() (out []*outgoing, in []*incoming) {
 	for address, c := range n.outgoing {
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -200,16 +200,41 @@
 		Expect(errors.Is(err, peer.ErrNotSent) && errors.Is(err, peer.ErrClosed)).To(BeTrue())
 	})
 
+	// Guards against a daemon that cannot exit because a handler is stuck.
+	It("closes at the end of its context although a handler is stuck", func() {
+		s, c := pair(peer.Config{}, peer.Config{})
+		entered, release := make(chan struct{}), make(chan struct{})
+		s.Handle("stuck", func(context.Context, peer.Identity, []byte) ([]byte, error) {
+			close(entered)
+			<-release
+			return nil, nil
+		})
+		failed := make(chan error, 1)
+		go func() { _, err := c.Call(ctx, s.Addr(), "stuck", nil); failed <- err }()
+		<-entered
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		Expect(s.Close(short)).To(MatchError(context.DeadlineExceeded))
+		Expect(errors.Is(<-failed, peer.ErrNoReply)).To(BeTrue())
+		close(release)
+	})
+
 	// Guards against a full mesh at 1,600 daemons, and against evicting a
 	// connection in use.
 	It("bounds its connections and closes the one idle longest", func() {
 		c := listen(peer.Config{Credentials: credentials(ca, "client"), MaxConns: 2, DialTimeout: 2 * time.Second})
-		hold := make(chan struct{})
+		hold, entered := make(chan struct{}), make(chan struct{}, 2)
+		release := sync.OnceFunc(func() { close(hold) })
+		DeferCleanup(release)
 		var addrs []string
 		for i := range 3 {
 			s := listen(peer.Config{Credentials: credentials(ca, fmt.Sprint("s", i)), MaxIncoming: 1})
 			s.Handle("echo", echo)
-			s.Handle("hold", func(context.Context, peer.Identity, []byte) ([]byte, error) { <-hold; return nil, nil })
+			s.Handle("hold", func(context.Context, peer.Identity, []byte) ([]byte, error) {
+				entered <- struct{}{}
+				<-hold
+				return nil, nil
+			})
 			addrs = append(addrs, s.Addr())
 		}
 		call := func(addr, kind string) error { _, err := c.Call(ctx, addr, kind, nil); return err }
@@ -221,8 +246,10 @@
 		for _, addr := range addrs[1:] {
 			go func() { held <- call(addr, "hold") }()
 		}
-		Eventually(func() error { return call(addrs[0], "echo") }, 10*time.Second).Should(MatchError(peer.ErrTooManyConnections))
-		close(hold)
+		<-entered
+		<-entered
+		Expect(call(addrs[0], "echo")).To(MatchError(peer.ErrTooManyConnections))
+		release()
 		Expect(<-held).To(Succeed())
 		Expect(<-held).To(Succeed())
 		Expect(call(addrs[0], "echo")).To(Succeed())
