Test a start without the platform beside peers that are behind

Cause: the test passed with a daemon that reports ready after one peer of its own domain, because the whole domain caught up first. Change: the domain stays cut off from the others but for the starting daemon, in eight rounds.

--- a/pkg/confsync/fleet_test.go
+++ b/pkg/confsync/fleet_test.go
@@ -34,15 +34,16 @@
 	store   *memstore.Store
 	mu      sync.Mutex
 	daemons []*daemon
-	// blocked says that a call from one domain to another does not arrive;
+	// blocked says that a call from one daemon to another does not arrive;
 	// mute says that it arrives and the reply does not.
-	blocked, mute func(from, to string) bool
+	blocked, mute func(from, to int) bool
 	// noPlatform is a domain that does not reach the platform.
 	noPlatform string
 }
 
 type daemon struct {
 	f       *fleet
+	number  int
 	peer    confsync.Peer
 	replica *confsync.Replica
 	syncer  *confsync.Syncer
@@ -51,7 +52,7 @@
 }
 
 func newFleet() *fleet {
-	never := func(string, string) bool { return false }
+	never := func(int, int) bool { return false }
 	f := &fleet{store: memstore.New(), daemons: make([]*daemon, 36), blocked: never, mute: never}
 	f.launchAll()
 	return f
@@ -73,7 +74,7 @@
 
 // launch starts the daemon with the number, with nothing held.
 func (f *fleet) launch(i int) *daemon {
-	d := &daemon{f: f, replica: confsync.NewReplica(), done: make(chan struct{})}
+	d := &daemon{f: f, number: i, replica: confsync.NewReplica(), done: make(chan struct{})}
 	d.peer = confsync.Peer{Address: fmt.Sprint(i), Domain: fleetDomains[i%3]}
 	var err error
 	d.syncer, err = confsync.New(confsync.Config{
@@ -128,13 +129,12 @@
 	d.f.mu.Lock()
 	target, blocked, mute := d.f.daemons[i], d.f.blocked, d.f.mute
 	d.f.mu.Unlock()
-	domain := fleetDomains[i%3]
-	if target == nil || blocked(d.peer.Domain, domain) {
+	if target == nil || blocked(d.number, i) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
 	reply, err := target.syncer.Handle(ctx, kind, slices.Clone(body))
-	if mute(d.peer.Domain, domain) {
+	if mute(d.number, i) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -215,6 +215,9 @@
 
 func nothing(*fleet) {}
 
+// inFes says whether the daemon with the number is in the domain fes.
+func inFes(i int) bool { return fleetDomains[i%3] == "fes" }
+
 var _ = Describe("Fleet", func() {
 	// Guards against a change that is not in force everywhere within 5 s.
 	DescribeTable("has each change in force within 5 s",
@@ -244,16 +247,16 @@
 		Entry("both relays of a domain killed", nothing, func(f *fleet) { f.kill(0); f.kill(3) }),
 		Entry("a domain without platform cannot call others", func(f *fleet) {
 			f.noPlatform = "fes"
-			f.blocked = func(from, to string) bool { return from == "fes" && to != "fes" }
+			f.blocked = func(from, to int) bool { return inFes(from) && !inFes(to) }
 		}, nothing),
 		Entry("a domain without platform cannot be called", func(f *fleet) {
 			f.noPlatform = "fes"
-			f.blocked = func(from, to string) bool { return from != "fes" && to == "fes" }
+			f.blocked = func(from, to int) bool { return !inFes(from) && inFes(to) }
 		}, nothing),
 		Entry("a domain without platform gets calls and its replies are lost", func(f *fleet) {
 			f.noPlatform = "fes"
-			f.blocked = func(from, to string) bool { return from == "fes" && to != "fes" }
-			f.mute = func(from, to string) bool { return from != "fes" && to == "fes" }
+			f.blocked = func(from, to int) bool { return inFes(from) && !inFes(to) }
+			f.mute = func(from, to int) bool { return !inFes(from) && inFes(to) }
 		}, nothing),
 		Entry("an outage of ten minutes has passed", nothing, func(f *fleet) {
 			f.store.SetFaults(memstore.Faults{Down: true})
@@ -270,22 +273,27 @@
 	// Guards against a daemon that reports ready with what only its own domain
 	// holds, and against one that never becomes ready without the platform.
 	It("starts a daemon with the newest versions while the platform is down", func() {
+		const late = 35 // a daemon in fes
 		Expect(virtually(func(f *fleet) error {
 			f.set(func() {
 				f.noPlatform = "fes"
-				f.blocked = func(from, to string) bool { return from != to && (from == "fes" || to == "fes") }
+				f.blocked = func(from, to int) bool { return from != late && to != late && inFes(from) != inFes(to) }
 			})
-			o, err := f.store.Create(context.Background(), "services/a", []byte("v"))
-			if err != nil {
-				return err
-			}
-			time.Sleep(time.Minute)
-			f.store.SetFaults(memstore.Faults{Down: true})
-			f.set(func() { f.blocked = func(string, string) bool { return false } })
-			f.replace(35)
-			<-f.daemons[35].syncer.ReadyC()
-			if held, _ := f.daemons[35].replica.Get(o.Key); held.Version != o.Version {
-				return errors.New("ready with an old version")
+			for round := range 8 {
+				f.kill(late)
+				o, err := f.store.Create(context.Background(), fmt.Sprint("services/", round), []byte("v"))
+				if err != nil {
+					return err
+				}
+				time.Sleep(time.Second)
+				f.store.SetFaults(memstore.Faults{Down: true})
+				d := f.launch(late)
+				f.set(func() { f.daemons[late] = d })
+				<-d.syncer.ReadyC()
+				if held, _ := d.replica.Get(o.Key); held.Version != o.Version {
+					return errors.Newf("round %d: ready with version %d", round, held.Version)
+				}
+				f.store.SetFaults(memstore.Faults{})
 			}
 			return nil
 		})).To(Succeed())
