--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -131,11 +131,14 @@
 	loops.Wait()
 }
 
-// Close ends pushes in progress and releases the pool.
+// Close ends pushes in progress and waits for them, at most the call timeout.
 func (s *Syncer) Close() {
 	s.stop()
-	if s.pool != nil {
-		s.pool.Release()
+	if s.pool == nil {
+		return
+	}
+	if err := s.pool.ReleaseTimeout(s.config.CallTimeout); err != nil {
+		s.config.Log.Debug().Err(err).Msg("confsync: pushes still in progress at the end")
 	}
 }
 
