Measure detection against two naive detectors and pool evidence of homes

Overlapping slow outcomes now count a quarter, a further hypothesis covers moderate slowness, Observe asks for an exchange at half the threshold, and Redial settles a bad path by further dials.

--- /dev/null
+++ b/internal/bench/detection/plot.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"math"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	barWidth   = 10 // points
+	plotWidth  = 28 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+	leastTime  = 0.01 // s; the logarithmic axis needs positive values
+)
+
+// plot writes one PNG per service with the median detection times.
+func (r *report) plot(directory string) error {
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return err
+	}
+	for si, s := range services {
+		if err := plotService(r.Cells[si], s, filepath.Join(directory, "detection-"+s.Name+".png")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func plotService(cells [][]cell, s service, path string) error {
+	p := plot.New()
+	p.Title.Text = "Median detection time, " + s.Deployment + " / " + s.Name + " (40 s: not detected)"
+	p.Y.Label.Text = "seconds"
+	var ticks plot.ConstantTicks
+	for _, t := range []float64{0.01, 0.1, 1, 10, horizon.Seconds()} {
+		ticks = append(ticks, plot.Tick{Value: height(t), Label: strconv.FormatFloat(t, 'g', -1, 64)})
+	}
+	p.Y.Tick.Marker = ticks
+	p.Legend.Top = true
+	var labels []string
+	for ji, name := range judgeNames {
+		var values plotter.Values
+		labels = labels[:0]
+		for fi, f := range faults {
+			if f.Harmless {
+				continue
+			}
+			labels = append(labels, strings.ReplaceAll(f.Name, " ", "\n"))
+			values = append(values, height(cells[fi][ji].P50))
+		}
+		bars, err := plotter.NewBarChart(values, vg.Points(barWidth))
+		if err != nil {
+			return err
+		}
+		bars.Color = plotutil.Color(ji)
+		bars.Offset = vg.Points(barWidth * float64(ji-1))
+		bars.LineStyle.Width = 0
+		p.Add(bars)
+		p.Legend.Add(name, bars)
+	}
+	p.NominalX(labels...)
+	return p.Save(plotWidth, plotHeight, path)
+}
+
+// height is the height of a bar, which is logarithmic.
+func height(seconds float64) float64 { return math.Log10(max(seconds, leastTime) / leastTime) }
--- a/pkg/detector/assess.go
+++ b/pkg/detector/assess.go
@@ -83,11 +83,11 @@
 func (g *Group) assess(now time.Time, u *upstream) Assessment {
 	t := g.testimony(now, u.id)
 	own, hypothesis := u.strongest()
-	score, path := g.score(u, own, t), u.pathNats()/g.tuning.Threshold
+	score, path := g.score(u, own, t), g.pathScore(u)
 	wasBad := u.sick || u.pathBad
 	u.sick, u.pathBad, u.reason = false, false, ReasonNone
 	switch {
-	case exceeds(score, wasBad) && (wasBad || g.contrast(u, hypothesis) >= contrastShare*min(own, g.tuning.Threshold)):
+	case exceeds(score, wasBad) && (wasBad || g.stands(u, hypothesis, own, t)):
 		u.reason = reasonOf(hypothesis)
 		u.pathBad = t.working > 0 && t.support == 0 && u.failures > 0 && u.timeouts >= timeoutShare*u.failures
 		if u.pathBad {
@@ -123,6 +123,13 @@
 	return sum / threshold
 }
 
+// stands tells whether the upstream stands out from its peers enough for the
+// part of the threshold that its own evidence has to bring.
+func (g *Group) stands(u *upstream, hypothesis int, own float64, t testimony) bool {
+	needed := min(own, max(g.tuning.Threshold-t.nats, 0))
+	return g.contrast(u, hypothesis) >= contrastShare*needed
+}
+
 // exceeds tells whether a score is at the threshold, with hysteresis.
 func exceeds(score float64, wasBad bool) bool {
 	return score >= 1 || wasBad && score >= clearScore
--- a/pkg/detector/baseline.go
+++ b/pkg/detector/baseline.go
@@ -11,6 +11,7 @@
 	hypSomeFailures
 	hypMostlyFailures
 	hypSlow
+	hypSlower
 	hypVerySlow
 	hypSometimesSlow
 	numHypotheses
@@ -35,9 +36,10 @@
 	madToSigma = 1.4826
 	// minSpread keeps differences below about 10% from counting as slowness.
 	minSpread = 0.15
-	// minFailureShare is the least failure share that counts as normal; lower
-	// estimates would let two failures in a day look significant.
-	minFailureShare = 0.005
+	// minFailureShare is the least failure share that counts as normal. With it
+	// one failure weighs at most 6.2 nats, so that no threshold is reached by
+	// fewer than three.
+	minFailureShare = 0.002
 	// minBinShare does the same for latency bins.
 	minBinShare = 0.005
 	// maxFailureShare bounds the normal failure share, so that logarithms stay finite.
@@ -50,15 +52,16 @@
 // Their spacing keeps the loss against the exact share below about a third.
 var failureShares = [...]float64{hypFewFailures: 0.08, hypSomeFailures: 0.35, hypMostlyFailures: 0.95}
 
-// slowBins are the bin shares of the two hypotheses of slowness: a shift by two
-// standard deviations, and work that is far slower.
+// slowBins are the bin shares of the hypotheses of slowness: shifts by two, by
+// four and by more than six standard deviations.
 var slowBins = [...][numBins]float64{
 	{0.16, 0.34, 0.34, 0.155, 0.005},
-	{0.02, 0.04, 0.09, 0.15, 0.70},
+	{0.01, 0.03, 0.14, 0.68, 0.14},
+	{0.005, 0.01, 0.035, 0.15, 0.80},
 }
 
 // normalBins is the prior of a healthy upstream's bin shares.
-var normalBins = [numBins]float64{0.82, 0.13, 0.03, 0.01, 0.01}
+var normalBins = [numBins]float64{0.82, 0.14, 0.025, 0.0075, 0.0075}
 
 // baseline is what the median upstream of the service does.
 type baseline struct {
@@ -124,8 +127,9 @@
 		normal[bin] /= sum
 	}
 	for bin := range normal {
-		b.ratio[bin][hypSlow] = math.Log(slowBins[0][bin] / normal[bin])
-		b.ratio[bin][hypVerySlow] = math.Log(slowBins[1][bin] / normal[bin])
+		for i := range slowBins {
+			b.ratio[bin][hypSlow+i] = math.Log(slowBins[i][bin] / normal[bin])
+		}
 		b.ratio[bin][hypSometimesSlow] = math.Log(1 - stallShare)
 	}
 	top := numBins - 1
--- a/pkg/detector/doc.go
+++ b/pkg/detector/doc.go
@@ -6,14 +6,15 @@
 //
 //	g := detector.NewGroup(detector.TuningFor(weight))
 //	g.Retain(now, upstreams)               // on every change of the membership list
-//	if g.Observe(now, outcome) { ... }     // true: a threshold was crossed, assess now
+//	if g.Observe(now, outcome) { ... }     // true: assess and send the summary now
 //	for _, a := range g.Assess(now) { ... }
 //	send(g.Summary(now))                   // to the other homes, 4 times a second
-//	g.Merge(now, home, summary)            // when one arrives
+//	g.Merge(now, home, summary)            // when one arrives; then assess
+//	if g.Redial(upstream) { ... }          // dial again, observe the result
 //	g.Restart(now, upstream)               // when the ejection record starts a trial
 //
 // Each upstream has one CUSUM per alternative hypothesis: three shares of
-// failed work and three forms of slowness. An outcome adds the logarithm of its
+// failed work and four forms of slowness. An outcome adds the logarithm of its
 // likelihood ratio (alternative over baseline, in nats). The baseline is what
 // the median upstream of the service does, so that a fault of the whole service
 // blames nobody. The threshold follows from a target rate of false alarms.
--- a/pkg/detector/group.go
+++ b/pkg/detector/group.go
@@ -98,8 +98,9 @@
 }
 
 // Observe takes one outcome. It returns true when the outcome raised an
-// upstream's evidence to the threshold: then Assess should be called at once.
-// It does not allocate for a known upstream.
+// upstream's evidence to half or the whole of a threshold: then Assess should be
+// called and the Summary sent at once, so that several homes which see the same
+// fault pool their evidence. It does not allocate for a known upstream.
 func (g *Group) Observe(now time.Time, o Outcome) bool {
 	u := g.upstream(now, o.Upstream)
 	before, _ := u.strongest()
@@ -110,10 +111,27 @@
 		g.calibrate(now)
 	}
 	after, _ := u.strongest()
-	return crosses(before, after, g.tuning.Threshold) || crosses(pathBefore, u.pathNats(), g.tuning.Threshold)
+	threshold := g.tuning.Threshold
+	return crosses(before, after, threshold) || crosses(pathBefore, u.pathNats(), pathShare*threshold)
 }
 
-func crosses(before, after, threshold float64) bool { return before < threshold && after >= threshold }
+// crosses tells whether a statistic reached half or the whole of a threshold.
+func crosses(before, after, threshold float64) bool {
+	return before < threshold && after >= threshold || before < threshold/2 && after >= threshold/2
+}
+
+// Redial tells whether a dial has failed and the evidence does not yet suffice
+// for a judgement. Then a further dial, observed as Reachable or Unreachable,
+// settles the question without waiting for the next request.
+func (g *Group) Redial(id string) bool {
+	u, known := g.byID[id]
+	return known && !u.sick && !u.pathBad && u.path[mostlyUnreachable] > 0 && g.pathScore(u) < 1
+}
+
+// pathScore is the evidence of failed dials, in thresholds.
+func (g *Group) pathScore(u *upstream) float64 {
+	return u.pathNats() / (pathShare * g.tuning.Threshold)
+}
 
 // count adds the outcome to the upstream's evidence.
 func (g *Group) count(now time.Time, u *upstream, o Outcome) {
@@ -138,7 +156,7 @@
 		g.countFailure(u, class, limit)
 	case Overdue:
 		g.countLatency(now, u, o, limit)
-	case Shed:
+	case Shed, Reachable:
 		u.addContact(&dialWorked, limit)
 	case Unreachable:
 		u.addContact(&dialFailed, limit)
@@ -164,7 +182,7 @@
 	u.failures++
 	u.countFailure(1)
 	u.addContact(&dialWorked, limit)
-	u.add(&g.baseline.ratio[class], 0, numHypotheses, limit, &g.done)
+	u.add(&g.baseline.ratio[class], 1, 0, numHypotheses, limit, &g.done)
 	t := tally{work: 1, failed: 1}
 	if class == classTimeout {
 		t.timed, t.slow = 1, 1
@@ -177,7 +195,7 @@
 	logLatency := math.Log(max(float64(o.Latency), 1))
 	if o.Kind == Success {
 		u.addContact(&dialWorked, limit)
-		u.add(&g.baseline.ratio[0], 0, hypSlow, limit, &g.done) // failure hypotheses ignore the bin
+		u.add(&g.baseline.ratio[0], 1, 0, hypSlow, limit, &g.done) // failure hypotheses ignore the bin
 		g.tally(u, tally{work: 1})
 	}
 	if o.WasOverdue || now.Before(u.warmUntil) {
@@ -189,12 +207,13 @@
 	}
 	bin := g.baseline.bin(logLatency)
 	u.countBin(bin)
-	u.add(&g.baseline.ratio[bin], hypSlow, numHypotheses, limit, &g.done)
-	t := tally{timed: 1}
+	weight, slow := 1.0, 0.0
 	if bin >= slowBin {
-		t.slow = 1
+		weight = u.slowWeight(now, o.Latency, time.Duration(math.Exp(g.baseline.location)))
+		slow = weight
 	}
-	g.tally(u, t)
+	u.add(&g.baseline.ratio[bin], weight, hypSlow, numHypotheses, limit, &g.done)
+	g.tally(u, tally{timed: weight, slow: slow})
 }
 
 // calibrate ages the evidence, derives the baseline and takes common evidence
--- a/pkg/detector/outcome.go
+++ b/pkg/detector/outcome.go
@@ -19,6 +19,8 @@
 	Shed
 	// Unreachable is a dial that was refused or timed out.
 	Unreachable
+	// Reachable is a dial that succeeded without a request, see Group.Redial.
+	Reachable
 	// Crash is a connection lost with a request in flight.
 	Crash
 	// Overdue is a request still in flight after Latency, reported once when
--- a/pkg/detector/summary.go
+++ b/pkg/detector/summary.go
@@ -14,10 +14,11 @@
 	// contradictionAge is how old a report may be to testify that an upstream works.
 	contradictionAge = 2 * time.Second
 	// remoteDiscount weighs another home's evidence against own evidence.
-	remoteDiscount = 0.5
+	remoteDiscount = 0.75
 	// remoteNoise is the evidence, in nats, that a healthy upstream often has
-	// at some home; only what exceeds it counts.
-	remoteNoise = 2.0
+	// at a home; only what exceeds it counts. The logarithm of the number of
+	// homes is added, because the largest of many is larger.
+	remoteNoise = 1.0
 	// maxHomes bounds the memory that summaries can occupy.
 	maxHomes = 64
 	// workingSuccesses is how many recent successes testify that an upstream works.
@@ -62,7 +63,7 @@
 		r := Evidence{
 			Upstream:  u.id,
 			Score:     float32(nats / g.tuning.Threshold),
-			Path:      float32(u.pathNats() / g.tuning.Threshold),
+			Path:      float32(g.pathScore(u)),
 			Successes: rounded(u.successes),
 			Failures:  rounded(u.failures),
 			InFlight:  u.inFlight,
@@ -136,6 +137,7 @@
 // testimony weighs the other homes' reports about an upstream.
 func (g *Group) testimony(now time.Time, id string) testimony {
 	var t testimony
+	noise := remoteNoise + math.Log1p(float64(len(g.homes)))
 	for _, home := range g.homes {
 		r, reported := home.reports[id]
 		age := max(now.Sub(home.at), 0)
@@ -144,7 +146,7 @@
 		}
 		score := min(float64(r.Score), 1) * remaining(age, remoteHalfLife)
 		path := float64(r.Path) * remaining(age, remoteHalfLife)
-		t.nats += remoteDiscount * max(0, score*g.tuning.Threshold-remoteNoise)
+		t.nats += remoteDiscount * max(0, score*g.tuning.Threshold-noise)
 		switch {
 		case score >= 0.5 || path >= 0.5:
 			t.support++
--- a/pkg/detector/upstream.go
+++ b/pkg/detector/upstream.go
@@ -28,11 +28,21 @@
 	recentHalfLife    = 5 * time.Second
 	maxScore          = 2.0     // in thresholds; bounds the time to clear
 	clearScore        = 1.0 / 3 // hysteresis: a sick upstream is cleared below it
-	normalUnreachable = 0.01
+	normalUnreachable = 0.001   // share of failed dials on a good path
+	// pathShare is the part of the threshold that failed dials need: a bad path
+	// only demotes at this home and ejects for nobody.
+	pathShare = 0.75
+	// overlapWeight is the weight of a slow outcome whose request overlapped one
+	// that was counted in full, and that ended within the service's median
+	// latency of it. One short stall makes all requests in flight slow, so they
+	// are not independent evidence.
+	overlapWeight = 0.25
 )
 
 // unreachableShares are the shares of failed dials that are tested for.
-var unreachableShares = [...]float64{0.3, 0.95}
+var unreachableShares = [...]float64{0.3, mostlyUnreachable: 0.95}
+
+const mostlyUnreachable = 1
 
 // Log-likelihood ratios of a failed dial and of any contact, in nats.
 var dialFailed, dialWorked = pathRatios()
@@ -62,6 +72,7 @@
 	successes, failures, timeouts float64
 	inFlight                      int
 
+	slowAt    time.Time // last slow outcome that counted in full
 	fadedAt   time.Time
 	warmUntil time.Time
 
@@ -76,12 +87,13 @@
 	return &upstream{id: id, bins: normalBins, fadedAt: now, since: now}
 }
 
-// add counts one outcome of real work under the hypotheses in from..to-1. It
-// must come before the outcome's tally, so that a span that begins includes it.
-func (u *upstream) add(ratio *[numHypotheses]float64, from, to int, limit float64, all *tally) {
+// add counts one outcome of real work, with a weight in 0..1, under the
+// hypotheses in from..to-1. It must come before the outcome's tally, so that a
+// span that begins includes it.
+func (u *upstream) add(ratio *[numHypotheses]float64, weight float64, from, to int, limit float64, all *tally) {
 	for h := from; h < to; h++ {
 		before := u.evidence[h]
-		after := min(max(before+ratio[h], 0), limit)
+		after := min(max(before+weight*ratio[h], 0), limit)
 		if before == 0 && after > 0 {
 			u.began[h] = span{own: u.done, all: *all}
 		}
@@ -120,6 +132,15 @@
 
 func (u *upstream) pathNats() float64 { return max(u.path[0], u.path[1]) }
 
+// slowWeight returns the weight of an outcome in a slow bin.
+func (u *upstream) slowWeight(now time.Time, latency, median time.Duration) float64 {
+	if now.Add(-latency).Before(u.slowAt) && now.Sub(u.slowAt) < median {
+		return overlapWeight
+	}
+	u.slowAt = now
+	return 1
+}
+
 // fade ages the evidence up to now. A clock that goes backwards ages nothing.
 func (u *upstream) fade(now time.Time) {
 	age := now.Sub(u.fadedAt)
