Deal slots to homes by demand and measure what that changes

The simulation has skewed callers and the time added beside the service time. Fixed order of sums, so that runs repeat.

--- a/internal/bench/traffic/main.go
+++ b/internal/bench/traffic/main.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -33,7 +34,7 @@
 	path := flag.String("json", "", "file to write the rows to as JSON")
 	flag.Parse()
 	tables := []*table{
-		homesTable(*span), reportsTable(*span), callersTable(*span),
+		homesTable(*span), choiceTable(*span), callersTable(*span),
 		orderTable(*span), retriesTable(*span), poisonTable(),
 	}
 	run(tables, *seed)
@@ -75,10 +76,7 @@
 	fmt.Printf("\n%s\n", t.Title)
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
 	for _, row := range append([][]string{t.Header}, t.Rows...) {
-		for _, cell := range row {
-			fmt.Fprintf(w, "%s\t", cell)
-		}
-		fmt.Fprintln(w)
+		_, _ = w.Write([]byte(strings.Join(row, "\t") + "\t\n"))
 	}
 	_ = w.Flush()
 }
--- a/internal/bench/traffic/queueing.go
+++ b/internal/bench/traffic/queueing.go
@@ -68,7 +68,6 @@
 	loop    vtime.Loop
 	end     time.Time
 	q       admission
-	patient time.Duration
 	waiting map[uint64]time.Time
 	nextID  uint64
 	stats   map[string]*callerStats
@@ -204,7 +203,6 @@
 	t.jobs = append(t.jobs, func(rng *rand.Rand) []string {
 		st := runQueue(rng, queues()[name](), span, burst, rates)[caller]
 		per := func(n int) string { return fmt.Sprintf("%.0f", float64(n)/span.Seconds()) }
-		at := func(p float64) string { return ms(time.Duration(st.wait.ValueAtPercentile(p)) * time.Microsecond) }
-		return []string{name, caller, per(st.offered), per(st.inTime), per(st.late), per(st.expired), at(50), at(99)}
+		return []string{name, caller, per(st.offered), per(st.inTime), per(st.late), per(st.expired), at(st.wait, 50), at(st.wait, 99)}
 	})
 }
--- a/internal/bench/traffic/service.go
+++ b/internal/bench/traffic/service.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -23,6 +24,7 @@
 	meanExtra    = 15 * time.Millisecond
 	meanService  = leastService + meanExtra
 	callerWaits  = 500 * time.Millisecond // deadline of a request
+	chooseAgain  = 5 * time.Millisecond   // after no upstream was free
 	reportEvery  = 250 * time.Millisecond
 )
 
@@ -35,6 +37,16 @@
 	reportNone reportMode = "none"
 )
 
+// quotaMode is how the slots are dealt to the homes.
+type quotaMode string
+
+const (
+	quotasDemand quotaMode = "demand"
+	quotasEqual  quotaMode = "equal"
+	// quotasAll is the naive way: each home may use all slots, at random.
+	quotasAll quotaMode = "none, random"
+)
+
 // chooser is routing.Choose or a naive stand-in.
 type chooser func([]routing.Candidate, routing.Request, *rand.Rand) (routing.Choice, bool)
 
@@ -46,6 +58,8 @@
 	span             time.Duration
 	reports          reportMode
 	choose           chooser
+	quotas           quotaMode
+	skewed           bool    // eight of ten callers in the first domain
 	failing          float64 // part of the attempts that fail, may have run
 	shedding         bool    // upstreams shed everything
 	unlimited        bool    // naive retries: three attempts, no budget
@@ -56,6 +70,9 @@
 	collided                                 int // requests shed by an upstream at least once
 	dispatched, attempts                     int
 	wait                                     *hdrhistogram.Histogram // microseconds
+	// added is all time but the service time, from the caller's domain and back,
+	// of answered requests, in microseconds.
+	added *hdrhistogram.Histogram
 }
 
 type serviceSim struct {
@@ -89,12 +106,16 @@
 	arrived    time.Time
 	idempotent bool
 	mayHaveRun bool
+	attempts   int
+	extra      time.Duration // between the caller's domain and the home
+	served     time.Duration // service time of the answer
 	tried      []string
 }
 
 func simulate(cfg serviceConfig, rng *rand.Rand) serviceResult {
 	s := &serviceSim{cfg: cfg, rng: rng, loop: vtime.Loop{Now: time.Unix(1_800_000_000, 0)}}
 	s.end = s.loop.Now.Add(cfg.span)
+	s.result.added = hdrhistogram.New(1, 10_000_000, 3)
 	s.result.wait = hdrhistogram.New(1, 10_000_000, 3)
 	for i := range cfg.upstreams {
 		s.ups = append(s.ups, &simUpstream{id: fmt.Sprintf("upstream-%d", i), domain: zone(i)})
@@ -102,6 +123,9 @@
 	for i := range cfg.homes {
 		s.addHome(i)
 	}
+	for _, h := range s.homes {
+		s.refresh(h)
+	}
 	s.arrivals()
 	s.loop.Run()
 	return s.result
@@ -109,6 +133,13 @@
 
 func zone(i int) string { return string(rune('a' + i%domains)) }
 
+func between(a, b string) time.Duration {
+	if a == b {
+		return withinZone
+	}
+	return betweenZones
+}
+
 func (s *serviceSim) addHome(i int) {
 	h := &simHome{
 		id: fmt.Sprintf("home-%d", i), domain: zone(i), inFlight: routing.NewInFlight(),
@@ -119,7 +150,7 @@
 			ID: u.id, Domain: u.domain, Slots: s.cfg.slots, Share: 1, Preference: routing.Preference(h.id, u.id),
 		})
 	}
-	h.queue = limits.NewQueue(limits.DefaultPolicy(), routing.Capacity(h.candidates))
+	h.queue = limits.NewQueue(limits.DefaultPolicy(), 0)
 	s.homes = append(s.homes, h)
 	s.loop.After(time.Duration(s.rng.Int64N(int64(reportEvery))), func() { s.report(h) })
 }
@@ -128,16 +159,16 @@
 // into account.
 func (s *serviceSim) report(h *simHome) {
 	now := s.loop.Now
-	loads := h.inFlight.Report(now)
+	report := h.inFlight.Report(now, h.queue.Waiting())
 	if s.cfg.reports == reportLast {
-		loads = loads[:0]
+		report.Loads = report.Loads[:0]
 		for _, u := range s.ups {
-			loads = append(loads, routing.Load{Upstream: u.id, Mean: float64(h.inFlight.Own(u.id))})
+			report.Loads = append(report.Loads, routing.Load{Upstream: u.id, Mean: float64(h.inFlight.Own(u.id))})
 		}
 	}
 	for _, o := range s.homes {
 		if o != h && s.cfg.reports != reportNone {
-			s.loop.After(betweenZones, func() { o.inFlight.Merge(s.loop.Now, h.id, loads); s.refresh(o) })
+			s.loop.After(betweenZones, func() { o.inFlight.Merge(s.loop.Now, h.id, report); s.refresh(o) })
 		}
 	}
 	s.refresh(h)
@@ -148,12 +179,29 @@
 
 func (s *serviceSim) refresh(h *simHome) {
 	h.inFlight.Refresh(s.loop.Now)
+	quotas := s.quotas(h)
 	for i := range h.candidates {
+		h.candidates[i].Quota = quotas[i]
 		h.candidates[i].Others = h.inFlight.Others(h.candidates[i].ID)
 	}
 	s.admitted(h, h.queue.SetCapacity(s.loop.Now, routing.Capacity(h.candidates)))
 }
 
+// quotas deals the slots.
+func (s *serviceSim) quotas(h *simHome) []int {
+	if s.cfg.quotas == quotasAll {
+		return slices.Repeat([]int{s.cfg.slots}, len(h.candidates))
+	}
+	var homes []routing.Home
+	for _, o := range s.homes {
+		homes = append(homes, routing.Home{ID: o.id, Domain: o.domain})
+	}
+	if s.cfg.quotas == quotasDemand {
+		h.inFlight.Homes(h.id, homes)
+	}
+	return routing.Quotas(h.id, homes, h.candidates)
+}
+
 // arrivals is a Poisson process spread evenly over the callers' domains.
 func (s *serviceSim) arrivals() {
 	rate := s.cfg.load * float64(s.cfg.upstreams*s.cfg.slots) / meanService.Seconds()
@@ -161,7 +209,11 @@
 		if s.loop.Now.After(s.end) {
 			return
 		}
-		s.arrive(s.homeOf(zone(s.rng.IntN(domains))))
+		domain := zone(s.rng.IntN(domains))
+		if s.cfg.skewed && s.rng.IntN(10) < 7 {
+			domain = zone(0)
+		}
+		s.arrive(domain, s.homeOf(domain))
 		s.arrivals()
 	})
 }
@@ -180,7 +232,7 @@
 	return near[s.rng.IntN(len(near))]
 }
 
-func (s *serviceSim) arrive(h *simHome) {
+func (s *serviceSim) arrive(domain string, h *simHome) {
 	s.nextID++
 	s.result.offered++
 	now := s.loop.Now
@@ -188,6 +240,7 @@
 		home: h, arrived: now, idempotent: s.rng.IntN(2) == 0,
 		ticket: limits.Ticket{ID: s.nextID, Caller: "caller", Deadline: now.Add(callerWaits)},
 	}
+	r.extra = 2 * between(domain, h.domain)
 	switch h.queue.Offer(now, r.ticket).Action {
 	case limits.Run:
 		s.dispatch(r)
@@ -224,21 +277,33 @@
 	req := routing.Request{Domain: h.domain, Idempotent: r.idempotent, Tried: r.tried}
 	c, ok := s.cfg.choose(h.candidates, req, s.rng)
 	if !ok {
-		s.finish(r, false)
+		s.retryLater(r)
 		return
 	}
 	s.result.attempts++
+	r.attempts++
 	h.candidates[c.Index].Own++
 	h.inFlight.Start(s.loop.Now, c.ID)
 	r.tried = append(r.tried, c.ID)
 	u := s.ups[c.Index]
-	distance := betweenZones
-	if u.domain == h.domain {
-		distance = withinZone
-	}
+	distance := between(u.domain, h.domain)
 	s.loop.After(distance, func() { s.serve(r, c.Index, distance) })
 }
 
+// retryLater chooses again a little later: the permit of the request and its
+// place in the retry budget are kept, and a slot that was taken frees up in a
+// few milliseconds.
+func (s *serviceSim) retryLater(r *simRequest) {
+	if r.ticket.Deadline.Sub(s.loop.Now) < meanService {
+		s.finish(r, false)
+		return
+	}
+	s.loop.After(chooseAgain, func() {
+		r.tried = r.tried[:0]
+		s.attempt(r)
+	})
+}
+
 // serve runs the request at the upstream, or sheds it.
 func (s *serviceSim) serve(r *simRequest, index int, distance time.Duration) {
 	u := s.ups[index]
@@ -248,6 +313,7 @@
 	}
 	u.running++
 	took := leastService + time.Duration(s.rng.ExpFloat64()*float64(meanExtra))
+	r.served = took
 	fails := s.rng.Float64() < s.cfg.failing
 	s.loop.After(took, func() {
 		u.running--
@@ -264,11 +330,11 @@
 		s.finish(r, true)
 		return
 	}
-	if v == verdict.NotRun && len(r.tried) == 1 {
+	if v == verdict.NotRun && r.attempts == 1 {
 		s.result.collided++
 	}
 	a := retry.Attempt{
-		Verdict: v, Idempotent: r.idempotent, Attempts: len(r.tried),
+		Verdict: v, Idempotent: r.idempotent, Attempts: r.attempts,
 		EarlierMayHaveRun: r.mayHaveRun, TimeLeft: r.ticket.Deadline.Sub(now),
 	}
 	r.mayHaveRun = r.mayHaveRun || v != verdict.NotRun
@@ -294,11 +360,12 @@
 		s.result.late++
 	default:
 		s.result.answered++
+		_ = s.result.added.RecordValue((s.loop.Now.Sub(r.arrived) + r.extra - r.served).Microseconds())
 	}
 	s.admitted(r.home, r.home.queue.Done(s.loop.Now, r.ticket))
 }
 
-// waitAt is a percentile of the time in the queue.
-func (r serviceResult) waitAt(percentile float64) time.Duration {
-	return time.Duration(r.wait.ValueAtPercentile(percentile)) * time.Microsecond
+// at is a percentile of a histogram of microseconds.
+func at(h *hdrhistogram.Histogram, percentile float64) string {
+	return ms(time.Duration(h.ValueAtPercentile(percentile)) * time.Microsecond)
 }
--- a/internal/bench/traffic/tables.go
+++ b/internal/bench/traffic/tables.go
@@ -26,15 +26,15 @@
 
 func homesTable(span time.Duration) *table {
 	t := &table{
-		Title:  "Homes per service: queueing time in ms, percent of the requests refused or failed, percent that met a taken slot",
-		Header: []string{"service", "slots", "load%", "homes", "p50", "p99", "refused%", "failed%", "taken%", "attempts/request"},
+		Title:  "Homes per service: time in the queue and all time but the service time in ms; percent of the requests refused by the queue, failed after being shed, and shed at least once because another home had the slot",
+		Header: []string{"service", "slots", "load%", "homes", "queue p50", "p99", "added p50", "p99", "refused%", "failed%", "taken%", "attempts/request"},
 	}
 	for _, svc := range services {
 		for _, load := range loads {
 			for homes := 1; homes <= maxHomes; homes++ {
 				cfg := svc
 				cfg.load, cfg.homes, cfg.span = load, homes, span
-				cfg.reports, cfg.choose = reportMean, routing.Choose
+				cfg.reports, cfg.quotas, cfg.choose = reportMean, quotasDemand, routing.Choose
 				t.jobs = append(t.jobs, func(rng *rand.Rand) []string { return homesRow(cfg, simulate(cfg, rng)) })
 			}
 		}
@@ -45,7 +45,8 @@
 func homesRow(cfg serviceConfig, r serviceResult) []string {
 	return []string{
 		cfg.name, count(cfg.upstreams * cfg.slots), fmt.Sprintf("%.0f", 100*cfg.load), count(cfg.homes),
-		ms(r.waitAt(50)), ms(r.waitAt(99)), percent(r.refused, r.offered), percent(r.failed, r.offered),
+		at(r.wait, 50), at(r.wait, 99), at(r.added, 50), at(r.added, 99),
+		percent(r.refused, r.offered), percent(r.failed, r.offered),
 		percent(r.collided, r.offered), ratio(r.attempts, r.dispatched),
 	}
 }
@@ -76,33 +77,42 @@
 	return routing.Choice{Index: -1}, false
 }
 
-// reportsTable compares what homes tell each other, and the naive choice.
-func reportsTable(span time.Duration) *table {
+// choiceTable compares how slots are shared, with callers spread evenly and with
+// eight of ten in one failure domain, and the naive choice.
+func choiceTable(span time.Duration) *table {
 	t := &table{
-		Title:  "Choice and reports, bons-chantier and batch-ledger",
-		Header: []string{"service", "load%", "homes", "choice", "reports", "p99", "refused%", "failed%", "taken%"},
+		Title:  "Sharing of slots among homes: percent as above, wait in ms",
+		Header: []string{"service", "load%", "homes", "callers", "quotas", "reports", "p50", "p99", "refused%", "failed%", "taken%"},
 	}
 	for _, svc := range []serviceConfig{services[1], services[5]} {
 		for _, load := range loads[1:] {
-			for _, homes := range []int{3, 6, 12} {
-				cfg := svc
-				cfg.load, cfg.homes, cfg.span = load, homes, span
-				for _, mode := range []reportMode{reportMean, reportLast, reportNone} {
-					t.addChoice(cfg, "routing", routing.Choose, mode)
+			for _, homes := range []int{3, 6} {
+				for _, skewed := range []bool{false, true} {
+					cfg := svc
+					cfg.load, cfg.homes, cfg.span, cfg.skewed, cfg.choose = load, homes, span, skewed, routing.Choose
+					t.addChoice(cfg, quotasDemand, reportMean)
+					t.addChoice(cfg, quotasDemand, reportLast)
+					t.addChoice(cfg, quotasEqual, reportMean)
+					cfg.choose = randomChoice
+					t.addChoice(cfg, quotasAll, reportNone)
 				}
-				t.addChoice(cfg, "random", randomChoice, reportNone)
 			}
 		}
 	}
 	return t
 }
 
-func (t *table) addChoice(cfg serviceConfig, name string, choose chooser, mode reportMode) {
-	cfg.choose, cfg.reports = choose, mode
+func (t *table) addChoice(cfg serviceConfig, quotas quotaMode, reports reportMode) {
+	cfg.quotas, cfg.reports = quotas, reports
+	callers := "even"
+	if cfg.skewed {
+		callers = "80% in one"
+	}
 	t.jobs = append(t.jobs, func(rng *rand.Rand) []string {
 		r := simulate(cfg, rng)
 		return []string{
-			cfg.name, fmt.Sprintf("%.0f", 100*cfg.load), count(cfg.homes), name, string(mode), ms(r.waitAt(99)),
+			cfg.name, fmt.Sprintf("%.0f", 100*cfg.load), count(cfg.homes), callers, string(quotas), string(reports),
+			at(r.wait, 50), at(r.wait, 99),
 			percent(r.refused, r.offered), percent(r.failed, r.offered), percent(r.collided, r.offered),
 		}
 	})
@@ -122,7 +132,7 @@
 		for _, unlimited := range []bool{false, true} {
 			cfg := services[1]
 			cfg.load, cfg.homes, cfg.span = 0.5, 3, span
-			cfg.reports, cfg.choose = reportMean, routing.Choose
+			cfg.reports, cfg.quotas, cfg.choose = reportMean, quotasDemand, routing.Choose
 			cfg.failing, cfg.shedding, cfg.unlimited = c.failing, c.shedding, unlimited
 			name := "budget"
 			if unlimited {
--- a/pkg/limits/caller.go
+++ b/pkg/limits/caller.go
@@ -16,7 +16,11 @@
 	running int
 	// next is the virtual start of the oldest waiting ticket. Only tickets that
 	// run move it: one that expires or is cancelled costs no share.
-	next    float64
+	next float64
+	// pace is the mean time between runs from the queue, the last at ranAt, since
+	// the caller began to wait.
+	pace    time.Duration
+	ranAt   time.Time
 	waiting list.List // of *waiter, oldest first
 	turn    int       // position in the turns heap, -1 when absent
 	used    *list.Element
@@ -56,6 +60,14 @@
 	return c.waiting.Len() > 0 && (c.policy.Concurrency <= 0 || c.running < c.policy.Concurrency)
 }
 
+// ran measures the pace.
+func (c *caller) ran(now time.Time) {
+	if !c.ranAt.IsZero() {
+		c.pace += time.Duration(paceWeight * float64(now.Sub(c.ranAt)-c.pace))
+	}
+	c.ranAt = now
+}
+
 // idle reports whether forgetting the caller changes no later decision.
 func (c *caller) idle(now time.Time, virtual float64) bool {
 	if c.running > 0 || c.waiting.Len() > 0 || c.next > virtual {
--- a/pkg/limits/queue.go
+++ b/pkg/limits/queue.go
@@ -13,6 +13,8 @@
 	// evictionsPerOffer is how many of the least recently used callers are
 	// looked at per request; more than one, so that eviction outruns arrival.
 	evictionsPerOffer = 2
+	// paceWeight is the part of a caller's pace that one new sample makes up.
+	paceWeight = 0.05
 	// admitShare is the part of the time until its latest start that a request
 	// may be expected to wait. Requests of other callers that come later may run
 	// first; without a margin many would be admitted and still expire.
@@ -164,7 +166,8 @@
 
 // expectedWait estimates the time until a new ticket of the caller runs; zero
 // means at once. Until the virtual time of its start each waiting caller runs
-// its weight's worth of tickets, but no more than there are.
+// its weight's worth of tickets, but no more than there are. Callers that seldom
+// wait but take slots show in the caller's own pace only.
 func (q *Queue) expectedWait(c *caller) time.Duration {
 	blocked := c.policy.Concurrency > 0 && c.running >= c.policy.Concurrency
 	if !blocked && c.waiting.Len() == 0 && len(q.turns) == 0 && len(q.running) < q.capacity {
@@ -179,9 +182,9 @@
 	ahead := min(float64(len(q.waiting)), max(start*weights, own))
 	wait := (ahead + 1) / float64(q.capacity)
 	if c.policy.Concurrency > 0 {
-		wait = max(wait, float64(c.waiting.Len()+1)/float64(c.policy.Concurrency))
+		wait = max(wait, (own+1)/float64(c.policy.Concurrency))
 	}
-	return max(1, time.Duration(wait*float64(q.service)))
+	return max(1, time.Duration(wait*float64(q.service)), time.Duration((own+1)*float64(c.pace)))
 }
 
 // latestStart is when the request must start for its response to be in time.
@@ -212,6 +215,7 @@
 		w := c.head()
 		q.virtual = max(q.virtual, c.next)
 		c.next += 1 / c.policy.Weight
+		c.ran(now)
 		q.lastNext = max(q.lastNext, c.next)
 		q.remove(w)
 		q.start(now, w.ticket.ID, c)
@@ -250,6 +254,7 @@
 	}
 	if c.waiting.Len() == 0 {
 		q.weights -= c.policy.Weight
+		c.pace, c.ranAt = 0, time.Time{}
 	}
 	if len(q.waiting) == 0 {
 		q.weights = 0 // drops the rounding error of repeated sums
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -1,10 +1,6 @@
 package routing
 
-import (
-	"math"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // Candidate is one upstream as this home sees it.
 type Candidate struct {
@@ -17,6 +13,8 @@
 	Slots int
 	// Own is the number of this home's requests in flight at the upstream.
 	Own int
+	// Quota is how many of the slots are dealt to this home, see Quotas.
+	Quota int
 	// Others is the expected number of requests that other homes have in
 	// flight there, see InFlight.Others.
 	Others float64
@@ -54,27 +52,36 @@
 	return d.Sum64()
 }
 
-// Capacity is how many requests this home may have in flight at once. It
-// counts one slot of every healthy upstream even when other homes seem to hold
-// them all, because a home that never starts a request would stay starved.
+// Capacity is how many requests this home may have in flight at once: its own
+// slots and those it may borrow. It is at least one while there is a healthy
+// upstream, because a home that never starts a request would stay starved.
 // Upstreams in ramp count only while no normal one exists.
 func Capacity(candidates []Candidate) int {
 	full := hasFull(candidates, nil)
-	total := 0
+	total, healthy := 0, false
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.normal(full) {
 			continue
 		}
-		limit := c.ownLimit()
-		if !c.Demoted {
-			limit = max(1, limit)
-		}
-		total += limit
+		healthy = healthy || !c.Demoted
+		total += c.limit()
+	}
+	if healthy {
+		total = max(1, total)
 	}
 	return total
 }
 
+// limit is how many requests of this home the upstream may have in flight.
+func (c *Candidate) limit() int {
+	n := c.Quota
+	for c.mayBorrow(n) {
+		n++
+	}
+	return n
+}
+
 // normal reports whether the candidate is outside the share lottery. While no
 // healthy upstream has its full share, those in ramp count as normal: limiting
 // all of them would refuse requests that they could serve.
@@ -82,20 +89,13 @@
 	return c.Share >= 1 || (c.Share > 0 && !c.Trial && !full)
 }
 
-// ownLimit is how many requests of this home fit beside those of the others.
-func (c *Candidate) ownLimit() int {
-	return max(0, int(math.Ceil(float64(c.slots())-c.Others)))
-}
-
 func (c *Candidate) slots() int { return max(1, c.Slots) }
 
 func (c *Candidate) load() float64 {
 	return (float64(c.Own) + c.Others) / float64(c.slots())
 }
 
-func (c *Candidate) free() bool {
-	return float64(c.Own)+c.Others < float64(c.slots())
-}
+func (c *Candidate) free() bool { return c.Own < c.Quota || c.mayBorrow(c.Own) }
 
 func (r *Request) tried(id string) bool {
 	for _, t := range r.Tried {
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -11,14 +11,17 @@
 
 // Reasons of a choice, in the order of preference.
 const (
-	// OwnDomain is the least loaded upstream of the home's failure domain.
+	// OwnDomain is the least loaded upstream of the home's failure domain where
+	// a slot of this home is free.
 	OwnDomain Reason = iota
-	// OtherDomain is the least loaded one elsewhere; the own domain is full.
+	// OtherDomain is the least loaded such upstream elsewhere.
 	OtherDomain
+	// Borrowed is an upstream with a slot that another home seems not to use.
+	Borrowed
 	// DemotedFree is a demoted upstream; no healthy one has a free slot.
 	DemotedFree
 	// Contended is an upstream whose slots other homes seem to hold; this home
-	// has no request there and nothing better is free.
+	// has no slot anywhere and no request in flight.
 	Contended
 	// Ramp is an upstream in ramp, within its share.
 	Ramp
@@ -35,7 +38,7 @@
 )
 
 var reasonNames = [...]string{
-	OwnDomain: "own-domain", OtherDomain: "other-domain", DemotedFree: "demoted-free",
+	OwnDomain: "own-domain", OtherDomain: "other-domain", Borrowed: "borrowed", DemotedFree: "demoted-free",
 	Contended: "contended", Ramp: "ramp", Trial: "trial", Recovery: "recovery",
 	NoUpstream: "no-upstream", AllTried: "all-tried", AllBusy: "all-busy",
 }
@@ -66,8 +69,10 @@
 		return choice, true
 	}
 	best, bestClass, failure := -1, AllBusy, NoUpstream
+	own := 0
 	for i := range candidates {
 		c := &candidates[i]
+		own += c.Own
 		if !c.normal(full) {
 			continue
 		}
@@ -76,7 +81,7 @@
 			continue
 		}
 		failure = AllBusy
-		class, ok := c.class(&req)
+		class, ok := c.class(&req, bestClass)
 		if !ok || class > bestClass {
 			continue
 		}
@@ -84,23 +89,30 @@
 			best, bestClass = i, class
 		}
 	}
-	if best < 0 {
+	if best < 0 || (bestClass == Contended && own > 0) {
 		return Choice{Index: -1, Reason: failure}, false
 	}
 	return choose(candidates, best, bestClass), true
 }
 
-// class ranks a normal candidate; false when it must not be used now.
-func (c *Candidate) class(req *Request) (Reason, bool) {
-	switch {
-	case !c.free():
-		return Contended, c.Own == 0 && !c.Demoted
-	case c.Demoted:
-		return DemotedFree, true
-	case c.Domain == req.Domain || req.Domain == "":
+// class ranks a normal candidate; false when it must not be used now, or when
+// it ranks below the class found already.
+func (c *Candidate) class(req *Request, found Reason) (Reason, bool) {
+	near := c.Domain == req.Domain || req.Domain == ""
+	switch mine := c.Own < c.Quota; {
+	case mine && !c.Demoted && near:
 		return OwnDomain, true
-	default:
+	case mine && !c.Demoted:
 		return OtherDomain, true
+	case found < Borrowed:
+		return AllBusy, false // spares the computation of mayBorrow
+	case mine || c.mayBorrow(c.Own):
+		if c.Demoted {
+			return DemotedFree, true
+		}
+		return Borrowed, true
+	default:
+		return Contended, !c.Demoted
 	}
 }
 
--- a/pkg/routing/inflight.go
+++ b/pkg/routing/inflight.go
@@ -1,7 +1,9 @@
 package routing
 
 import (
-	"sort"
+	"maps"
+	"math"
+	"slices"
 	"time"
 )
 
@@ -15,6 +17,24 @@
 	ReportStale = 1500 * time.Millisecond
 )
 
+// Steadying of the demand that a home reports. Quotas follow the demand, and
+// each change of a quota lets two homes meet at a slot for a moment; reports of
+// 250 ms vary by a sixth from chance alone.
+const (
+	// demandWeight is the part of the demand that the newest interval makes
+	// up: changes are followed in about 2.5 s.
+	demandWeight = 0.1
+	// demandStep is the relative change below which the last value is repeated.
+	demandStep = 0.25
+)
+
+// Report is what a home tells the service's other homes four times a second.
+type Report struct {
+	Loads []Load `cbor:"1,keyasint"`
+	// Demand is the steadied number of requests in flight and waiting.
+	Demand float64 `cbor:"2,keyasint"`
+}
+
 // Load is the mean number of requests that a home had in flight at an upstream.
 type Load struct {
 	Upstream string  `cbor:"1,keyasint"`
@@ -25,8 +45,10 @@
 // reports of the service's other homes.
 type InFlight struct {
 	own    map[string]*area
-	homes  map[string]report
+	homes  map[string]received
 	totals map[string]float64
+	// demand is the smoothed demand of this home, told the last value reported.
+	demand, told float64
 }
 
 // area integrates the number in flight over time.
@@ -37,14 +59,14 @@
 	changed time.Time
 }
 
-type report struct {
-	at    time.Time
-	loads []Load
+type received struct {
+	at     time.Time
+	report Report
 }
 
 // NewInFlight returns an empty count.
 func NewInFlight() *InFlight {
-	return &InFlight{own: map[string]*area{}, homes: map[string]report{}, totals: map[string]float64{}}
+	return &InFlight{own: map[string]*area{}, homes: map[string]received{}, totals: map[string]float64{}}
 }
 
 // Start counts a request sent to the upstream.
@@ -74,37 +96,64 @@
 
 // Report returns the mean numbers in flight since the last report, sorted by
 // upstream. The mean is sent rather than the current number because requests
-// take a tenth of a report interval: a momentary number is noise when it arrives.
-func (f *InFlight) Report(now time.Time) []Load {
+// take a tenth of a report interval: a momentary number is noise when it
+// arrives. waiting is the number of requests in the queue.
+func (f *InFlight) Report(now time.Time, waiting int) Report {
 	loads := make([]Load, 0, len(f.own))
-	for id, a := range f.own {
+	demand := float64(waiting)
+	for _, id := range slices.Sorted(maps.Keys(f.own)) {
+		a := f.own[id]
 		if mean := a.reset(now); mean > 0 {
 			loads = append(loads, Load{Upstream: id, Mean: mean})
+			demand += mean
 		} else if a.count == 0 {
 			delete(f.own, id)
 		}
 	}
-	sort.Slice(loads, func(i, j int) bool { return loads[i].Upstream < loads[j].Upstream })
-	return loads
+	if f.told == 0 {
+		f.demand = demand // a home that starts needs its slots at once
+	}
+	f.demand += demandWeight * (demand - f.demand)
+	if math.Abs(f.demand-f.told) > demandStep*f.told {
+		f.told = f.demand
+	}
+	return Report{Loads: loads, Demand: f.told}
+}
+
+// Homes fills in the Demand of the homes from their last reports, and of the
+// home self from its own, for Quotas.
+func (f *InFlight) Homes(self string, homes []Home) {
+	for i := range homes {
+		homes[i].Demand = f.homes[homes[i].ID].report.Demand
+		if homes[i].ID == self {
+			homes[i].Demand = f.told
+		}
+	}
 }
 
-// Merge replaces the last report of another home. Negative and absurd values
-// are ignored.
-func (f *InFlight) Merge(now time.Time, home string, loads []Load) {
-	f.homes[home] = report{at: now, loads: loads}
+// Merge replaces the last report of another home. A demand that is no number
+// within reason counts as none.
+func (f *InFlight) Merge(now time.Time, home string, r Report) {
+	if !(r.Demand >= 0 && r.Demand < maxMean) {
+		r.Demand = 0
+	}
+	f.homes[home] = received{at: now, report: r}
 }
 
 // Refresh recomputes what Others returns; call it after Merge and four times a
 // second, so that the reports of silent homes fade.
 func (f *InFlight) Refresh(now time.Time) {
 	clear(f.totals)
-	for home, r := range f.homes {
+	// A fixed order keeps the sums, and with them the choices, the same in
+	// every run.
+	for _, home := range slices.Sorted(maps.Keys(f.homes)) {
+		r := f.homes[home]
 		weight := Fade(now.Sub(r.at))
 		if weight == 0 {
 			delete(f.homes, home)
 			continue
 		}
-		for _, l := range r.loads {
+		for _, l := range r.report.Loads {
 			if l.Mean > 0 && l.Mean < maxMean {
 				f.totals[l.Upstream] += weight * l.Mean
 			}
--- a/pkg/routing/property_test.go
+++ b/pkg/routing/property_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -28,7 +29,7 @@
 		slots := rapid.SampledFrom([]int{3, 6}).Draw(t, "slots")
 		cs[i] = routing.Candidate{
 			ID: fmt.Sprintf("u%d", i), Domain: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"),
-			Slots: slots, Own: rapid.IntRange(0, slots).Draw(t, "own"),
+			Slots: slots, Own: rapid.IntRange(0, slots).Draw(t, "own"), Quota: rapid.IntRange(0, slots).Draw(t, "quota"),
 			Others:  rapid.SampledFrom([]float64{0, 0.4, 1, 2.5, 7}).Draw(t, "others"),
 			Demoted: rapid.IntRange(0, 3).Draw(t, "demoted") == 0,
 			Trial:   rapid.IntRange(0, 5).Draw(t, "trial") == 0,
@@ -44,10 +45,14 @@
 // fault returns what is wrong with a choice, by the rules of the design page
 // written one by one.
 func fault(cs []routing.Candidate, req routing.Request, got routing.Choice, ok bool) string {
-	free := func(c routing.Candidate) bool { return float64(c.Own)+c.Others < float64(c.Slots) }
+	mine := func(c routing.Candidate) bool { return c.Own < c.Quota }
+	// A borrowed slot is within the upstream's slots and never one of a full upstream.
+	free := func(c routing.Candidate) bool {
+		return mine(c) || (c.Own < c.Slots && float64(c.Own)+c.Others < float64(c.Slots))
+	}
 	tried := func(c routing.Candidate) bool { return slices.Contains(req.Tried, c.ID) }
 	healthy := func(c routing.Candidate) bool { return c.Share == 1 && !c.Demoted && !tried(c) }
-	healthyFree := func(c routing.Candidate) bool { return healthy(c) && free(c) }
+	healthyFree := func(c routing.Candidate) bool { return healthy(c) && mine(c) }
 	ownFree := func(c routing.Candidate) bool { return healthyFree(c) && c.Domain == req.Domain }
 	if !ok {
 		if slices.ContainsFunc(cs, healthyFree) {
@@ -62,8 +67,10 @@
 		return "excluded"
 	case tried(c):
 		return "tried before"
-	case !free(c) && (got.Reason != routing.Contended || c.Own > 0):
+	case !free(c) && (got.Reason != routing.Contended || slices.ContainsFunc(cs, func(o routing.Candidate) bool { return o.Own > 0 })):
 		return "no free slot"
+	case got.Reason == routing.Borrowed && slices.ContainsFunc(cs, healthyFree):
+		return "borrowed although an own slot is free"
 	case !req.Idempotent && c.Trial:
 		return "not idempotent, on trial"
 	case c.Share < 1 && !limited && slices.ContainsFunc(cs, healthy):
@@ -129,9 +136,9 @@
 	// an upstream in ramp receiving its full share.
 	It("gives limited upstreams their share", func() {
 		cs := []routing.Candidate{
-			{ID: "n1", Slots: 3, Share: 1, Preference: 9}, {ID: "n2", Slots: 3, Share: 1},
-			{ID: "r", Slots: 3, Share: 0.5}, {ID: "t", Slots: 3, Share: 0.2, Trial: true},
-			{ID: "d", Slots: 3, Share: 1, Demoted: true},
+			{ID: "n1", Quota: 3, Slots: 3, Share: 1, Preference: 9}, {ID: "n2", Quota: 3, Slots: 3, Share: 1},
+			{ID: "r", Quota: 3, Slots: 3, Share: 0.5}, {ID: "t", Quota: 3, Slots: 3, Share: 0.2, Trial: true},
+			{ID: "d", Quota: 3, Slots: 3, Share: 1, Demoted: true},
 		}
 		const n = 20000
 		count := func(idempotent bool) map[string]float64 {
@@ -157,7 +164,7 @@
 			cs := make([]routing.Candidate, 12)
 			for i := range cs {
 				id := fmt.Sprintf("u%d", i)
-				cs[i] = routing.Candidate{ID: id, Slots: 3, Share: 1, Preference: routing.Preference(fmt.Sprintf("h%d", h), id)}
+				cs[i] = routing.Candidate{ID: id, Slots: 3, Quota: 1, Share: 1, Preference: routing.Preference(fmt.Sprintf("h%d", h), id)}
 			}
 			c, _ := routing.Choose(cs, routing.Request{}, newRand())
 			first[c.ID]++
@@ -165,6 +172,67 @@
 		Expect(len(first)).To(BeNumerically(">=", 6))
 	})
 
+	// Guards against two homes being dealt one slot, and slots dealt to none.
+	It("deals each slot once, in proportion to demand", func() {
+		testkit.Check(GinkgoT(), func(t *rapid.T) {
+			cs := drawCandidates(t)
+			homes := make([]routing.Home, rapid.IntRange(1, 6).Draw(t, "homes"))
+			total, sum, demand := 0, make([]int, len(cs)), 0.0
+			for i := range homes {
+				homes[i] = routing.Home{
+					ID: fmt.Sprintf("h%d", i), Domain: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"),
+					Demand: rapid.Float64Range(1, 3).Draw(t, "demand"),
+				}
+				demand += homes[i].Demand
+			}
+			for _, c := range cs {
+				total += c.Slots
+			}
+			for i, h := range homes {
+				other := slices.Clone(homes)
+				slices.Reverse(other)
+				got := 0
+				for j, q := range routing.Quotas(h.ID, other, cs) {
+					sum[j] += q
+					got += q
+				}
+				if want := float64(total) * homes[i].Demand / demand; float64(got) < want-1 || float64(got) > want+1 {
+					t.Fatalf("%d slots of %d for %v", got, total, h)
+				}
+			}
+			for j := range cs {
+				if sum[j] != cs[j].Slots {
+					t.Fatalf("%d of %d slots of %s dealt", sum[j], cs[j].Slots, cs[j].ID)
+				}
+			}
+		})
+	})
+
+	// Guards against quotas that change with every report, which lets homes
+	// meet, and against a lasting change being ignored.
+	It("reports a steady demand", func() {
+		f, rng := routing.NewInFlight(), newRand()
+		now, last, changes := epoch, 0.0, 0
+		report := func(waiting int) {
+			now = now.Add(250 * time.Millisecond)
+			if d := f.Report(now, waiting).Demand; d != last {
+				last, changes = d, changes+1
+			}
+		}
+		for range 40 {
+			report(5 + rng.IntN(6))
+		}
+		changes = 0
+		for range 400 {
+			report(5 + rng.IntN(6))
+		}
+		Expect(changes).To(BeNumerically("<=", 2))
+		for range 20 {
+			report(20)
+		}
+		Expect(last).To(BeNumerically(">", 14))
+	})
+
 	It("allocates nothing", func() {
 		cs, rng := candidates42(), newRand()
 		req := routing.Request{Domain: "a", Idempotent: true, Tried: []string{"u3", "u7"}}
@@ -176,7 +244,7 @@
 	cs := make([]routing.Candidate, 42)
 	for i := range cs {
 		cs[i] = routing.Candidate{
-			ID: fmt.Sprintf("u%d", i), Domain: string(rune('a' + i%3)), Slots: 3, Own: i % 4, Others: float64(i%3) / 2, Share: 1,
+			ID: fmt.Sprintf("u%d", i), Domain: string(rune('a' + i%3)), Slots: 3, Quota: 1, Own: i % 4, Others: float64(i%3) / 2, Share: 1,
 		}
 	}
 	cs[5].Share, cs[9].Demoted = 0.3, true
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -22,9 +22,9 @@
 	req := routing.Request{Domain: "a", Idempotent: true}
 	pick := func(change func(c []routing.Candidate)) routing.Choice {
 		cs := []routing.Candidate{
-			{ID: "a1", Domain: "a", Slots: 3, Share: 1},
-			{ID: "a2", Domain: "a", Slots: 3, Share: 1, Own: 1},
-			{ID: "b1", Domain: "b", Slots: 3, Share: 1},
+			{ID: "a1", Domain: "a", Slots: 3, Quota: 2, Share: 1},
+			{ID: "a2", Domain: "a", Slots: 3, Quota: 2, Share: 1, Own: 1},
+			{ID: "b1", Domain: "b", Slots: 3, Quota: 1, Share: 1},
 		}
 		change(cs)
 		c, _ := routing.Choose(cs, req, newRand())
@@ -45,8 +45,19 @@
 			c[0].Demoted, c[1].Own, c[2].Own = true, 3, 3
 		}, "a1", routing.DemotedFree),
 		Entry("an unused contended upstream to none", func(c []routing.Candidate) {
-			c[0].Others, c[1].Own, c[2].Own = 3, 3, 3
-		}, "a1", routing.Contended),
+			for i := range c {
+				c[i].Quota, c[i].Own, c[i].Others = 0, 0, 3-float64(i)/10
+			}
+		}, "b1", routing.Contended),
+		Entry("a slot of its own to a borrowed one", func(c []routing.Candidate) { c[0].Own, c[1].Own = 2, 2 }, "b1", routing.OtherDomain),
+		Entry("a slot that others do not use to queueing", func(c []routing.Candidate) {
+			c[0].Own, c[1].Own, c[2].Own = 2, 2, 1
+			c[0].Others, c[1].Others = 0.2, 0.2
+		}, "b1", routing.Borrowed),
+		Entry("queueing to a slot that others use", func(c []routing.Candidate) {
+			c[0].Own, c[1].Own, c[2].Own = 2, 2, 1
+			c[0].Others, c[1].Others, c[2].Others = 0.2, 0.2, 1
+		}, "", routing.AllBusy),
 		Entry("none when all are busy", func(c []routing.Candidate) {
 			c[0].Own, c[1].Own, c[2].Own = 3, 3, 3
 		}, "", routing.AllBusy),
@@ -62,10 +73,11 @@
 		f.End(epoch.Add(125*time.Millisecond), "u")
 		at := epoch.Add(250 * time.Millisecond)
 		Expect(f.Own("u")).To(Equal(1))
-		loads := f.Report(at)
-		Expect(loads).To(Equal([]routing.Load{{Upstream: "u", Mean: 1.5}}))
+		report := f.Report(at, 3)
+		Expect(report.Loads).To(Equal([]routing.Load{{Upstream: "u", Mean: 1.5}}))
+		Expect(report.Demand).To(BeNumerically("~", 4.5, 1e-9))
 		g := routing.NewInFlight()
-		g.Merge(at, "h1", loads)
+		g.Merge(at, "h1", report)
 		for age, want := range map[time.Duration]float64{0: 1.5, routing.ReportFresh: 1.5, time.Second: 0.75} {
 			g.Refresh(at.Add(age))
 			Expect(g.Others("u")).To(BeNumerically("~", want, 1e-9))
