Deal excluded upstreams to nobody; test what mutations left unseen

Cause: Quotas dealt the slots of excluded upstreams, so that a home could be left with slots it must not use.

--- a/pkg/limits/limits_test.go
+++ b/pkg/limits/limits_test.go
@@ -53,4 +53,23 @@
 		Expect(q.Cancel(ticket(6, "other", 0))).To(BeTrue())
 		Expect(q.Waiting()).To(BeZero())
 	})
+
+	// Guards against one caller filling the queue, and against it growing
+	// without bound when deadlines are far away.
+	It("keeps room in the queue for other callers", func() {
+		p := limits.DefaultPolicy()
+		p.MaxQueue = 8
+		q := limits.NewQueue(p, 1)
+		q.Offer(epoch, ticket(0, "a", time.Hour))
+		waiting := map[string]int{}
+		for id := uint64(1); id < 60; id++ {
+			caller := string(rune('a' + id/20))
+			if d := q.Offer(epoch, ticket(id, caller, time.Hour)); d.Action == limits.Wait {
+				waiting[caller]++
+			} else {
+				Expect(d.Reason).To(Equal(limits.QueueFull))
+			}
+		}
+		Expect(waiting).To(Equal(map[string]int{"a": 4, "b": 2, "c": 1}))
+	})
 })
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -71,6 +71,35 @@
 		Expect(a.Check(epoch, fp, 6, 3).Action).To(Equal(poison.Run))
 	})
 
+	// Guards against suspects that run at the same time taking the service
+	// below its floor, each allowed for itself.
+	It("counts running suspects against the floor", func() {
+		t := poison.NewTracker("h1", homes[:1])
+		t.Crash(epoch, "u1", []poison.Fingerprint{1, 2})
+		Expect(t.Check(epoch, 1, 5, 4).Action).To(Equal(poison.RunAlone))
+		t.Start(epoch, "u2", 1)
+		Expect(t.Check(epoch, 2, 5, 4).Action).To(Equal(poison.Wait))
+		Expect(t.Check(epoch, 2, 6, 4).Action).To(Equal(poison.RunAlone))
+	})
+
+	// Guards against an innocent suspect being seen at the crash that the
+	// guilty one causes, when different homes run them.
+	It("places suspects of different homes at different upstreams", func() {
+		var options []poison.Option
+		for _, u := range []string{"u1", "u2", "u3", "u4", "u5", "u6"} {
+			options = append(options, poison.Option{Upstream: u, Usable: true, Free: true})
+		}
+		placed := map[string]bool{}
+		for _, h := range homes {
+			t := poison.NewTracker(h, homes)
+			t.Crash(epoch, "u1", []poison.Fingerprint{1, 2})
+			u, ok := t.Place(epoch, 1, options)
+			Expect(ok).To(BeTrue())
+			placed[u] = true
+		}
+		Expect(placed).To(HaveLen(3))
+	})
+
 	// Guards against one connection reset being taken for a crash, and against
 	// a crash with a single request in flight being missed.
 	It("finds crashes from lost connections", func() {
--- a/pkg/routing/quota.go
+++ b/pkg/routing/quota.go
@@ -23,24 +23,38 @@
 // demand and returns those of the home self, by position of the upstream. Each
 // slot goes to one home, so that homes that know the same reports never send
 // two requests to one slot. Slots go to homes of the same failure domain first.
-// Own and Others of the candidates are not looked at.
+// Upstreams with a limited share are dealt apart, so that each home gets its
+// part of the others; those with no share are not dealt. Only ID, Domain, Slots
+// and Share are looked at.
 func Quotas(self string, homes []Home, upstreams []Candidate) []int {
-	homes = slices.Clone(homes)
-	slices.SortFunc(homes, func(a, b Home) int { return cmp.Compare(a.ID, b.ID) })
-	order := make([]int, len(upstreams))
-	total := 0
+	homes = slices.SortedFunc(slices.Values(homes), func(a, b Home) int { return cmp.Compare(a.ID, b.ID) })
+	var normal, limited []int
 	for i := range upstreams {
-		order[i] = i
-		total += upstreams[i].slots()
+		switch c := &upstreams[i]; {
+		case c.Share >= 1:
+			normal = append(normal, i)
+		case c.Share > 0:
+			limited = append(limited, i)
+		}
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(upstreams[a].ID, upstreams[b].ID) })
-	left := targets(homes, total)
-	quotas, undealt := make([]int, len(upstreams)), make([]int, len(upstreams))
-	for _, i := range order {
+	quotas := make([]int, len(upstreams))
+	for _, group := range [][]int{normal, limited} {
+		slices.SortFunc(group, func(a, b int) int { return cmp.Compare(upstreams[a].ID, upstreams[b].ID) })
+		deal(quotas, self, homes, upstreams, group)
+	}
+	return quotas
+}
+
+// deal deals the slots of the upstreams in group.
+func deal(quotas []int, self string, homes []Home, upstreams []Candidate, group []int) {
+	total, undealt := 0, make(map[int]int, len(group))
+	for _, i := range group {
 		undealt[i] = upstreams[i].slots()
+		total += undealt[i]
 	}
+	left := targets(homes, total)
 	for _, near := range []bool{true, false} {
-		for _, i := range order {
+		for _, i := range group {
 			for undealt[i] > 0 {
 				h := neediest(homes, left, upstreams[i].Domain, near)
 				if h < 0 {
@@ -54,7 +68,6 @@
 			}
 		}
 	}
-	return quotas
 }
 
 // targets divides total by demand, with the largest remainders rounded up.
@@ -76,8 +89,7 @@
 	for i, h := range homes {
 		part := float64(total) * max(h.Demand, least) / sum
 		out[i] = int(part)
-		total0 := math.Floor(part)
-		rest[i], order[i] = part-total0, i
+		rest[i], order[i] = part-math.Floor(part), i
 	}
 	left := total
 	for _, n := range out {
