--- a/pkg/claims/cell.go
+++ b/pkg/claims/cell.go
@@ -79,6 +79,8 @@
 	maxBytes int
 	// maxResponse is the largest response kept, in bytes.
 	maxResponse int
+	// responseRoom is the largest value that a response is added to, in bytes.
+	responseRoom int
 }
 
 // cell is the state machine for one platform object of claims, as one daemon
--- a/pkg/claims/cell_test.go
+++ b/pkg/claims/cell_test.go
@@ -52,7 +52,8 @@
 
 func newWorld(t *rapid.T, perKey bool) *world {
 	w := &world{t: t, perKey: perKey, runs: map[int]int{}, tainted: map[int]bool{}}
-	w.limits = limits{keep: time.Hour, maxBytes: rapid.SampledFrom([]int{130, 10_000}).Draw(t, "maxBytes"), maxResponse: 100}
+	room := rapid.SampledFrom([]int{130, 10_000}).Draw(t, "maxBytes")
+	w.limits = limits{keep: time.Hour, maxBytes: room, maxResponse: 100, responseRoom: room / 2}
 	for range 3 {
 		w.daemons = append(w.daemons, newCell(w.limits, perKey))
 	}
--- a/pkg/claims/cells.go
+++ b/pkg/claims/cells.go
@@ -46,6 +46,8 @@
 	attempts map[AttemptID]*held
 	// entries counts the cached entries of all cells.
 	entries int
+	// records counts the attempts that ran and whose outcome is not stored yet.
+	records int
 	// stuck are the cells whose last call failed and that no claim waits for.
 	stuck   []*driven
 	resting bool
@@ -96,7 +98,7 @@
 		return nil, err
 	}
 	return newCells(config, layout{cached: cachedEntries, path: func(service string, key digest) string {
-		return fmt.Sprintf("claims/%s/%04x", service, (int(key[0])<<8|int(key[1]))&(config.Buckets-1))
+		return fmt.Sprintf("claims/%s/%04x", service, key.bucket(config.Buckets))
 	}}), nil
 }
 
@@ -220,6 +222,9 @@
 		key: key.digest(), attempt: attempt.ID, fingerprint: attempt.Fingerprint,
 		goal: goalRelease,
 		finished: func(r Result, err error) {
+			if outcome.Verdict == verdict.Ran {
+				l.records--
+			}
 			l.settled(attempt.ID)
 			answered <- answer{r, err}
 		},
@@ -252,9 +257,15 @@
 		return errors.Wrap(ErrInvalid, "attempt has not won or is settled")
 	}
 	h.won = false
-	if v == verdict.MayHaveRun {
+	switch {
+	case v == verdict.MayHaveRun:
 		l.settled(o.attempt)
 		return nil
+	case v == verdict.Ran && l.records >= l.config.MaxAttempts/recordShare:
+		l.settled(o.attempt)
+		return ErrNotRecorded
+	case v == verdict.Ran:
+		l.records++
 	}
 	l.queue(h.driven, o)
 	return nil
--- a/pkg/claims/config.go
+++ b/pkg/claims/config.go
@@ -17,18 +17,28 @@
 	DefaultClaimTimeout = time.Second
 	DefaultCallTimeout  = time.Second
 	DefaultMaxAttempts  = 4096
+	// recordShare is the part (1/n) of MaxAttempts that outcomes of requests
+	// that ran may take up. The others stay at "may have run", so that a
+	// backlog of them does not lead to new requests being refused.
+	recordShare = 4
 	// DefaultMaxResponseBytes is for an object per key. Through an outage up
-	// to MaxAttempts responses wait in memory, 16 MiB with the defaults.
+	// to MaxAttempts/recordShare responses wait in memory, 4 MiB by default.
 	DefaultMaxResponseBytes = 4 << 10
 	// DefaultMaxBucketResponseBytes is smaller, because each write of a bucket
 	// carries all the responses that it holds.
 	DefaultMaxBucketResponseBytes = 512
-	DefaultBuckets                = 1 << 14
+	// DefaultBuckets keeps about 18,000 entries in each of 4,096 buckets, so
+	// with the default retention a service may have 850 keyed requests a
+	// second on average.
+	DefaultBuckets = 1 << 12
 	// MaxBuckets is what the four hex digits of a bucket's name can tell apart.
 	MaxBuckets = 1 << 16
 	// maxCellBytes stays below platform.MaxValueBytes by more than the error
 	// of the size estimate.
 	maxCellBytes = platform.MaxValueBytes - 1<<14
+	// responseRoomBytes is the size of an object up to which responses are
+	// added to it; a busy bucket keeps facts only, so that its writes stay small.
+	responseRoomBytes = 64 << 10
 	// cachedEntries bounds the entries of idle buckets that a daemon keeps in
 	// memory, about 150 bytes each without responses.
 	cachedEntries = 100_000
@@ -48,7 +58,7 @@
 	// MaxAttempts bounds the attempts that are claiming, have won and are not
 	// settled, or wait for their outcome to be stored; default
 	// DefaultMaxAttempts. Claims beyond it are refused, so that memory stays
-	// bounded through an outage of the platform and no outcome is dropped.
+	// bounded through an outage of the platform and no release is dropped.
 	MaxAttempts int
 	// MaxResponseBytes is the largest response that is kept; 0 means the
 	// default of the layout, and a negative value that none is kept.
@@ -85,5 +95,8 @@
 }
 
 func (c Config) limits() limits {
-	return limits{keep: c.Retention + ClockMargin, maxBytes: maxCellBytes, maxResponse: c.MaxResponseBytes}
+	return limits{
+		keep: c.Retention + ClockMargin, maxBytes: maxCellBytes,
+		maxResponse: c.MaxResponseBytes, responseRoom: responseRoomBytes,
+	}
 }
--- a/pkg/claims/doc.go
+++ b/pkg/claims/doc.go
@@ -41,7 +41,8 @@
 //
 // # Layouts
 //
-// NewObjects keeps one platform object per key (claims/<service>/<32 hex
+// New takes the default, NewBuckets; docs/decisions/at-most-once.md has the
+// reasons and figures. NewObjects keeps one platform object per key (claims/<service>/<32 hex
 // digits>) and needs a Sweeper. NewBuckets hashes the keys of a service to a
 // fixed number of objects (claims/<service>/<4 hex digits>), prunes expired
 // entries in the writes that it makes anyway, and needs no sweeper. Both run
--- a/pkg/claims/ledger.go
+++ b/pkg/claims/ledger.go
@@ -37,6 +37,10 @@
 // ledger goes on trying in the background.
 var ErrDeferred = errors.New("claims: the outcome is being stored in the background")
 
+// ErrNotRecorded is returned by Settle when so many outcomes wait to be stored
+// that this one is given up. The key stays at "may have run", which is true.
+var ErrNotRecorded = errors.New("claims: too many outcomes wait to be stored")
+
 // Ledger records which attempt may run a keyed request. It is safe for
 // concurrent use.
 type Ledger interface {
@@ -48,7 +52,8 @@
 	// once, after the last dispatch of the attempt has ended. NotRun releases
 	// the key and waits for that, at most until ctx ends. Ran returns at once
 	// and is stored in the background. MayHaveRun writes nothing, because an
-	// unsettled claim means just that. ErrDeferred is no failure.
+	// unsettled claim means just that. ErrDeferred and ErrNotRecorded leave a
+	// state that is true.
 	Settle(ctx context.Context, key Key, attempt Attempt, outcome Outcome) error
 	// Close refuses new claims and waits until every outcome handed to the
 	// ledger is stored, or until ctx ends; it then returns ErrDeferred.
@@ -76,6 +81,13 @@
 	return digest(h.Sum(nil)[:16])
 }
 
+// Bucket returns the bucket of the key among the given number of them, a power
+// of two. A daemon that gets all requests of a bucket finds it in its memory
+// and saves the read.
+func (k Key) Bucket(buckets int) int { return k.digest().bucket(buckets) }
+
+func (d digest) bucket(buckets int) int { return (int(d[0])<<8 | int(d[1])) & (buckets - 1) }
+
 // writeField writes the length before the content, so that two lists of fields
 // never give the same bytes.
 func writeField(write func([]byte) (int, error), field []byte) {
--- a/pkg/claims/ledger_test.go
+++ b/pkg/claims/ledger_test.go
@@ -142,6 +142,26 @@
 			Expect(claim(ctx, c, attempt("x")).State).To(Equal(claims.Unsettled))
 		})
 
+		// Guards against orders being refused because outcomes of earlier ones
+		// wait to be stored.
+		It("gives up outcomes beyond its limit", func(ctx SpecContext) {
+			c := open(claims.Config{Store: store, MaxAttempts: 4})
+			first, second := attempt("x"), attempt("x")
+			other := claims.Key{Service: "s", Key: "k"}
+			claim(ctx, c, first)
+			_, err := c.Claim(ctx, other, second)
+			Expect(err).NotTo(HaveOccurred())
+			store.SetFaults(memstore.Faults{Down: true})
+			Expect(c.Settle(ctx, order, first, claims.Outcome{Verdict: verdict.Ran})).To(Succeed())
+			Expect(c.Settle(ctx, other, second, claims.Outcome{Verdict: verdict.Ran})).To(MatchError(claims.ErrNotRecorded))
+			store.SetFaults(memstore.Faults{})
+			Expect(c.Close(ctx)).To(Succeed())
+			Expect(claim(ctx, b, attempt("x")).State).To(Equal(claims.Ran))
+			r, err := b.Claim(ctx, other, attempt("x"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.State).To(Equal(claims.Unsettled))
+		})
+
 		// Guards against data races and against two winners among concurrent daemons.
 		It("has one winner per key among concurrent daemons with lost replies", func(ctx SpecContext) {
 			var wins sync.Map
--- a/pkg/claims/plan.go
+++ b/pkg/claims/plan.go
@@ -133,7 +133,7 @@
 	e := *p.entries[i]
 	p.size -= e.size()
 	e.Ran, e.Attempt = true, nil
-	if o.response.size() <= c.limits.maxResponse && p.size+e.size()+o.response.size() <= c.limits.maxBytes/2 {
+	if o.response.size() <= c.limits.maxResponse && p.size+e.size()+o.response.size() <= c.limits.responseRoom {
 		e.Response = o.response
 	}
 	p.size += e.size()
--- a/pkg/claims/sweeper_test.go
+++ b/pkg/claims/sweeper_test.go
@@ -16,13 +16,14 @@
 	// ever, or costs more writes in a larger fleet.
 	It("deletes each expired object once, whatever the fleet", func(ctx SpecContext) {
 		store, now := memstore.New(), time.Unix(1_800_000_000, 0)
-		ledger, err := claims.NewObjects(claims.Config{Store: store, Now: func() time.Time { return now }})
-		Expect(err).NotTo(HaveOccurred())
 		for i := range 40 {
-			if i == 30 {
-				now = now.Add(2 * time.Hour)
+			claimed := now
+			if i < 30 {
+				claimed = now.Add(-2 * time.Hour)
 			}
-			_, err := ledger.Claim(ctx, claims.Key{Service: "s", Key: fmt.Sprint(i)}, attempt("x"))
+			ledger, err := claims.NewObjects(claims.Config{Store: store, Now: func() time.Time { return claimed }})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = ledger.Claim(ctx, claims.Key{Service: "s", Key: fmt.Sprint(i)}, attempt("x"))
 			Expect(err).NotTo(HaveOccurred())
 		}
 		hosts := []string{"a", "b", "c"}
