Share slots by quota, redial bad paths, pass on what is known of crashes

Change: the blackboard deals quotas, the health controller redials, a forward carries the crashes that its sender knows; a request whose slot is taken waits 5 ms and chooses again.

--- a/pkg/blackboard/attempt.go
+++ b/pkg/blackboard/attempt.go
@@ -23,7 +23,10 @@
 
 // AttemptRequest is what Begin needs to know of a request.
 type AttemptRequest struct {
-	Idempotent  bool
+	Idempotent bool
+	// First is set for the first attempt of a request.
+	First bool
+	// Tried lists the upstreams that earlier attempts used.
 	Tried       []string
 	Fingerprint poison.Fingerprint
 	// Alone means that the request is suspected of crashing upstreams.
@@ -37,6 +40,33 @@
 	return s.poison.Check(now, fp, len(s.exclusion.Usable), s.floorLocked())
 }
 
+// AboutPoison returns what is known about a fingerprint, encoded, to go with a
+// request that is passed on.
+func (s *Service) AboutPoison(now time.Time, fp poison.Fingerprint) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	about := s.poison.About(now, fp)
+	if len(about.Events) == 0 {
+		return nil
+	}
+	b, err := about.Encode()
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+// MergePoison takes what came with a request that was passed on.
+func (s *Service) MergePoison(now time.Time, encoded []byte) {
+	summary, err := poison.DecodeSummary(encoded)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgiveLocked(now, s.poison.Merge(now, summary).Forgiven)
+}
+
 // Begin chooses the upstream of an attempt and counts it as in flight. The
 // choice says why; with ok false there is no attempt.
 func (s *Service) Begin(now time.Time, r AttemptRequest) (*Attempt, routing.Choice, bool) {
@@ -58,7 +88,7 @@
 	s.attempts[a.id] = a
 	s.inFlight.Start(now, choice.ID)
 	s.poison.Start(now, choice.ID, r.Fingerprint)
-	if len(r.Tried) == 0 {
+	if r.First {
 		s.budget.Request()
 	}
 	return a, choice, true
--- a/pkg/blackboard/health.go
+++ b/pkg/blackboard/health.go
@@ -1,6 +1,7 @@
 package blackboard
 
 import (
+	"slices"
 	"time"
 
 	"shallotglade/pkg/detector"
@@ -32,6 +33,7 @@
 		s.demotions[d.Upstream] = d
 	}
 	s.rebuildCandidatesLocked()
+	s.dealSlotsLocked()
 	s.Gate.SetCapacity(routing.Capacity(s.candidates))
 	var changed []detector.Assessment
 	for _, a := range s.assessments {
@@ -42,6 +44,33 @@
 	return changed
 }
 
+// dealSlotsLocked divides the slots between the homes. A daemon that serves the
+// service without being a home counts itself in, or it would have no slots.
+func (s *Service) dealSlotsLocked() {
+	homes := slices.Clone(s.homes)
+	if !s.isHomeLocked() {
+		homes = append(homes, routing.Home{ID: s.self, Domain: s.domain})
+	}
+	s.inFlight.Homes(s.self, homes)
+	for i, quota := range routing.Quotas(s.self, homes, s.candidates) {
+		s.candidates[i].Quota = quota
+	}
+}
+
+// Redials returns the upstreams to dial once more, because a dial failed and the
+// evidence does not yet say whether the path to them is bad.
+func (s *Service) Redials() []Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Upstream
+	for _, u := range s.upstreams {
+		if s.group.Redial(u.ID) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 func (s *Service) rebuildCandidatesLocked() {
 	s.candidates = s.candidates[:0]
 	for _, u := range s.upstreams {
--- a/pkg/blackboard/report.go
+++ b/pkg/blackboard/report.go
@@ -16,7 +16,7 @@
 type Report struct {
 	Service  string           `cbor:"1,keyasint"`
 	Evidence detector.Summary `cbor:"2,keyasint"`
-	Loads    []routing.Load   `cbor:"3,keyasint,omitempty"`
+	Load     routing.Report   `cbor:"3,keyasint"`
 	// Poison is an encoded poison.Summary.
 	Poison []byte `cbor:"4,keyasint,omitempty"`
 	// Leaving lists upstreams that announced that they leave.
@@ -67,7 +67,7 @@
 	for _, u := range s.upstreams {
 		s.group.SetInFlight(now, u.ID, s.inFlight.Own(u.ID))
 	}
-	r := Report{Service: s.Name, Evidence: s.group.Summary(now), Loads: s.inFlight.Report(now)}
+	r := Report{Service: s.Name, Evidence: s.group.Summary(now), Load: s.inFlight.Report(now, s.Gate.Stats().Waiting)}
 	if summary := s.poison.Summary(now); len(summary.Events) > 0 {
 		if b, err := summary.Encode(); err == nil {
 			r.Poison = b
@@ -76,7 +76,7 @@
 	for id := range s.left {
 		r.Leaving = append(r.Leaving, id)
 	}
-	said := len(r.Evidence.Reports) > 0 || len(r.Loads) > 0 || len(r.Poison) > 0 || len(r.Leaving) > 0
+	said := len(r.Evidence.Reports) > 0 || len(r.Load.Loads) > 0 || r.Load.Demand > 0 || len(r.Poison) > 0 || len(r.Leaving) > 0
 	return r, said
 }
 
@@ -88,7 +88,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.group.Merge(now, home, r.Evidence)
-	s.inFlight.Merge(now, home, r.Loads)
+	s.inFlight.Merge(now, home, r.Load)
 	if summary, err := poison.DecodeSummary(r.Poison); err == nil {
 		s.forgiveLocked(now, s.poison.Merge(now, summary).Forgiven)
 	}
--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -45,7 +45,7 @@
 	document  *document.Service
 	version   uint64
 	unknown   []string
-	homes     []string
+	homes     []routing.Home
 	upstreams []Upstream
 	// left remembers upstreams that announced themselves that they leave.
 	left map[string]bool
@@ -141,19 +141,32 @@
 	return out
 }
 
-// SetHomes tells which daemons are the service's homes.
-func (s *Service) SetHomes(homes []string) {
+// SetHomes tells which daemons are the service's homes; only their ids and
+// domains are looked at.
+func (s *Service) SetHomes(homes []routing.Home) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.homes = homes
-	s.poison.SetHomes(homes)
+	s.poison.SetHomes(s.homeIDsLocked())
+}
+
+func (s *Service) homeIDsLocked() []string {
+	ids := make([]string, len(s.homes))
+	for i, h := range s.homes {
+		ids[i] = h.ID
+	}
+	return ids
 }
 
 // IsHome reports whether this daemon is a home of the service.
 func (s *Service) IsHome() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Contains(s.homes, s.self)
+	return s.isHomeLocked()
+}
+
+func (s *Service) isHomeLocked() bool {
+	return slices.ContainsFunc(s.homes, func(h routing.Home) bool { return h.ID == s.self })
 }
 
 // SetUpstreams replaces the list of upstreams. The order does not matter.
--- a/pkg/blackboard/status.go
+++ b/pkg/blackboard/status.go
@@ -55,12 +55,9 @@
 	defer s.mu.Unlock()
 	st := Status{
 		Service: s.Name, Version: s.version, UnknownFields: s.unknown, RecordVersion: s.recordVersion,
-		Homes: s.homes, Floor: s.floorLocked(), Usable: len(s.exclusion.Usable),
+		Home: s.isHomeLocked(), Homes: s.homeIDsLocked(), Floor: s.floorLocked(), Usable: len(s.exclusion.Usable),
 		Running: gate.Running, Waiting: gate.Waiting, RetriesLeft: s.budget.Available(),
 	}
-	for _, h := range s.homes {
-		st.Home = st.Home || h == s.self
-	}
 	assessed := map[string]detector.Assessment{}
 	for _, a := range s.assessments {
 		assessed[a.Upstream] = a
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -12,6 +12,7 @@
 	"shallotglade/pkg/placement"
 	"shallotglade/pkg/platform"
 	"shallotglade/pkg/proxy"
+	"shallotglade/pkg/routing"
 	"shallotglade/pkg/verdict"
 )
 
@@ -70,9 +71,9 @@
 	for _, s := range r.d.board.Services() {
 		perDomain := max(1, s.Document().Homes.PerDomain)
 		homes := placement.Homes(s.Name, hosts, perDomain)
-		var ids []string
+		var ids []routing.Home
 		for _, h := range homes {
-			ids = append(ids, h.ID)
+			ids = append(ids, routing.Home{ID: h.ID, Domain: h.Domain})
 		}
 		r.mu.Lock()
 		r.homes[s.Name] = homes
--- a/pkg/health/controller.go
+++ b/pkg/health/controller.go
@@ -102,6 +102,7 @@
 			return
 		case s := <-c.assess:
 			c.refresh(ctx, s, true)
+			c.report(ctx, s)
 		case s := <-c.share:
 			c.report(ctx, s)
 		case <-tick.C:
@@ -119,6 +120,7 @@
 			c.refresh(ctx, s, round%proposeRounds == 0)
 			c.report(ctx, s)
 			c.probe(ctx, s)
+			c.redial(ctx, s)
 		} else if round%idleRounds == 0 {
 			s.Refresh(time.Now())
 		}
--- a/pkg/health/probe.go
+++ b/pkg/health/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"shallotglade/pkg/blackboard"
@@ -72,6 +73,26 @@
 	}
 }
 
+// redial opens connections to the upstreams whose dials have failed, so that a
+// bad path is told from a single lost dial without waiting for requests.
+func (c *Controller) redial(ctx context.Context, s *blackboard.Service) {
+	timeout := s.Document().Timeouts.Connect
+	for _, u := range s.Redials() {
+		c.background(func() {
+			dialer := net.Dialer{Timeout: timeout}
+			conn, err := dialer.DialContext(ctx, "tcp", u.Address)
+			kind := detector.Unreachable
+			if err == nil {
+				kind = detector.Reachable
+				conn.Close()
+			}
+			if ctx.Err() == nil && s.Observe(time.Now(), detector.Outcome{Upstream: u.ID, Kind: kind}) {
+				c.Assess(s)
+			}
+		})
+	}
+}
+
 func saysLeaving(r upstream.Result) bool {
 	if r.Response == nil {
 		return false
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -63,11 +63,9 @@
 	x.sofar = verdict.NotRun
 	for {
 		mark := time.Now()
-		attempt, choice, ok := x.service.Begin(mark, blackboard.AttemptRequest{
-			Idempotent: x.idempotent(), Tried: x.tried, Fingerprint: x.fingerprint, Alone: x.alone,
-		})
+		attempt, choice, ok := x.begin(ctx, mark)
 		if !ok {
-			return x.noUpstream(ctx, choice)
+			return x.noUpstream(choice)
 		}
 		x.logChoice(attempt, choice)
 		x.tried = append(x.tried, attempt.Upstream.ID)
@@ -84,6 +82,29 @@
 	}
 }
 
+// busyPause is how long a request waits when the free slot that it was admitted
+// for is taken: a slot is soon free again.
+const busyPause = 5 * time.Millisecond
+
+// begin chooses an upstream. While all have their slots taken it waits, until the
+// time left is too short for another attempt.
+func (x *exchange) begin(ctx context.Context, now time.Time) (*blackboard.Attempt, routing.Choice, bool) {
+	tried := x.tried
+	for {
+		attempt, choice, ok := x.service.Begin(now, blackboard.AttemptRequest{
+			Idempotent: x.idempotent(), First: len(x.tried) == 0, Tried: tried, Fingerprint: x.fingerprint, Alone: x.alone,
+		})
+		hopeless := choice.Reason == routing.NoUpstream || choice.Reason == routing.AllTried && x.sent == 0
+		if ok || hopeless || !sleep(ctx, busyPause) {
+			return attempt, choice, ok
+		}
+		now = time.Now()
+		if x.sent > 0 {
+			tried = nil
+		}
+	}
+}
+
 // send makes one attempt within its part of the time limit.
 func (x *exchange) send(ctx context.Context, a *blackboard.Attempt) upstream.Result {
 	ctx, cancel := context.WithTimeout(ctx, x.document.Timeouts.Attempt)
@@ -185,7 +206,7 @@
 }
 
 // noUpstream is the answer when no upstream may be tried (again).
-func (x *exchange) noUpstream(_ context.Context, choice routing.Choice) *Answer {
+func (x *exchange) noUpstream(choice routing.Choice) *Answer {
 	e := &verdict.Error{
 		Verdict: x.sofar, Status: 503, Reason: choice.Reason.String(),
 		Detail: "No upstream of the service can take the request.", RetryAfter: shedRetryAfter,
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -67,6 +67,7 @@
 func (p *Proxy) forward(ctx context.Context, service *blackboard.Service, in *Incoming, home Peer) (*Answer, error) {
 	passed := *in
 	passed.Service, passed.Hops = service.Name, in.Hops+1
+	passed.Poison = service.AboutPoison(time.Now(), in.fingerprint(service.Name))
 	answer, err := p.Forwarder.Forward(ctx, home, &passed, time.Until(deadlineOf(ctx)))
 	result := "answered"
 	switch {
@@ -104,6 +105,8 @@
 	// both hosts' clocks.
 	LeftMS int64 `cbor:"12,keyasint"`
 	Hops   int   `cbor:"13,keyasint"`
+	// Poison is an encoded poison.Summary.
+	Poison []byte `cbor:"14,keyasint,omitempty"`
 }
 
 type forwardAnswer struct {
@@ -132,7 +135,7 @@
 func EncodeForward(in *Incoming, left time.Duration) ([]byte, error) {
 	return cbor.Marshal(forwardRequest{
 		ID: in.ID, Caller: in.Caller, Service: in.Service, Method: in.Method, Host: in.Host, URI: in.URI, Path: in.Path,
-		Query: in.Query, Headers: in.Headers, Body: in.Body, Key: in.Key, LeftMS: left.Milliseconds(), Hops: in.Hops,
+		Query: in.Query, Headers: in.Headers, Body: in.Body, Key: in.Key, LeftMS: left.Milliseconds(), Hops: in.Hops, Poison: in.Poison,
 	})
 }
 
@@ -147,7 +150,7 @@
 	}
 	return &Incoming{
 		ID: m.ID, Caller: m.Caller, Service: m.Service, Method: m.Method, Host: m.Host, URI: m.URI, Path: m.Path,
-		Query: m.Query, Headers: m.Headers, Body: m.Body, Key: m.Key, Hops: m.Hops,
+		Query: m.Query, Headers: m.Headers, Body: m.Body, Key: m.Key, Hops: m.Hops, Poison: m.Poison,
 		Arrived: arrived, Deadline: arrived.Add(time.Duration(m.LeftMS) * time.Millisecond),
 	}, nil
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -137,6 +137,9 @@
 		}
 	}
 	fp := in.fingerprint(service.Name)
+	if len(in.Poison) > 0 {
+		service.MergePoison(time.Now(), in.Poison)
+	}
 	alone, answer := p.screen(ctx, service, in, fp)
 	if answer != nil {
 		return answer
--- a/pkg/proxy/request.go
+++ b/pkg/proxy/request.go
@@ -40,6 +40,9 @@
 	// due; a zero Deadline means that the document's time limit alone counts.
 	Arrived  time.Time
 	Deadline time.Time
+	// Poison is what the daemon that passed the request on knows of crashes
+	// while it ran, as an encoded poison.Summary.
+	Poison []byte
 	// Hops is how many daemons have passed the request on.
 	Hops int
 }
