--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -196,4 +196,3 @@
 	}
 	return nil
 }
-
--- a/pkg/daemon/history.go
+++ b/pkg/daemon/history.go
@@ -11,5 +11,5 @@
 
 func newHistory(platform.Store) admin.History { return noHistory{} }
 
-func (noHistory) Append(context.Context, string, admin.Change) error          { return nil }
+func (noHistory) Append(context.Context, string, admin.Change) error   { return nil }
 func (noHistory) List(context.Context, string) ([]admin.Change, error) { return nil, nil }
