--- /dev/null
+++ b/pkg/placement/placement_test.go
@@ -0,0 +1,241 @@
+package placement_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"shallotglade/internal/testkit"
+	"shallotglade/pkg/placement"
+)
+
+func TestPlacement(t *testing.T) { testkit.RunSpecs(t, "placement") }
+
+// fleet returns n hosts spread over the domains.
+func fleet(n, domains int) []placement.Host {
+	hosts := make([]placement.Host, n)
+	for i := range hosts {
+		hosts[i] = placement.Host{
+			ID: fmt.Sprintf("host-%d", i), Domain: fmt.Sprintf("domain-%d", i%domains), Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250),
+		}
+	}
+	return hosts
+}
+
+func drawFleet(t *rapid.T) []placement.Host {
+	hosts := fleet(rapid.IntRange(1, 60).Draw(t, "hosts"), rapid.IntRange(1, 5).Draw(t, "domains"))
+	for i := range hosts {
+		hosts[i].Condition = rapid.SampledFrom([]placement.Condition{
+			placement.Usable, placement.Usable, placement.Usable, placement.Doubtful, placement.Leaving, placement.Failed,
+		}).Draw(t, "condition")
+	}
+	return hosts
+}
+
+func ids(hosts []placement.Host) []string {
+	var list []string
+	for _, h := range hosts {
+		list = append(list, h.ID)
+	}
+	return list
+}
+
+// moduloHomes is the naive placement: the hash of the service modulo the
+// number of hosts, and the next ones.
+func moduloHomes(service string, hosts []placement.Host, n int) []placement.Host {
+	var homes []placement.Host
+	for i := range min(n, len(hosts)) {
+		homes = append(homes, hosts[(xxhash.Sum64String(service)+uint64(i))%uint64(len(hosts))])
+	}
+	return homes
+}
+
+var _ = Describe("Homes", func() {
+	// Guards against a rolling replacement that moves homes of unrelated
+	// services, and against homes that depend on the order of the list.
+	It("moves only the share of a host that goes", func() {
+		testkit.Check(GinkgoT(), func(t *rapid.T) {
+			hosts := drawFleet(t)
+			service := rapid.StringN(1, 20, 40).Draw(t, "service")
+			per := rapid.IntRange(1, 3).Draw(t, "per domain")
+			gone := rapid.IntRange(0, len(hosts)-1).Draw(t, "gone")
+			before := placement.Homes(service, hosts, per)
+			shuffled := rapid.Permutation(hosts).Draw(t, "order")
+			if !slices.Equal(ids(placement.Homes(service, shuffled, per)), ids(before)) {
+				t.Fatal("homes depend on the order of hosts")
+			}
+			after := placement.Homes(service, slices.Delete(slices.Clone(hosts), gone, gone+1), per)
+			for _, h := range before {
+				if h.ID != hosts[gone].ID && !slices.Contains(ids(after), h.ID) {
+					t.Fatalf("%s is no home any more, though %s went", h.ID, hosts[gone].ID)
+				}
+			}
+			if !slices.Contains(ids(before), hosts[gone].ID) && len(after) != len(before) {
+				t.Fatal("a host that was no home changed the homes")
+			}
+			count := map[string]int{}
+			for _, h := range before {
+				count[h.Domain]++
+				if count[h.Domain] > per || h.Condition == placement.Failed || h.Condition == placement.Leaving {
+					t.Fatalf("unexpected home %+v", h)
+				}
+			}
+		})
+	})
+
+	It("moves far less than modulo placement when one of 100 hosts goes", func() {
+		hosts := fleet(100, 1)
+		moved := func(homes func(string, []placement.Host, int) []placement.Host) (n int) {
+			for s := range 1000 {
+				service := fmt.Sprint("service-", s)
+				if !slices.Equal(ids(homes(service, hosts, 2)), ids(homes(service, hosts[1:], 2))) {
+					n++
+				}
+			}
+			return n
+		}
+		Expect(moved(placement.Homes)).To(BeNumerically("<", 40), "2% expected")
+		Expect(moved(moduloHomes)).To(BeNumerically(">", 900))
+	})
+
+	// Guards against daemons that carry far more services than others.
+	It("spreads homes over hosts", func() {
+		count := map[string]int{}
+		hosts := fleet(100, 5)
+		for s := range 5000 {
+			for _, h := range placement.Homes(fmt.Sprint("service-", s), hosts, 2) {
+				count[h.ID]++
+			}
+		}
+		for id, n := range count {
+			Expect(n).To(BeNumerically("~", 500, 110), id) // mean 500, standard deviation 21
+		}
+		Expect(count).To(HaveLen(100))
+	})
+
+	It("takes relays from the domain only, and the next one when one fails", func() {
+		hosts := fleet(30, 3)
+		relays := placement.Relays("domain-1", hosts, 2)
+		Expect(relays).To(HaveLen(2))
+		Expect(relays[0].Domain).To(Equal("domain-1"))
+		i := slices.IndexFunc(hosts, func(h placement.Host) bool { return h.ID == relays[0].ID })
+		hosts[i].Condition = placement.Failed
+		Expect(placement.Relays("domain-1", hosts, 2)[0].ID).To(Equal(relays[1].ID))
+		Expect(placement.Relays("nowhere", hosts, 2)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("Addresses", func() {
+	// Guards against callers without an address while a host could serve them,
+	// and against callers sent first to failed, leaving or distant daemons.
+	It("orders homes for the caller and is never empty", func() {
+		testkit.Check(GinkgoT(), func(t *rapid.T) {
+			hosts := drawFleet(t)
+			byAddress := map[string]placement.Host{}
+			for _, h := range hosts {
+				byAddress[h.Address] = h
+			}
+			q := placement.Query{
+				Service: "s", Caller: rapid.StringN(0, 8, 16).Draw(t, "caller"),
+				Domain: rapid.SampledFrom([]string{"domain-0", "domain-1", "elsewhere", ""}).Draw(t, "domain"),
+				Now:    time.Unix(rapid.Int64Range(0, 1<<31).Draw(t, "now"), 0),
+			}
+			for _, h := range hosts {
+				if rapid.Float64Range(0, 1).Draw(t, "failed") < 0.3 {
+					q.Failed = append(q.Failed, h.Address)
+				}
+			}
+			answer := placement.Addresses(q, hosts, 2)
+			if len(answer.Addresses) == 0 || answer.Lifetime < 8*time.Second || answer.Lifetime > 12*time.Second {
+				t.Fatalf("answer %+v", answer)
+			}
+			checkAnswer(t, q, hosts, byAddress, answer.Addresses)
+		})
+	})
+
+	// Guards against herds of callers at one home.
+	It("spreads 10,000 callers evenly and rotates with time", func() {
+		hosts := fleet(60, 3)
+		first := map[string]int{}
+		start := time.Unix(1_800_000_000, 0)
+		rotated := 0
+		for c := range 10_000 {
+			q := placement.Query{Service: "s", Domain: "domain-1", Caller: fmt.Sprint("caller-", c), Now: start}
+			a := placement.Addresses(q, hosts, 4).Addresses[0]
+			first[a]++
+			q.Now = start.Add(placement.Slice)
+			if placement.Addresses(q, hosts, 4).Addresses[0] != a {
+				rotated++
+			}
+		}
+		Expect(first).To(HaveLen(4))
+		for address, n := range first {
+			Expect(n).To(BeNumerically("~", 2500, 125), address) // within 5% of the mean
+		}
+		Expect(rotated).To(BeNumerically("~", 7500, 300))
+	})
+
+	It("leaves addresses when a whole domain is lost", func() {
+		hosts := fleet(36, 3)
+		q := placement.Query{Service: "s", Domain: "domain-0"}
+		for i := range hosts {
+			if hosts[i].Domain == "domain-0" {
+				q.Failed = append(q.Failed, hosts[i].Address) // the caller knows earlier than membership
+			}
+		}
+		Expect(q.Failed).NotTo(ContainElement(placement.Addresses(q, hosts, 2).Addresses[0]))
+		for i := range hosts {
+			if hosts[i].Domain == "domain-0" {
+				hosts[i].Condition = placement.Failed
+			}
+		}
+		Expect(placement.Addresses(placement.Query{Service: "s", Domain: "domain-0"}, hosts, 2).Addresses).To(HaveLen(4))
+	})
+})
+
+// checkAnswer checks the order of an answer against the rules, by plain search.
+func checkAnswer(t *rapid.T, q placement.Query, hosts []placement.Host, byAddress map[string]placement.Host, got []string) {
+	fresh := func(h placement.Host) bool {
+		return (h.Condition == placement.Usable || h.Condition == placement.Doubtful) && !slices.Contains(q.Failed, h.Address)
+	}
+	anyFresh := slices.ContainsFunc(hosts, fresh)
+	anyEligible := slices.ContainsFunc(hosts, func(h placement.Host) bool { return h.Condition <= placement.Doubtful })
+	if anyFresh && !fresh(byAddress[got[0]]) {
+		t.Fatalf("first address %s though a fresh daemon exists", got[0])
+	}
+	stale := false
+	for i, address := range got {
+		h := byAddress[address]
+		if slices.Contains(got[:i], address) {
+			t.Fatalf("%s twice", address)
+		}
+		if anyEligible && h.Condition > placement.Doubtful {
+			t.Fatalf("%+v named though others are eligible", h)
+		}
+		if stale && fresh(h) {
+			t.Fatalf("fresh %s after a failed one", address)
+		}
+		stale = stale || !fresh(h)
+	}
+	homes := placement.Homes(q.Service, hosts, 2)
+	usable := func(own bool) func(h placement.Host) bool {
+		return func(h placement.Host) bool {
+			return fresh(h) && h.Condition == placement.Usable && (h.Domain == q.Domain) == own
+		}
+	}
+	if slices.ContainsFunc(homes, usable(true)) && !usable(true)(byAddress[got[0]]) {
+		t.Fatal("a usable home of the caller's domain is not first")
+	}
+	for _, h := range homes {
+		named := slices.ContainsFunc(got, func(a string) bool { return byAddress[a].Domain == h.Domain })
+		if fresh(h) && !named {
+			t.Fatalf("no address of %s", h.Domain)
+		}
+	}
+}
