Leave an upstream alone for 20 ms after it has shed a request

Cause: at 90% load 3 homes failed 0.3 to 1.4% of the requests, in bursts that emptied the retry budget: a full upstream has the fewest requests of this home and was the least loaded one for all that followed.

--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -1,6 +1,16 @@
 package routing
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ShedPause is how long an upstream that has shed a request is left alone. A
+// full upstream has the fewest requests of this home and would otherwise be the
+// least loaded one for all that follow, until the retry budget is spent. In
+// this time at least one of its slots is likely to become free.
+const ShedPause = 20 * time.Millisecond
 
 // Candidate is one upstream as this home sees it.
 type Candidate struct {
@@ -26,12 +36,17 @@
 	// Share is the part of an equal share of the attempts that the upstream
 	// may receive: 1 for normal, less during ramp and trial, 0 for none.
 	Share float64
+	// PausedUntil is ShedPause after the last time that the upstream shed a
+	// request of this home; until then it is not chosen.
+	PausedUntil time.Time
 	// Preference breaks ties, higher first; see Preference.
 	Preference uint64
 }
 
 // Request is what Choose needs to know about the attempt.
 type Request struct {
+	// Now is the time of the attempt.
+	Now time.Time
 	// Domain is the failure domain of this home.
 	Domain string
 	// Idempotent requests may be sent to upstreams on trial and to demoted
@@ -97,6 +112,11 @@
 
 func (c *Candidate) free() bool { return c.Own < c.Quota || c.mayBorrow(c.Own) }
 
+// excludes reports whether the request must not be sent to the candidate now.
+func (r *Request) excludes(c *Candidate) bool {
+	return r.tried(c.ID) || r.Now.Before(c.PausedUntil)
+}
+
 func (r *Request) tried(id string) bool {
 	for _, t := range r.Tried {
 		if t == id {
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -68,33 +68,44 @@
 	if choice, ok := draw(candidates, &req, full, rng); ok {
 		return choice, true
 	}
-	best, bestClass, failure := -1, AllBusy, NoUpstream
-	own := 0
+	best, bestClass, own := -1, AllBusy, 0
 	for i := range candidates {
 		c := &candidates[i]
 		own += c.Own
 		if !c.normal(full) {
 			continue
 		}
-		if req.tried(c.ID) {
-			failure = max(failure, AllTried)
-			continue
-		}
-		failure = AllBusy
 		class, ok := c.class(&req, bestClass)
-		if !ok || class > bestClass {
+		if !ok || class > bestClass || (best >= 0 && class == bestClass && !better(c, &candidates[best])) {
 			continue
 		}
-		if best < 0 || class < bestClass || better(c, &candidates[best]) {
+		// Last, as it compares strings.
+		if !req.excludes(c) {
 			best, bestClass = i, class
 		}
 	}
 	if best < 0 || (bestClass == Contended && own > 0) {
-		return Choice{Index: -1, Reason: failure}, false
+		return Choice{Index: -1, Reason: failure(candidates, &req, full)}, false
 	}
 	return choose(candidates, best, bestClass), true
 }
 
+// failure says why no upstream was chosen.
+func failure(candidates []Candidate, req *Request, full bool) Reason {
+	reason := NoUpstream
+	for i := range candidates {
+		c := &candidates[i]
+		switch {
+		case !c.normal(full):
+		case req.tried(c.ID):
+			reason = max(reason, AllTried)
+		default:
+			return AllBusy
+		}
+	}
+	return reason
+}
+
 // class ranks a normal candidate; false when it must not be used now, or when
 // it ranks below the class found already.
 func (c *Candidate) class(req *Request, found Reason) (Reason, bool) {
@@ -132,9 +143,12 @@
 func draw(candidates []Candidate, req *Request, full bool, rng *rand.Rand) (Choice, bool) {
 	usable, total := 0, 0.0
 	for i := range candidates {
-		if c := &candidates[i]; c.Share > 0 && !req.tried(c.ID) {
-			usable++
-			share, _ := c.limitedShare(req, full)
+		c := &candidates[i]
+		if c.Share <= 0 {
+			continue
+		}
+		usable++
+		if share, _ := c.limitedShare(req, full); share > 0 && !req.excludes(c) {
 			total += share
 		}
 	}
@@ -147,10 +161,10 @@
 	}
 	for i := range candidates {
 		c := &candidates[i]
-		if req.tried(c.ID) {
+		share, reason := c.limitedShare(req, full)
+		if share <= 0 || req.excludes(c) {
 			continue
 		}
-		share, reason := c.limitedShare(req, full)
 		if ticket < share {
 			return choose(candidates, i, reason), c.free()
 		}
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -20,13 +20,15 @@
 // Call Choose for each attempt, with Own up to date:
 //
 //	choice, ok := routing.Choose(candidates, routing.Request{
-//		Domain: "rabat", Idempotent: true, Tried: tried,
+//		Now: now, Domain: "rabat", Idempotent: true, Tried: tried,
 //	}, rng)
 //	if !ok { /* choice.Reason says why */ }
 //
-// While fewer requests run at this home than Capacity, Choose finds an upstream
-// for a first attempt. When it finds none for a retry, choose again with an
-// empty Tried after a few milliseconds: a slot that was taken is soon free.
+// When an upstream sheds a request, set the candidate's PausedUntil to ShedPause
+// from then. While fewer requests run at this home than Capacity and no upstream
+// is paused, Choose finds one for a first attempt. When it finds none (AllBusy,
+// AllTried), choose again with an empty Tried after a few milliseconds and keep
+// the request's permit: a slot that was taken is soon free.
 //
 // Without a quota a home only borrows, so Quota must be set even for a single
 // home. The package is pure, and Choose allocates nothing. The types are not
