--- a/pkg/routing/inflight.go
+++ b/pkg/routing/inflight.go
@@ -22,10 +22,12 @@
 // 250 ms vary by a sixth from chance alone.
 const (
 	// demandWeight is the part of the demand that the newest interval makes
-	// up: changes are followed in about 2.5 s.
-	demandWeight = 0.1
+	// up: changes are followed in about 5 s.
+	demandWeight = 0.05
 	// demandStep is the relative change below which the last value is repeated.
-	demandStep = 0.25
+	// With a quarter, two homes of equal demand could differ so far that one was
+	// overloaded at 90% load.
+	demandStep = 0.1
 )
 
 // Report is what a home tells the service's other homes four times a second.
@@ -49,6 +51,7 @@
 	totals map[string]float64
 	// demand is the smoothed demand of this home, told the last value reported.
 	demand, told float64
+	reports      int // since the demand was zero
 }
 
 // area integrates the number in flight over time.
@@ -111,9 +114,11 @@
 		}
 	}
 	if f.told == 0 {
-		f.demand = demand // a home that starts needs its slots at once
+		f.reports = 0
 	}
-	f.demand += demandWeight * (demand - f.demand)
+	// A home that starts needs its slots at once: at first the plain mean counts.
+	f.reports++
+	f.demand += max(demandWeight, 1/float64(f.reports)) * (demand - f.demand)
 	if math.Abs(f.demand-f.told) > demandStep*f.told {
 		f.told = f.demand
 	}
