Hold a sweeper to its rate across slices

Cause: each slice began with a fresh limiter, so slices of one or two expired objects were not paced at all. Change: one limiter per sweeper. Result: go test -race ./pkg/claims passes.

--- a/pkg/claims/sweeper.go
+++ b/pkg/claims/sweeper.go
@@ -29,6 +29,7 @@
 // each slice of a service is swept by the daemon that rendezvous hashing over
 // the live daemons selects, so the work does not grow with the fleet. Two
 // daemons that both sweep a slice do no harm, because deletes are conditional.
+// A Sweeper is not safe for concurrent use.
 type Sweeper struct {
 	Store platform.Store
 	// Retention must be that of the ledgers.
@@ -44,6 +45,9 @@
 	Interval time.Duration
 	// Rate is the deletes a second of the whole fleet; default DefaultSweepRate.
 	Rate float64
+
+	// pace holds this daemon to its part of Rate.
+	pace *rate.Limiter
 }
 
 // Run sweeps until ctx ends. It reports each failed slice to failed, which may
@@ -79,13 +83,16 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "claims: list expired objects")
 	}
-	pace := rate.NewLimiter(s.share(len(hosts)), 1)
+	if s.pace == nil {
+		s.pace = rate.NewLimiter(0, 1)
+	}
+	s.pace.SetLimit(s.share(len(hosts)))
 	deleted := 0
 	for _, o := range objects {
 		if !s.expired(o) {
 			continue
 		}
-		if err := pace.Wait(ctx); err != nil {
+		if err := s.pace.Wait(ctx); err != nil {
 			return deleted, errors.Wrap(err, "claims: wait for the next delete")
 		}
 		err := s.Store.Delete(ctx, o.Key, o.Version)
