Eject only for lasting evidence and follow bad paths by dials

Ejection now needs evidence over a second, the spread starts from a prior, and Redial goes on while a path is bad.

--- a/internal/bench/detection/naive.go
+++ b/internal/bench/detection/naive.go
@@ -17,8 +17,8 @@
 	standing(home, upstream int) standing
 	// overdueAfter is when a request in flight counts as overdue; 0 is never.
 	overdueAfter(home int) time.Duration
-	// redial tells whether a home should dial an upstream again.
-	redial(home, upstream int) bool
+	// redial tells whether and when a home should dial an upstream again.
+	redial(home, upstream int) (time.Duration, bool)
 	// joined tells that an upstream has just started, cold.
 	joined(now time.Time, upstream int)
 	counts() counts
@@ -95,10 +95,10 @@
 	return standing{excluded: n.now.Before(n.until[home][upstream]), share: 1}
 }
 
-func (n *naive) overdueAfter(int) time.Duration { return 0 }
-func (n *naive) redial(int, int) bool           { return false }
-func (n *naive) joined(time.Time, int)          {}
-func (n *naive) counts() counts                 { return n.events }
+func (n *naive) overdueAfter(int) time.Duration        { return 0 }
+func (n *naive) redial(int, int) (time.Duration, bool) { return 0, false }
+func (n *naive) joined(time.Time, int)                 {}
+func (n *naive) counts() counts                        { return n.events }
 
 // consecutive ejects at a home after 5 errors in a row.
 type consecutive struct {
--- a/internal/bench/detection/ours.go
+++ b/internal/bench/detection/ours.go
@@ -123,7 +123,9 @@
 	return s
 }
 
-func (o *ours) redial(home, upstream int) bool { return o.groups[home].Redial(names[upstream]) }
+func (o *ours) redial(home, upstream int) (time.Duration, bool) {
+	return o.groups[home].Redial(names[upstream])
+}
 
 func (o *ours) overdueAfter(home int) time.Duration { return o.groups[home].OverdueAfter() }
 
--- a/internal/bench/detection/plot.go
+++ b/internal/bench/detection/plot.go
@@ -65,6 +65,7 @@
 		p.Legend.Add(name, bars)
 	}
 	p.NominalX(labels...)
+	p.X.Min, p.X.Max = -0.5, float64(len(labels))-0.5
 	return p.Save(plotWidth, plotHeight, path)
 }
 
--- a/internal/bench/detection/sim.go
+++ b/internal/bench/detection/sim.go
@@ -120,6 +120,7 @@
 	queue    events
 	onset    time.Time
 	inFlight []int
+	dialling []bool // by home; only the sick upstream is ever unreachable
 	stopped  []bool // by home: the sick upstream no longer gets ordinary work
 	seen     []int
 	trial    trial
@@ -130,7 +131,8 @@
 	sim := &simulation{
 		service: s, fault: f, judge: j, homes: homesPerService,
 		rng: rand.New(rand.NewPCG(seed, 1)), onset: epoch.Add(warmUp),
-		inFlight: make([]int, s.Upstreams), stopped: make([]bool, homesPerService), seen: make([]int, homesPerService),
+		inFlight: make([]int, s.Upstreams), stopped: make([]bool, homesPerService),
+		dialling: make([]bool, homesPerService), seen: make([]int, homesPerService),
 	}
 	// The onset falls anywhere between two ticks and two outlier intervals.
 	sim.onset = sim.onset.Add(time.Duration(sim.rng.Float64() * float64(outlierInterval)))
@@ -243,13 +245,17 @@
 
 // scheduleRedial lets the home dial again if the judge asks for it.
 func (s *simulation) scheduleRedial(e event) {
-	if s.judge.redial(e.home, e.upstream) {
-		s.push(event{at: e.at.Add(dialTimeout), kind: redial, home: e.home, upstream: e.upstream})
+	after, wanted := s.judge.redial(e.home, e.upstream)
+	if !wanted || s.dialling[e.home] {
+		return
 	}
+	s.dialling[e.home] = true
+	s.push(event{at: e.at.Add(after + dialTimeout), kind: redial, home: e.home, upstream: e.upstream})
 }
 
 // dialAgain is the end of another dial.
 func (s *simulation) dialAgain(e event) {
+	s.dialling[e.home] = false
 	e.outcome = detector.Outcome{Upstream: names[e.upstream], Kind: detector.Reachable}
 	if s.fault.Unreachable && e.home == 0 && e.upstream == sick && !e.at.Before(s.onset) {
 		e.outcome.Kind = detector.Unreachable
--- a/pkg/detector/assess.go
+++ b/pkg/detector/assess.go
@@ -57,6 +57,9 @@
 	Reason    Reason
 	// Since is when the condition began.
 	Since time.Time
+	// Lasting is the time from the first to the latest bad outcome of the
+	// evidence; a single stall lasts less than a second.
+	Lasting time.Duration
 	// Successes and Failures are recent real outcomes at this home, fading
 	// with a half-life of 5 s.
 	Successes, Failures float64
@@ -105,7 +108,7 @@
 	u.noteChange(now, wasBad)
 	return Assessment{
 		Upstream: u.id, Score: max(score, path), Condition: u.condition(), Reason: u.reason,
-		Since: u.since, Successes: u.successes, Failures: u.failures,
+		Since: u.since, Lasting: u.lasting(hypothesis), Successes: u.successes, Failures: u.failures,
 		Support: t.support, Contradicted: t.working > 0, ProbesFailing: u.probeFailing > 0.5,
 	}
 }
@@ -140,6 +143,18 @@
 	return u.successes >= workingSuccesses && score < ownSupport
 }
 
+// lasting is the time from the first to the latest bad outcome.
+func (u *upstream) lasting(hypothesis int) time.Duration {
+	begin := u.began[hypothesis].at
+	if u.reason == ReasonUnreachable {
+		begin = u.pathAt
+	}
+	if begin.IsZero() {
+		return 0
+	}
+	return max(u.badAt.Sub(begin), 0)
+}
+
 // noteChange keeps when the condition began and counts relapses.
 func (u *upstream) noteChange(now time.Time, wasBad bool) {
 	isBad := u.sick || u.pathBad
--- a/pkg/detector/baseline.go
+++ b/pkg/detector/baseline.go
@@ -44,6 +44,11 @@
 	minBinShare = 0.005
 	// maxFailureShare bounds the normal failure share, so that logarithms stay finite.
 	maxFailureShare = 0.95
+	// priorSpread is assumed for a new service; it weighs like one full window
+	// of every upstream. Without it, the first few latencies could show far too
+	// small a spread. The estimate remembers spreadMemory windows.
+	priorSpread  = 0.4
+	spreadMemory = 8.0
 	// stallShare is the additional share of very slow work under hypSometimesSlow.
 	stallShare = 0.2
 )
@@ -67,6 +72,8 @@
 type baseline struct {
 	ready            bool // location and spread are known
 	location, spread float64
+	windows          float64 // full windows behind spread, at most spreadMemory
+	counted          int     // latencies at the last calibration
 	// ratio holds the log-likelihood ratio of every class under every
 	// hypothesis, in nats, so that Observe only looks it up.
 	ratio [numClasses][numHypotheses]float64
@@ -96,7 +103,9 @@
 // hosts is judged more cautiously.
 func (b *baseline) locate(upstreams []*upstream) {
 	b.medians, b.spreads = b.medians[:0], b.spreads[:0]
+	counted := 0
 	for _, u := range upstreams {
+		counted += u.latencies.count
 		if u.latencies.ready() {
 			median, mad := u.latencies.estimate()
 			b.medians, b.spreads = append(b.medians, median), append(b.spreads, mad)
@@ -111,7 +120,18 @@
 		b.medians[i] = math.Abs(b.medians[i] - b.location)
 	}
 	within, between := madToSigma*lowerMedian(b.spreads), madToSigma*lowerMedian(b.medians)
-	b.spread = max(minSpread, math.Hypot(within, between))
+	fresh := float64(max(counted-b.counted, 0)) / float64(windowSize*len(upstreams))
+	b.counted = counted
+	b.learnSpread(max(minSpread, math.Hypot(within, between)), fresh)
+}
+
+// learnSpread averages the spread over the latest windows of latencies.
+func (b *baseline) learnSpread(measured, fresh float64) {
+	if b.windows == 0 {
+		b.spread, b.windows = priorSpread, 1
+	}
+	b.windows = min(b.windows+fresh, spreadMemory)
+	b.spread += (measured - b.spread) * min(fresh/b.windows, 1)
 }
 
 // calibrateBins sets the likelihood ratios of the latency bins.
--- a/pkg/detector/contrast.go
+++ b/pkg/detector/contrast.go
@@ -1,6 +1,9 @@
 package detector
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// slowBin is the first latency bin that counts as slow in a tally.
@@ -33,7 +36,10 @@
 
 // span is what an upstream and its peers had done when the upstream's evidence
 // last began to rise from zero.
-type span struct{ own, all tally }
+type span struct {
+	own, all tally
+	at       time.Time
+}
 
 // contrast compares the upstream with its peers since the evidence for the
 // hypothesis began: the generalised log-likelihood ratio, in nats, of "the
--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -222,17 +222,27 @@
 		Expect(h.of("u3").Condition).To(Equal(Healthy))
 	})
 
-	It("asks for another dial until the path is settled", func() {
+	It("asks for another dial until the path is settled, and while it is bad", func() {
 		h := newHome(0.8, 17)
 		h.healthyWork(20, "")
-		Expect(h.Redial("u3")).To(BeFalse())
+		wanted := func() bool { _, wanted := h.Redial("u3"); return wanted }
+		Expect(wanted()).To(BeFalse())
 		h.fault(1, Unreachable, 0)
-		Expect(h.Redial("u3")).To(BeTrue())
+		Expect(wanted()).To(BeTrue())
 		h.fault(3, Reachable, 0)
-		Expect(h.Redial("u3")).To(BeFalse())
+		Expect(wanted()).To(BeFalse())
 		h.fault(3, Unreachable, 0)
-		Expect(h.of("u3").Condition).To(Equal(PathBad))
-		Expect(h.Redial("u3")).To(BeFalse())
+		a := h.of("u3")
+		Expect(a.Condition).To(Equal(PathBad))
+		Expect(a.Lasting).To(BeNumerically(">", 0))
+		Expect(wanted()).To(BeTrue())
+		for range 30 { // once a second
+			h.now = h.now.Add(time.Second)
+			h.observe("u3", Reachable, 0)
+			h.of("u3")
+		}
+		Expect(h.of("u3").Condition).To(Equal(Healthy))
+		Expect(wanted()).To(BeFalse())
 	})
 
 	// Guards against a daemon's bad path or a lying daemon ejecting for all.
--- a/pkg/detector/group.go
+++ b/pkg/detector/group.go
@@ -23,6 +23,12 @@
 	overdueSpreads = 5.2
 )
 
+// Intervals of Redial.
+const (
+	redialAtOnce = 20 * time.Millisecond
+	redialBad    = time.Second
+)
+
 // Group judges the upstreams of one service at one home.
 type Group struct {
 	tuning    Tuning
@@ -120,12 +126,20 @@
 	return before < threshold && after >= threshold || before < threshold/2 && after >= threshold/2
 }
 
-// Redial tells whether a dial has failed and the evidence does not yet suffice
-// for a judgement. Then a further dial, observed as Reachable or Unreachable,
-// settles the question without waiting for the next request.
-func (g *Group) Redial(id string) bool {
+// Redial tells whether the home should dial the upstream once more without a
+// request, after which time, and observe Reachable or Unreachable. After a
+// failed dial this settles at once whether the path is bad. While the path is
+// bad, it finds the end of the fault without risking requests.
+func (g *Group) Redial(id string) (after time.Duration, wanted bool) {
 	u, known := g.byID[id]
-	return known && !u.sick && !u.pathBad && u.path[mostlyUnreachable] > 0 && g.pathScore(u) < 1
+	switch {
+	case !known || u.path[mostlyUnreachable] == 0 && !u.pathBad:
+		return 0, false
+	case u.pathBad || u.sick:
+		return redialBad, u.reason == ReasonUnreachable
+	default:
+		return redialAtOnce, true
+	}
 }
 
 // pathScore is the evidence of failed dials, in thresholds.
@@ -142,10 +156,10 @@
 		u.countFailure(0)
 		g.countLatency(now, u, o, limit)
 	case Failure, Truncated:
-		g.countFailure(u, classFailure, limit)
+		g.countFailure(now, u, classFailure, limit)
 	case Crash:
 		if !o.BlameWithheld {
-			g.countFailure(u, classFailure, limit)
+			g.countFailure(now, u, classFailure, limit)
 		}
 	case Timeout:
 		u.timeouts++
@@ -153,12 +167,16 @@
 		if o.WasOverdue {
 			class = classFailure // its slowness is counted already
 		}
-		g.countFailure(u, class, limit)
+		g.countFailure(now, u, class, limit)
 	case Overdue:
 		g.countLatency(now, u, o, limit)
 	case Shed, Reachable:
 		u.addContact(&dialWorked, limit)
 	case Unreachable:
+		if u.path[mostlyUnreachable] == 0 {
+			u.pathAt = now
+		}
+		u.badAt = now
 		u.addContact(&dialFailed, limit)
 	case ProbeSuccess:
 		u.probeFailing -= u.probeFailing * probeWeight
@@ -178,11 +196,12 @@
 }
 
 // countFailure counts failed work.
-func (g *Group) countFailure(u *upstream, class int, limit float64) {
+func (g *Group) countFailure(now time.Time, u *upstream, class int, limit float64) {
 	u.failures++
+	u.badAt = now
 	u.countFailure(1)
 	u.addContact(&dialWorked, limit)
-	u.add(&g.baseline.ratio[class], 1, 0, numHypotheses, limit, &g.done)
+	u.add(&g.baseline.ratio[class], 1, 0, numHypotheses, limit, now, &g.done)
 	t := tally{work: 1, failed: 1}
 	if class == classTimeout {
 		t.timed, t.slow = 1, 1
@@ -195,7 +214,7 @@
 	logLatency := math.Log(max(float64(o.Latency), 1))
 	if o.Kind == Success {
 		u.addContact(&dialWorked, limit)
-		u.add(&g.baseline.ratio[0], 1, 0, hypSlow, limit, &g.done) // failure hypotheses ignore the bin
+		u.add(&g.baseline.ratio[0], 1, 0, hypSlow, limit, now, &g.done) // failure hypotheses ignore the bin
 		g.tally(u, tally{work: 1})
 	}
 	if o.WasOverdue || now.Before(u.warmUntil) {
@@ -212,7 +231,7 @@
 		weight = u.slowWeight(now, o.Latency, time.Duration(math.Exp(g.baseline.location)))
 		slow = weight
 	}
-	u.add(&g.baseline.ratio[bin], weight, hypSlow, numHypotheses, limit, &g.done)
+	u.add(&g.baseline.ratio[bin], weight, hypSlow, numHypotheses, limit, now, &g.done)
 	g.tally(u, tally{timed: weight, slow: slow})
 }
 
--- a/pkg/detector/upstream.go
+++ b/pkg/detector/upstream.go
@@ -32,6 +32,10 @@
 	// pathShare is the part of the threshold that failed dials need: a bad path
 	// only demotes at this home and ejects for nobody.
 	pathShare = 0.75
+	// pathLimit is the part of the limit of evidence that failed dials reach.
+	// It is just above their threshold, so that a path that works again is
+	// used again after few dials.
+	pathLimit = 0.6 * pathShare
 	// overlapWeight is the weight of a slow outcome whose request overlapped one
 	// that was counted in full, and that ended within the service's median
 	// latency of it. One short stall makes all requests in flight slow, so they
@@ -72,6 +76,8 @@
 	successes, failures, timeouts float64
 	inFlight                      int
 
+	badAt     time.Time // last failed or slow outcome
+	pathAt    time.Time // when dials began to fail
 	slowAt    time.Time // last slow outcome that counted in full
 	fadedAt   time.Time
 	warmUntil time.Time
@@ -90,12 +96,12 @@
 // add counts one outcome of real work, with a weight in 0..1, under the
 // hypotheses in from..to-1. It must come before the outcome's tally, so that a
 // span that begins includes it.
-func (u *upstream) add(ratio *[numHypotheses]float64, weight float64, from, to int, limit float64, all *tally) {
+func (u *upstream) add(ratio *[numHypotheses]float64, weight float64, from, to int, limit float64, now time.Time, all *tally) {
 	for h := from; h < to; h++ {
 		before := u.evidence[h]
 		after := min(max(before+weight*ratio[h], 0), limit)
 		if before == 0 && after > 0 {
-			u.began[h] = span{own: u.done, all: *all}
+			u.began[h] = span{own: u.done, all: *all, at: now}
 		}
 		u.evidence[h] = after
 	}
@@ -103,6 +109,7 @@
 
 // addContact counts a dial that failed or any sign that the path works.
 func (u *upstream) addContact(ratio *[len(unreachableShares)]float64, limit float64) {
+	limit *= pathLimit
 	for i := range u.path {
 		u.path[i] = min(max(u.path[i]+ratio[i], 0), limit)
 	}
@@ -134,6 +141,7 @@
 
 // slowWeight returns the weight of an outcome in a slow bin.
 func (u *upstream) slowWeight(now time.Time, latency, median time.Duration) float64 {
+	u.badAt = now
 	if now.Add(-latency).Before(u.slowAt) && now.Sub(u.slowAt) < median {
 		return overlapWeight
 	}
--- a/pkg/ejection/ejection_test.go
+++ b/pkg/ejection/ejection_test.go
@@ -30,7 +30,7 @@
 }
 
 func sick(id string, score float64, since time.Time) detector.Assessment {
-	return detector.Assessment{Upstream: id, Score: score, Condition: detector.Sick, Support: 1, Since: since}
+	return detector.Assessment{Upstream: id, Score: score, Condition: detector.Sick, Support: 1, Since: since, Lasting: time.Second}
 }
 
 // fleet is one home that writes without faults.
@@ -86,11 +86,15 @@
 	ginkgo.DescribeTable("does not eject without sufficient evidence", func(a detector.Assessment) {
 		f := newFleet(4, 1)
 		a.Upstream = "u0"
+		if a.Lasting == 0 {
+			a.Lasting = time.Minute
+		}
 		Expect(Changed(f.propose(a))).To(BeFalse())
 	},
 		ginkgo.Entry("bad path", detector.Assessment{Score: 2, Condition: detector.PathBad, Support: 1}),
 		ginkgo.Entry("contradicted", detector.Assessment{Score: 2, Condition: detector.Sick, Support: 1, Contradicted: true}),
 		ginkgo.Entry("alone at the threshold", detector.Assessment{Score: 1.1, Condition: detector.Sick}),
+		ginkgo.Entry("a short stall", detector.Assessment{Score: 2, Condition: detector.Sick, Support: 1, Lasting: 300 * time.Millisecond}),
 		ginkgo.Entry("healthy", detector.Assessment{Score: 2, Condition: detector.Healthy}),
 	)
 
--- a/pkg/ejection/floor_test.go
+++ b/pkg/ejection/floor_test.go
@@ -132,6 +132,7 @@
 			Score:     float64(w.draw(20, "score")) / 10,
 			Support:   w.draw(2, "support"), Successes: float64(w.draw(5, "successes")),
 			Contradicted: w.draw(8, "contradicted") == 0,
+			Lasting:      time.Duration(w.draw(3, "lasting")) * time.Second,
 			Since:        now.Add(-time.Duration(w.draw(60, "since")) * time.Second),
 		})
 	}
--- a/pkg/ejection/policy.go
+++ b/pkg/ejection/policy.go
@@ -12,6 +12,9 @@
 	// EjectAlone is the score, in thresholds, at which an upstream is ejected
 	// without another home's evidence; with it, the threshold itself suffices.
 	EjectAlone float64
+	// EjectAfter is the least time from the first to the latest bad outcome. A
+	// short stall leads to a demotion only.
+	EjectAfter time.Duration
 	// HoldBase is the hold time of the first round; it doubles per round up to
 	// HoldMax. HoldJitter is the relative jitter to either side.
 	HoldBase, HoldMax time.Duration
@@ -41,6 +44,7 @@
 	return Policy{
 		Floor:          max(floor, 0),
 		EjectAlone:     1.3,
+		EjectAfter:     time.Second,
 		HoldBase:       10 * time.Second,
 		HoldMax:        10 * time.Minute,
 		HoldJitter:     0.2,
--- a/pkg/ejection/propose.go
+++ b/pkg/ejection/propose.go
@@ -113,10 +113,11 @@
 // healthy tells whether this home has nothing against an upstream.
 func (p *proposal) healthy(id string) bool { return p.judged[id].Condition == detector.Healthy }
 
-// deservesEjection tells whether the evidence suffices for an ejection: another
-// home's support or a clear margin, and no home where the upstream works.
+// deservesEjection tells whether the evidence suffices for an ejection: it
+// lasts, another home supports it or the margin is clear, and at no home the
+// upstream works.
 func (p *proposal) deservesEjection(a detector.Assessment) bool {
-	return a.Condition == detector.Sick && !a.Contradicted &&
+	return a.Condition == detector.Sick && !a.Contradicted && a.Lasting >= p.policy.EjectAfter &&
 		(a.Score >= 1 && a.Support > 0 || a.Score >= p.policy.EjectAlone)
 }
 
