Need a home that cannot reach an upstream either before a bad path counts as sick

One slow request at another home was support enough to take a bad path for a sick upstream, and it stopped that home from contradicting. Support for a bad path is now a bad path or a judgement of sickness elsewhere.

--- a/pkg/detector/assess.go
+++ b/pkg/detector/assess.go
@@ -99,7 +99,7 @@
 		u.sick = !u.pathBad
 	case exceeds(path, wasBad):
 		u.reason = ReasonUnreachable
-		u.sick = t.support > 0 && t.working == 0
+		u.sick = t.confirm > 0 && t.working == 0
 		u.pathBad = !u.sick
 	case t.judgeSick >= severalHomes && !u.working(own/g.tuning.Threshold):
 		u.reason, u.sick = ReasonOtherHomes, true
--- a/pkg/detector/summary.go
+++ b/pkg/detector/summary.go
@@ -21,6 +21,9 @@
 	remoteNoise = 1.0
 	// maxHomes bounds the memory that summaries can occupy.
 	maxHomes = 64
+	// supportScore is the evidence, in thresholds, with which a home supports a
+	// judgement. A quarter would not do: one very slow request brings it.
+	supportScore = 0.5
 	// workingSuccesses is how many recent successes testify that an upstream works.
 	workingSuccesses = 3
 	// maxReports bounds one summary.
@@ -131,6 +134,7 @@
 	nats      float64 // discounted and faded evidence
 	judgeSick int     // homes that judge it sick by themselves
 	support   int     // homes with considerable evidence against it
+	confirm   int     // homes that cannot reach it either or judge it sick
 	working   int     // homes that recently had it work well
 }
 
@@ -148,11 +152,14 @@
 		path := float64(r.Path) * remaining(age, remoteHalfLife)
 		t.nats += remoteDiscount * max(0, score*g.tuning.Threshold-noise)
 		switch {
-		case score >= 0.5 || path >= 0.5:
+		case score >= supportScore || path >= supportScore:
 			t.support++
-		case age <= contradictionAge && r.Successes >= workingSuccesses && r.Score < 0.25 && r.Path < 0.25:
+		case age <= contradictionAge && r.Successes >= workingSuccesses:
 			t.working++
 		}
+		if path >= supportScore || r.Score >= 1 && age <= contradictionAge {
+			t.confirm++
+		}
 		if age <= contradictionAge && r.Score >= 1 {
 			t.judgeSick++
 		}
