--- a/internal/bench/detection/sim.go
+++ b/internal/bench/detection/sim.go
@@ -57,7 +57,7 @@
 	// of a request; begun is when it was sent, or when it began to wait
 	home, upstream int
 	outcome        detector.Outcome
-	begun          time.Time
+	begun, arrived time.Time
 }
 
 type eventKind uint8
@@ -120,6 +120,7 @@
 	queue    events
 	onset    time.Time
 	inFlight []int
+	dialling []bool // by home; only the sick upstream is ever unreachable
 	stopped  []bool // by home: the sick upstream no longer gets ordinary work
 	seen     []int
 	trial    trial
@@ -130,7 +131,8 @@
 	sim := &simulation{
 		service: s, fault: f, judge: j, homes: homesPerService,
 		rng: rand.New(rand.NewPCG(seed, 1)), onset: epoch.Add(warmUp),
-		inFlight: make([]int, s.Upstreams), stopped: make([]bool, homesPerService), seen: make([]int, homesPerService),
+		inFlight: make([]int, s.Upstreams), stopped: make([]bool, homesPerService),
+		dialling: make([]bool, homesPerService), seen: make([]int, homesPerService),
 	}
 	// The onset falls anywhere between two ticks and two outlier intervals.
 	sim.onset = sim.onset.Add(time.Duration(sim.rng.Float64() * float64(outlierInterval)))
@@ -197,7 +199,10 @@
 	}
 	s.judge.observe(e.at, e.home, e.outcome)
 	if e.outcome.Kind == detector.Unreachable {
+		// The request was certainly not run, so it is sent again.
 		s.scheduleRedial(e)
+		s.dispatch(e.at, e.arrived, e.home)
+		return
 	}
 	if e.begun.Before(s.onset) {
 		return
@@ -214,7 +219,7 @@
 	after := !now.Before(s.onset)
 	upstream := s.choose(home)
 	switch {
-	case upstream >= 0:
+	case upstream >= 0 && now.Sub(arrived) < maxWait:
 	case now.Sub(arrived) < maxWait:
 		s.push(event{at: now.Add(waitStep), kind: waiting, home: home, begun: arrived})
 		return
@@ -227,7 +232,7 @@
 	r, kind := s.service.healthyWork(s.rng), detector.Success
 	if upstream == sick && after {
 		if s.fault.Unreachable && home == 0 {
-			s.complete(now, home, upstream, detector.Unreachable, dialTimeout)
+			s.unreachable(now, arrived, home)
 			return
 		}
 		r = s.service.work(s.fault, now.Sub(s.onset), s.rng)
@@ -241,15 +246,28 @@
 	s.complete(now, home, upstream, kind, r.latency)
 }
 
+// unreachable schedules the failure of a dial from home 0.
+func (s *simulation) unreachable(now, arrived time.Time, home int) {
+	s.inFlight[sick]++
+	s.push(event{
+		at: now.Add(dialTimeout), kind: completion, home: home, upstream: sick, begun: now, arrived: arrived,
+		outcome: detector.Outcome{Upstream: names[sick], Kind: detector.Unreachable},
+	})
+}
+
 // scheduleRedial lets the home dial again if the judge asks for it.
 func (s *simulation) scheduleRedial(e event) {
-	if s.judge.redial(e.home, e.upstream) {
-		s.push(event{at: e.at.Add(dialTimeout), kind: redial, home: e.home, upstream: e.upstream})
+	after, wanted := s.judge.redial(e.home, e.upstream)
+	if !wanted || s.dialling[e.home] {
+		return
 	}
+	s.dialling[e.home] = true
+	s.push(event{at: e.at.Add(after + dialTimeout), kind: redial, home: e.home, upstream: e.upstream})
 }
 
 // dialAgain is the end of another dial.
 func (s *simulation) dialAgain(e event) {
+	s.dialling[e.home] = false
 	e.outcome = detector.Outcome{Upstream: names[e.upstream], Kind: detector.Reachable}
 	if s.fault.Unreachable && e.home == 0 && e.upstream == sick && !e.at.Before(s.onset) {
 		e.outcome.Kind = detector.Unreachable
@@ -265,7 +283,7 @@
 		at: now.Add(latency), kind: completion, home: home, upstream: upstream, begun: now,
 		outcome: detector.Outcome{Upstream: names[upstream], Kind: kind, Latency: latency},
 	}
-	if after := s.judge.overdueAfter(home); after > 0 && latency > after && kind != detector.Unreachable {
+	if after := s.judge.overdueAfter(home); after > 0 && latency > after {
 		e.outcome.WasOverdue = true
 		s.push(event{
 			at: now.Add(after), kind: overdue, home: home, upstream: upstream,
