--- a/pkg/confsync/boot.go
+++ b/pkg/confsync/boot.go
@@ -16,6 +16,9 @@
 	// Then one ready peer is enough, and without any it lists the platform
 	// itself.
 	bootPatience = 10 * time.Second
+	// revisitCost puts a peer that was compared with behind two attempts at
+	// each of the others.
+	revisitCost = 4
 )
 
 // bootState is how far a starting daemon has come.
@@ -87,13 +90,15 @@
 	}
 	best, bestCost := Peer{}, -1
 	for _, p := range peers {
-		if _, done := s.boot.peers[p.Address]; done {
-			continue
-		}
 		cost := 2 * s.boot.tried[p.Address]
 		if covered[p.Domain] {
 			cost++
 		}
+		if _, done := s.boot.peers[p.Address]; done {
+			// It comes again after the others were tried a few times, so that
+			// a daemon that waits for more ready peers stays up to date.
+			cost += revisitCost
+		}
 		if bestCost < 0 || cost < bestCost {
 			best, bestCost = p, cost
 		}
