Add the measurement of config distribution

Cause: the choice of the way documents reach every daemon needs figures. Change: internal/bench/confsync measures time to in force and cost, against the naive version in which each daemon holds its own watch.

--- /dev/null
+++ b/internal/bench/confsync/main.go
@@ -0,0 +1,74 @@
+// Command confsync measures how long a change takes to be in force at every
+// daemon, and what the distribution costs, against the naive version in which
+// each daemon holds its own watch on the platform.
+//
+// All daemons run in one process. The processor time therefore includes the
+// in-memory transport and platform; bytes are message bodies without the
+// overhead of QUIC.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+type options struct {
+	daemons, domains, changes, docs int
+	window                          time.Duration
+}
+
+// report is the JSON output.
+type report struct {
+	Latency []latencyResult `json:"latency"`
+	Cost    []costResult    `json:"cost"`
+}
+
+func main() {
+	var o options
+	flag.IntVar(&o.daemons, "daemons", 36, "daemons in the latency cases")
+	flag.IntVar(&o.domains, "domains", 3, "failure domains")
+	flag.IntVar(&o.changes, "changes", 200, "changes in each latency case; 0 skips them")
+	flag.IntVar(&o.docs, "docs", 380, "documents of 4 KB")
+	flag.DurationVar(&o.window, "window", 10*time.Second, "length of each cost measurement")
+	sizes := flag.String("sizes", "36,100,300,1600", "numbers of daemons in the cost measurements")
+	out := flag.String("out", "", "file for the JSON report")
+	flag.Parse()
+
+	var r report
+	fmt.Println("| case | way | p50 ms | p99 ms | max ms | not in force after 5 s | restart ms |\n|---|---|---|---|---|---|---|")
+	for _, name := range []string{"all well", "relays killed", "domain cut in one direction", "platform down at start"} {
+		for _, naive := range []bool{false, true} {
+			if o.changes > 0 {
+				r.Latency = append(r.Latency, latency(name, o, naive))
+				fmt.Println(r.Latency[len(r.Latency)-1])
+			}
+		}
+	}
+	fmt.Println("\n| daemons | way | idle messages/s | idle B/s | idle CPU % | messages/s | B/s | B/s of the busiest | CPU % | pending watches | platform calls per change |\n|---|---|---|---|---|---|---|---|---|---|---|")
+	for size := range strings.SplitSeq(*sizes, ",") {
+		n, err := strconv.Atoi(size)
+		if err != nil {
+			continue
+		}
+		for _, naive := range []bool{false, true} {
+			r.Cost = append(r.Cost, cost(n, o, naive))
+			fmt.Println(r.Cost[len(r.Cost)-1])
+		}
+	}
+	if *out == "" {
+		return
+	}
+	b, err := json.MarshalIndent(r, "", "  ")
+	if err == nil {
+		err = os.WriteFile(*out, b, 0o644)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
