Build the roster on membership and placement; measure real processes

Cause: the first roster used the platform's list alone, so that a dead daemon stayed a home until the list caught up, and a new daemon could answer 'no addresses' for a second. Change: the roster takes liveness from membership and roles from placement; answers are made from all hosts and are never empty; a forward ends 20 ms earlier at the home, so that its verdict arrives (before, a refusal 'not-run' at the deadline reached the caller as 'may-have-run').

--- a/cmd/shallotctl/main.go
+++ b/cmd/shallotctl/main.go
@@ -21,15 +21,18 @@
 	exitConflict = 3
 )
 
-func main() {
+func main() { os.Exit(execute()) }
+
+// execute runs the command and returns the exit code.
+func execute() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	err := newRoot().ExecuteContext(ctx)
 	if err == nil {
-		return
+		return 0
 	}
 	fmt.Fprintln(os.Stderr, err)
-	os.Exit(exitCode(err))
+	return exitCode(err)
 }
 
 func exitCode(err error) int {
--- a/cmd/shallotgladed/main.go
+++ b/cmd/shallotgladed/main.go
@@ -21,19 +21,22 @@
 // exitInvalid is the exit code for settings that are not valid.
 const exitInvalid = 2
 
-func main() {
+func main() { os.Exit(execute()) }
+
+// execute runs the command and returns the exit code.
+func execute() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	err := newRoot().ExecuteContext(ctx)
 	if err == nil {
-		return
+		return 0
 	}
 	fmt.Fprintln(os.Stderr, err)
 	var problems strictyaml.Problems
 	if errors.As(err, &problems) {
-		os.Exit(exitInvalid)
+		return exitInvalid
 	}
-	os.Exit(1)
+	return 1
 }
 
 func newRoot() *cobra.Command {
--- /dev/null
+++ b/internal/bench/processes/cost.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotglade/internal/fleettest"
+	"shallotglade/pkg/admin"
+)
+
+const (
+	costUpstreams = 3
+	costTime      = 20 * time.Second
+	// settle lets the start of the fleet pass before the measurement.
+	settle = 10 * time.Second
+	// clockTicks is the unit of processor time in /proc, a second's part.
+	clockTicks = 100
+)
+
+func versionAt(ctx context.Context, client *admin.Client, version uint64) bool {
+	list, err := client.Status(ctx, service, false)
+	return err == nil && len(list) == 1 && list[0].Status != nil && list[0].Status.Version >= version
+}
+
+// cost measures what an idle daemon takes as the fleet grows.
+func (b *bench) cost(ctx context.Context) ([]result, error) {
+	var rows []result
+	for _, n := range b.sizes {
+		r, err := b.costOf(ctx, n)
+		if err != nil {
+			return rows, err
+		}
+		rows = append(rows, r)
+	}
+	return rows, nil
+}
+
+func (b *bench) costOf(ctx context.Context, n int) (result, error) {
+	r := result{Case: fmt.Sprintf("control cost, %d daemons", n)}
+	f, err := b.start(ctx, fmt.Sprintf("cost%d", n), n, costUpstreams)
+	defer f.Close()
+	if err != nil {
+		return r, err
+	}
+	time.Sleep(settle)
+	calls0, err := f.Counts()
+	if err != nil {
+		return r, err
+	}
+	cpu0, net0, err := usage(f)
+	if err != nil {
+		return r, err
+	}
+	time.Sleep(costTime)
+	cpu1, net1, err := usage(f)
+	if err != nil {
+		return r, err
+	}
+	calls1, err := f.Counts()
+	if err != nil {
+		return r, err
+	}
+	seconds := costTime.Seconds()
+	r.set("core %", round(100*(cpu1-cpu0)/seconds/float64(n)))
+	r.set("RSS MB", round(memory(f)/float64(n)/1e6))
+	r.set("loopback KB/s", round((net1-net0)/seconds/float64(n)/1e3))
+	r.set("platform calls/s", round(float64(calls1.Reads+calls1.Writes+calls1.Watches-calls0.Reads-calls0.Writes-calls0.Watches)/seconds))
+	return r, nil
+}
+
+func round(x float64) float64 { return float64(int64(x*100+0.5)) / 100 }
+
+// usage returns the processor seconds of all daemons, and the bytes that have
+// passed over loopback, which are those of all processes.
+func usage(f *fleettest.Fleet) (cpu, bytes float64, err error) {
+	for _, d := range f.Live() {
+		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.PID()))
+		if err != nil {
+			return 0, 0, err
+		}
+		fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+		for _, i := range []int{11, 12} { // utime and stime, see proc(5)
+			ticks, err := strconv.ParseFloat(fields[i], 64)
+			if err != nil {
+				return 0, 0, err
+			}
+			cpu += ticks / clockTicks
+		}
+	}
+	data, err := os.ReadFile("/proc/net/dev")
+	if err != nil {
+		return 0, 0, err
+	}
+	for _, line := range strings.Split(string(data), "\n") {
+		if name, rest, ok := strings.Cut(line, ":"); ok && strings.TrimSpace(name) == "lo" {
+			bytes, err = strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return cpu, bytes, err
+		}
+	}
+	return cpu, 0, errors.New("no loopback in /proc/net/dev")
+}
+
+// memory returns the resident bytes of all daemons.
+func memory(f *fleettest.Fleet) float64 {
+	var sum float64
+	for _, d := range f.Live() {
+		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", d.PID()))
+		if err != nil {
+			continue
+		}
+		if pages, err := strconv.ParseFloat(strings.Fields(string(data))[1], 64); err == nil {
+			sum += pages * float64(os.Getpagesize())
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/bench/processes/fleet.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"shallotglade/internal/fleettest"
+	"shallotglade/internal/standin"
+)
+
+var domains = []string{"tetouan", "rabat", "fes"}
+
+const service = "batch-ledger"
+
+const startLimit = 60 * time.Second
+
+// start starts a platform, upstreams of one service and daemons.
+func (b *bench) start(ctx context.Context, name string, daemons, upstreams int) (*fleettest.Fleet, error) {
+	dir := filepath.Join(b.dir, name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	f := fleettest.New(b.bin, dir)
+	if err := f.StartPlatform(); err != nil {
+		return f, err
+	}
+	for i := range upstreams {
+		if _, err := f.StartUpstream(service, fmt.Sprintf("w%d", i), domains[i%3], 6, "--service-time", "10ms"); err != nil {
+			return f, err
+		}
+	}
+	for i := range daemons {
+		if _, err := f.StartDaemon(fmt.Sprintf("d%d", i), domains[i%3]); err != nil {
+			return f, err
+		}
+	}
+	if err := f.AwaitReady(startLimit); err != nil {
+		return f, err
+	}
+	version, err := f.Apply(ctx, "service: "+service+"\nfloor: {share: 75%}\n")
+	if err != nil {
+		return f, err
+	}
+	_, err = f.AwaitInForce(ctx, service, version, startLimit)
+	return f, err
+}
+
+// load runs callers until stop is called, and returns what they saw.
+func load(ctx context.Context, f *fleettest.Fleet, callers int) (l *standin.Load, stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	l = standin.NewLoad()
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		l.Run(ctx, f.Callers("caller", callers), 0, func(c *standin.Caller, _ int) standin.Outcome {
+			return c.Do(context.WithoutCancel(ctx), service, "GET", "/x", "", nil)
+		})
+	}()
+	return l, func() { cancel(); wg.Wait() }
+}
--- /dev/null
+++ b/internal/bench/processes/loss.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"shallotglade/internal/fleettest"
+	"shallotglade/internal/standin"
+)
+
+const (
+	lossDaemons   = 9
+	lossUpstreams = 12
+	lossCallers   = 24
+	exitLimit     = 60 * time.Second
+)
+
+func lossRow(name string, l *standin.Load) result {
+	r := result{Case: name}
+	r.set("requests", float64(l.Sent))
+	r.set("ok", float64(l.OK))
+	r.set("no answer", float64(len(l.Lost)))
+	r.set("wrong answers", float64(len(l.Wrong)))
+	r.set("may have run", float64(l.MayHaveRun))
+	r.set("not run", float64(l.NotRun))
+	return r
+}
+
+// rolling replaces every daemon under load, until enough requests were sent.
+func (b *bench) rolling(ctx context.Context) ([]result, error) {
+	f, err := b.start(ctx, "rolling", lossDaemons, lossUpstreams)
+	defer f.Close()
+	if err != nil {
+		return nil, err
+	}
+	l, stop := load(ctx, f, lossCallers)
+	defer stop()
+	replaced := 0
+	for n := 0; l.Count() < b.requests || replaced < lossDaemons; n++ {
+		old := f.Live()[0]
+		d, err := f.StartDaemon(fmt.Sprintf("r%d", n), old.Domain)
+		if err != nil {
+			return nil, err
+		}
+		if err := f.AwaitReady(startLimit, d); err != nil {
+			return nil, err
+		}
+		if err := old.Signal(syscall.SIGTERM); err != nil {
+			return nil, err
+		}
+		if err := old.Wait(exitLimit); err != nil {
+			return nil, err
+		}
+		if err := f.Unregister(old.ID); err != nil {
+			return nil, err
+		}
+		replaced++
+	}
+	stop()
+	r := lossRow("rolling replacement", l)
+	r.set("daemons replaced", float64(replaced))
+	return []result{r}, nil
+}
+
+func (b *bench) killThird(ctx context.Context) ([]result, error) {
+	return b.kill(ctx, "a third of the daemons killed", func(i int, _ *fleettest.Daemon) bool { return i < lossDaemons/3 })
+}
+
+func (b *bench) killDomain(ctx context.Context) ([]result, error) {
+	return b.kill(ctx, "a failure domain killed", func(_ int, d *fleettest.Daemon) bool { return d.Domain == domains[0] })
+}
+
+// kill ends the chosen daemons at one moment and looks how long callers notice.
+func (b *bench) kill(ctx context.Context, name string, chosen func(int, *fleettest.Daemon) bool) ([]result, error) {
+	f, err := b.start(ctx, name, lossDaemons, lossUpstreams)
+	defer f.Close()
+	if err != nil {
+		return nil, err
+	}
+	l, stop := load(ctx, f, lossCallers)
+	defer stop()
+	time.Sleep(3 * time.Second)
+	before := l.Count()
+	at := time.Now()
+	for i, d := range f.Daemons {
+		if chosen(i, d) {
+			d.Kill()
+		}
+	}
+	time.Sleep(10 * time.Second)
+	stop()
+	r := lossRow(name, l)
+	r.set("requests before", float64(before))
+	r.set("seconds to normal", l.LastTrouble(at).Seconds())
+	return []result{r}, nil
+}
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -40,12 +41,15 @@
 	dir, err := os.MkdirTemp("", "fleettest")
 	Expect(err).NotTo(HaveOccurred())
 	f := fleettest.New(bin, dir)
+	f.LogDecisions = true
 	DeferCleanup(func() {
 		f.Close()
 		if CurrentSpecReport().Failed() {
 			printEnds(dir)
 		}
-		os.RemoveAll(dir)
+		if os.Getenv("KEEP_LOGS") == "" {
+			os.RemoveAll(dir)
+		}
 	})
 	Expect(f.StartPlatform()).To(Succeed())
 	for _, text := range documents {
@@ -261,10 +265,10 @@
 				won++
 				continue
 			}
-			var f *admin.Failure
-			Expect(err).To(BeAssignableToTypeOf(f))
-			Expect(err.(*admin.Failure).Reason).To(Equal(admin.ReasonConflict))
-			Expect(err.(*admin.Failure).Difference).To(ContainSubstring("retries"))
+			var failure *admin.Failure
+			Expect(errors.As(err, &failure)).To(BeTrue())
+			Expect(failure.Reason).To(Equal(admin.ReasonConflict))
+			Expect(failure.Difference).To(ContainSubstring("retries"))
 		}
 		Expect(won).To(Equal(1))
 	})
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"shallotglade/pkg/verdict"
 )
 
 // Load is what a number of callers saw together.
@@ -19,6 +21,10 @@
 	Wrong []string
 	// Lost are requests that got no answer at all.
 	Lost []string
+	// MayHaveRun and NotRun count answers that are no success, by verdict.
+	MayHaveRun, NotRun int
+	// trouble is when the last request that was no success ended.
+	trouble time.Time
 	// Took are the times of the requests with status 200.
 	Took []time.Duration
 }
@@ -32,6 +38,14 @@
 	l.Sent++
 	l.ByStatus[o.Status]++
 	l.ByUpstream[o.Upstream]++
+	if o.Status != 200 || o.Err != nil {
+		l.trouble = time.Now()
+		if o.Verdict == verdict.NotRun {
+			l.NotRun++
+		} else {
+			l.MayHaveRun++
+		}
+	}
 	switch {
 	case o.Err != nil && o.Status == 200:
 		l.Wrong = append(l.Wrong, o.Err.Error())
@@ -43,6 +57,21 @@
 	}
 }
 
+// Count returns how many requests have ended.
+func (l *Load) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Sent
+}
+
+// LastTrouble returns how long after a moment the last request failed, 0 if none
+// did.
+func (l *Load) LastTrouble(after time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, l.trouble.Sub(after))
+}
+
 // Run lets the callers send requests for a time, each its next one as soon as
 // the former has ended and a pause has passed.
 func (l *Load) Run(ctx context.Context, callers []*Caller, pause time.Duration, request func(c *Caller, n int) Outcome) {
--- a/pkg/blackboard/attempt.go
+++ b/pkg/blackboard/attempt.go
@@ -73,7 +73,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range s.candidates {
-		s.candidates[i].Own = s.inFlight.Own(s.candidates[i].ID)
+		c := &s.candidates[i]
+		c.Own, c.PausedUntil = s.inFlight.Own(c.ID), s.pausedUntil[c.ID]
 	}
 	choice, ok := s.chooseLocked(now, r)
 	if !ok {
@@ -96,11 +97,11 @@
 
 func (s *Service) chooseLocked(now time.Time, r AttemptRequest) (routing.Choice, bool) {
 	if !r.Alone {
-		return routing.Choose(s.candidates, routing.Request{Domain: s.domain, Idempotent: r.Idempotent, Tried: r.Tried}, s.rng)
+		return routing.Choose(s.candidates, routing.Request{Now: now, Domain: s.domain, Idempotent: r.Idempotent, Tried: r.Tried}, s.rng)
 	}
 	options := make([]poison.Option, 0, len(s.candidates))
 	for _, c := range s.candidates {
-		options = append(options, poison.Option{Upstream: c.ID, Free: c.Own < max(c.Slots, 1)})
+		options = append(options, poison.Option{Upstream: c.ID, Usable: !c.Demoted && c.Share > 0, Free: c.Own < max(c.Slots, 1)})
 	}
 	id, ok := s.poison.Place(now, r.Fingerprint, options)
 	return routing.Choice{ID: id, Reason: routing.AllBusy}, ok
@@ -123,6 +124,9 @@
 	defer s.mu.Unlock()
 	delete(s.attempts, a.id)
 	s.inFlight.End(now, a.Upstream.ID)
+	if r.Kind == upstream.Shed {
+		s.pausedUntil[a.Upstream.ID] = now.Add(routing.ShedPause)
+	}
 	var ended Ended
 	blameless := false
 	switch r.Kind {
--- a/pkg/blackboard/board.go
+++ b/pkg/blackboard/board.go
@@ -15,6 +15,7 @@
 	domain   string
 	services *shards[*Service]
 
+	generation atomic.Uint64
 	// rebuild serializes the rebuilding of routes.
 	rebuild sync.Mutex
 	routes  atomic.Pointer[routeTable]
@@ -33,6 +34,9 @@
 // Domain returns the failure domain of the daemon.
 func (b *Board) Domain() string { return b.domain }
 
+// Generation grows with each document that comes into or goes out of force.
+func (b *Board) Generation() uint64 { return b.generation.Load() }
+
 // Service returns the service of that name if its document is in force.
 func (b *Board) Service(name string) (*Service, bool) {
 	return b.services.get(name)
@@ -83,4 +87,5 @@
 		documents[i] = s.Document()
 	}
 	b.routes.Store(newRouteTable(documents))
+	b.generation.Add(1)
 }
--- a/pkg/blackboard/health.go
+++ b/pkg/blackboard/health.go
@@ -57,15 +57,22 @@
 	}
 }
 
+// Redial is a dial that the detector wants.
+type Redial struct {
+	Upstream Upstream
+	// After is how long to wait before it.
+	After time.Duration
+}
+
 // Redials returns the upstreams to dial once more, because a dial failed and the
 // evidence does not yet say whether the path to them is bad.
-func (s *Service) Redials() []Upstream {
+func (s *Service) Redials() []Redial {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []Upstream
+	var out []Redial
 	for _, u := range s.upstreams {
-		if s.group.Redial(u.ID) {
-			out = append(out, u)
+		if after, wanted := s.group.Redial(u.ID); wanted {
+			out = append(out, Redial{Upstream: u, After: after})
 		}
 	}
 	return out
--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -58,6 +58,9 @@
 	demotions     map[string]ejection.Demotion
 
 	candidates []routing.Candidate
+	// pausedUntil is until when an upstream that has shed a request is left
+	// alone.
+	pausedUntil map[string]time.Time
 	inFlight   *routing.InFlight
 	attempts   map[uint64]*Attempt
 	nextID     uint64
@@ -69,7 +72,7 @@
 func newService(d *document.Service, self, domain string) *Service {
 	s := &Service{
 		Name: d.Service, self: self, domain: domain, document: d,
-		left:      map[string]bool{},
+		left:      map[string]bool{}, pausedUntil: map[string]time.Time{},
 		group:     detector.NewGroup(detector.TuningFor(d.Detection.Weight)),
 		record:    ejection.Record{Service: d.Service},
 		demotions: map[string]ejection.Demotion{},
@@ -206,6 +209,7 @@
 	}
 	for id := range known {
 		s.poison.Forget(id)
+		delete(s.pausedUntil, id)
 	}
 	slices.SortFunc(next, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
 	s.upstreams, s.left = next, left
@@ -242,6 +246,19 @@
 	return slices.Clone(s.upstreams)
 }
 
+// Slots returns the slots of all upstreams that are not leaving.
+func (s *Service) Slots() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, u := range s.upstreams {
+		if !u.Leaving {
+			n += u.Slots
+		}
+	}
+	return n
+}
+
 // floorLocked is the floor in upstreams; leaving ones are no capacity.
 func (s *Service) floorLocked() int {
 	live := 0
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -151,8 +151,9 @@
 	if err := d.health.Provision(); err != nil {
 		return errors.Wrap(err, "health")
 	}
+	forward := &forwarder{node: d.node, observe: d.roster.members.Observe}
 	d.proxy = &proxy.Proxy{
-		Board: d.board, Sender: d.sender, Ledger: d.ledger, Directory: d.roster, Forwarder: &forwarder{d.node},
+		Board: d.board, Sender: d.sender, Ledger: d.ledger, Directory: d.roster, Forwarder: forward,
 		Notifier: d.health, Log: d.log, Metrics: d.metrics, LogDecisions: d.settings.Log.Decisions,
 	}
 	d.node.Handle(proxy.ForwardKind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
@@ -188,7 +189,11 @@
 }
 
 // forwarder passes requests to homes over the peer transport.
-type forwarder struct{ node *peer.Node }
+type forwarder struct {
+	node *peer.Node
+	// observe takes whether a daemon could be reached.
+	observe func(id string, reachable bool)
+}
 
 // Forward implements proxy.Forwarder.
 func (f *forwarder) Forward(ctx context.Context, to proxy.Peer, in *proxy.Incoming, left time.Duration) (*proxy.Answer, error) {
@@ -197,6 +202,7 @@
 		return nil, errors.Mark(err, proxy.ErrNotSent)
 	}
 	reply, err := f.node.Call(ctx, to.Address, proxy.ForwardKind, body)
+	f.observe(to.ID, err == nil)
 	if errors.Is(err, peer.ErrNotSent) {
 		return nil, errors.Mark(err, proxy.ErrNotSent)
 	}
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"shallotglade/pkg/admin"
+	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/confsync"
 	"shallotglade/pkg/health"
+	"shallotglade/pkg/membership"
 	"shallotglade/pkg/placement"
 	"shallotglade/pkg/platform"
 	"shallotglade/pkg/proxy"
@@ -16,79 +21,175 @@
 	"shallotglade/pkg/verdict"
 )
 
-const relaysPerDomain = 2
+const (
+	// relaysPerDomain is two, so that changes go on through the other while
+	// one of them fails.
+	relaysPerDomain = 2
+	// refreshInterval is how soon homes follow a change of the daemons or
+	// documents.
+	refreshInterval = 100 * time.Millisecond
+	// slotsPerHome is how many slots one home of a domain serves before the
+	// service gets another there (docs/decisions/homes-per-service.md).
+	slotsPerHome = 240
+	// referenceLifetime is the lifetime that placement gives answers; the
+	// settings scale it.
+	referenceLifetime = 10 * time.Second
+)
 
-// roster is what this daemon knows of the others.
+// roster is what this daemon knows of the others, and the roles that follow.
 type roster struct {
-	d  *Daemon
-	mu sync.Mutex
+	d       *Daemon
+	members *membership.Controller
 
-	hosts   []placement.Host
-	homes   map[string][]placement.Host
+	mu      sync.Mutex
 	leaving bool
+	version uint64
+	// generation is that of the board at the last refresh.
+	generation uint64
+	hosts      []placement.Host
+	homes      map[string][]placement.Host
+	relaysOf   map[string][]confsync.Peer
 }
 
 func newRoster(d *Daemon) (*roster, error) {
-	return &roster{d: d, homes: map[string][]placement.Host{}}, nil
-}
-
-func (r *roster) self() placement.Host {
-	return placement.Host{ID: r.d.node.ID(), Address: r.d.settings.Listen.Callers, PeerAddress: r.d.node.Addr(), Domain: r.d.settings.Domain, Leaving: r.leaving}
-}
-
-func (r *roster) setRoster(members []platform.Member) {
-	r.mu.Lock()
-	r.hosts = r.hosts[:0]
-	for _, m := range members {
-		if m.ID != r.d.node.ID() {
-			r.hosts = append(r.hosts, placement.Host{ID: m.ID, Address: m.Address, PeerAddress: m.PeerAddress, Domain: m.Domain, Leaving: m.State == platform.Leaving})
-		}
+	members, err := membership.Start(membership.Config{
+		Self: platform.Member{
+			ID: d.node.ID(), Role: platform.RoleDaemon, Address: d.settings.Listen.Callers, PeerAddress: d.node.Addr(),
+			Region: d.settings.Region, Domain: d.settings.Domain, State: platform.Live,
+		},
+		Node: d.node, Seed: rand.Uint64(), Logger: d.log,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "membership")
 	}
-	r.mu.Unlock()
+	r := &roster{d: d, members: members}
+	r.refresh()
+	return r, nil
 }
 
-func (r *roster) all() []placement.Host {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append(slices.Clone(r.hosts), r.self())
-}
+// setRoster takes the platform's list of daemons.
+func (r *roster) setRoster(members []platform.Member) { r.members.SetRoster(members) }
 
+// run keeps the roles up to date until ctx ends.
 func (r *roster) run(ctx context.Context) {
-	tick := time.NewTicker(250 * time.Millisecond)
+	tick := time.NewTicker(refreshInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			r.members.Close()
 			return
 		case <-tick.C:
-			r.refresh()
+			if r.changed() {
+				r.refresh()
+			}
 		}
 	}
 }
 
+func (r *roster) changed() bool {
+	version, generation := r.members.Version(), r.d.board.Generation()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return version != r.version || generation != r.generation
+}
+
+// refresh works out the homes of all services and the relays of all domains.
 func (r *roster) refresh() {
-	hosts := r.all()
+	states, version := r.members.Hosts()
+	generation := r.d.board.Generation()
+	hosts := make([]placement.Host, 0, len(states)+1)
+	for _, s := range states {
+		hosts = append(hosts, s.Placement())
+	}
+	r.mu.Lock()
+	hosts = append(hosts, r.selfLocked())
+	r.mu.Unlock()
+	homes := map[string][]placement.Host{}
+	for _, s := range r.d.board.Services() {
+		homes[s.Name] = placement.Homes(s.Name, hosts, homesPerDomain(s))
+	}
+	r.mu.Lock()
+	r.version, r.generation, r.hosts, r.homes = version, generation, hosts, homes
+	r.relaysOf = relaysOf(hosts)
+	r.mu.Unlock()
 	for _, s := range r.d.board.Services() {
-		perDomain := max(1, s.Document().Homes.PerDomain)
-		homes := placement.Homes(s.Name, hosts, perDomain)
-		var ids []routing.Home
-		for _, h := range homes {
-			ids = append(ids, routing.Home{ID: h.ID, Domain: h.Domain})
+		r.setHomes(s, homes[s.Name])
+	}
+	r.count(states)
+}
+
+func (r *roster) selfLocked() placement.Host {
+	h := placement.Host{
+		ID: r.d.node.ID(), Domain: r.d.settings.Domain, Address: r.d.settings.Listen.Callers, PeerAddress: r.d.node.Addr(),
+	}
+	if r.leaving {
+		h.Condition = placement.Leaving
+	}
+	return h
+}
+
+func homesPerDomain(s *blackboard.Service) int {
+	if n := s.Document().Homes.PerDomain; n > 0 {
+		return n
+	}
+	return 1 + s.Slots()/slotsPerHome
+}
+
+func relaysOf(hosts []placement.Host) map[string][]confsync.Peer {
+	out := map[string][]confsync.Peer{}
+	for _, h := range hosts {
+		if _, done := out[h.Domain]; done {
+			continue
+		}
+		out[h.Domain] = []confsync.Peer{}
+		for _, relay := range placement.Relays(h.Domain, hosts, relaysPerDomain) {
+			out[h.Domain] = append(out[h.Domain], confsync.Peer{Address: relay.PeerAddress, Domain: relay.Domain})
 		}
-		r.mu.Lock()
-		r.homes[s.Name] = homes
-		r.mu.Unlock()
-		s.SetHomes(ids)
 	}
+	return out
 }
 
+// setHomes gives a service its homes and logs when this daemon's role changes.
+func (r *roster) setHomes(s *blackboard.Service, homes []placement.Host) {
+	was := s.IsHome()
+	list := make([]routing.Home, len(homes))
+	for i, h := range homes {
+		list[i] = routing.Home{ID: h.ID, Domain: h.Domain}
+	}
+	s.SetHomes(list)
+	if is := s.IsHome(); is != was {
+		r.d.log.Info().Str("service", s.Name).Bool("home", is).Int("homes", len(homes)).Msg("placement: role changed")
+	}
+}
+
+func (r *roster) count(states []membership.HostState) {
+	counts := map[string]int{"alive": 0, "suspect": 0, "dead": 0, "leaving": 0}
+	for _, s := range states {
+		counts[stateName(s)]++
+	}
+	for state, n := range counts {
+		r.d.metrics.Peers.WithLabelValues(state).Set(float64(n))
+	}
+}
+
+func stateName(s membership.HostState) string {
+	if s.Departing {
+		return "leaving"
+	}
+	return s.Liveness.String()
+}
+
+// leave makes this daemon no home and no relay any more, and tells the others.
 func (r *roster) leave() {
+	r.members.Leave()
 	r.mu.Lock()
 	r.leaving = true
 	r.mu.Unlock()
 	r.refresh()
 }
 
+// others returns the homes of a service but this daemon.
 func (r *roster) others(service string) []placement.Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -101,18 +202,28 @@
 	return out
 }
 
-// Homes implements proxy.Directory.
+// Homes implements proxy.Directory: usable homes first, then those of the own
+// failure domain.
 func (r *roster) Homes(service string) []proxy.Peer {
-	var near, far []proxy.Peer
-	for _, h := range r.others(service) {
-		p := proxy.Peer{ID: h.ID, Address: h.PeerAddress, Domain: h.Domain}
-		if h.Domain == r.d.settings.Domain {
-			near = append(near, p)
-		} else {
-			far = append(far, p)
-		}
+	hosts := r.others(service)
+	slices.SortStableFunc(hosts, func(a, b placement.Host) int { return r.cost(a) - r.cost(b) })
+	out := make([]proxy.Peer, len(hosts))
+	for i, h := range hosts {
+		out[i] = proxy.Peer{ID: h.ID, Address: h.PeerAddress, Domain: h.Domain}
 	}
-	return append(near, far...)
+	return out
+}
+
+// cost orders homes for a forwarded request.
+func (r *roster) cost(h placement.Host) int {
+	cost := 0
+	if h.Condition != placement.Usable {
+		cost += 2
+	}
+	if h.Domain != r.d.settings.Domain {
+		cost++
+	}
+	return cost
 }
 
 func (r *roster) reportPeers(service string) []health.Peer {
@@ -123,55 +234,59 @@
 	return out
 }
 
+// syncPeers returns the daemons to exchange documents with. A daemon that knows
+// no other yet uses the seeds of its settings.
 func (r *roster) syncPeers() []confsync.Peer {
+	r.mu.Lock()
+	hosts := r.hosts
+	r.mu.Unlock()
 	var out []confsync.Peer
-	known := map[string]bool{}
-	for _, h := range r.all() {
-		known[h.PeerAddress] = true
-		out = append(out, confsync.Peer{Address: h.PeerAddress, Domain: h.Domain})
+	for _, h := range hosts {
+		if h.Condition != placement.Failed {
+			out = append(out, confsync.Peer{Address: h.PeerAddress, Domain: h.Domain})
+		}
 	}
 	if len(out) > 1 {
 		return out
 	}
 	for _, seed := range r.d.settings.Peers.Seeds {
-		if !known[seed.Address] {
-			out = append(out, confsync.Peer{Address: seed.Address, Domain: seed.Domain})
-		}
+		out = append(out, confsync.Peer{Address: seed.Address, Domain: seed.Domain})
 	}
 	return out
 }
 
 func (r *roster) relays(domain string) []confsync.Peer {
-	var out []confsync.Peer
-	for _, h := range placement.Relays(domain, r.all(), relaysPerDomain) {
-		out = append(out, confsync.Peer{Address: h.PeerAddress, Domain: h.Domain})
-	}
-	return out
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.relaysOf[domain]
 }
 
+// addresses answers a caller's question which addresses to use.
 func (d *Daemon) addresses(q proxy.AddressQuery) (proxy.AddressAnswer, *verdict.Error) {
-	if _, ok := d.board.Service(q.Service); !ok {
+	s, ok := d.board.Service(q.Service)
+	if !ok {
 		return proxy.AddressAnswer{}, verdict.Refuse(404, "unknown-service", "No service has this name.")
 	}
 	d.roster.mu.Lock()
-	homes := d.roster.homes[q.Service]
+	hosts := d.roster.hosts
 	d.roster.mu.Unlock()
-	life := d.settings.Addresses.Lifetime
-	return proxy.AddressAnswer{
-		Service: q.Service, LifetimeMs: life.Milliseconds(),
-		Addresses: placement.Addresses(placement.Query{Service: q.Service, Domain: q.Domain, Caller: q.Caller, Failed: q.Failed}, homes),
-	}, nil
+	a := placement.Addresses(placement.Query{
+		Service: q.Service, Domain: q.Domain, Caller: q.Caller, Failed: q.Failed, Now: time.Now(),
+	}, hosts, homesPerDomain(s))
+	scale := float64(d.settings.Addresses.Lifetime) / float64(referenceLifetime)
+	lifetime := time.Duration(float64(a.Lifetime) * scale)
+	return proxy.AddressAnswer{Service: q.Service, Addresses: a.Addresses, LifetimeMs: lifetime.Milliseconds()}, nil
 }
 
 // Daemons implements admin.Fleet.
 func (d *Daemon) Daemons() []admin.Daemon {
-	var out []admin.Daemon
-	for _, h := range d.roster.all() {
-		state := "live"
-		if h.Leaving {
-			state = "leaving"
-		}
-		out = append(out, admin.Daemon{ID: h.ID, Domain: h.Domain, Address: h.Address, State: state})
+	states, _ := d.roster.members.Hosts()
+	d.roster.mu.Lock()
+	self := d.roster.selfLocked()
+	d.roster.mu.Unlock()
+	out := []admin.Daemon{{ID: self.ID, Domain: self.Domain, Address: self.Address, State: "self"}}
+	for _, s := range states {
+		out = append(out, admin.Daemon{ID: s.ID, Domain: s.Domain, Address: s.Address, State: stateName(s)})
 	}
 	return out
 }
--- a/pkg/health/probe.go
+++ b/pkg/health/probe.go
@@ -77,8 +77,14 @@
 // bad path is told from a single lost dial without waiting for requests.
 func (c *Controller) redial(ctx context.Context, s *blackboard.Service) {
 	timeout := s.Document().Timeouts.Connect
-	for _, u := range s.Redials() {
+	for _, r := range s.Redials() {
+		u := r.Upstream
 		c.background(func() {
+			select {
+			case <-time.After(r.After):
+			case <-ctx.Done():
+				return
+			}
 			dialer := net.Dialer{Timeout: timeout}
 			conn, err := dialer.DialContext(ctx, "tcp", u.Address)
 			kind := detector.Unreachable
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -21,6 +21,10 @@
 // cost a caller more time than serving the request right here.
 const forwardTries = 3
 
+// forwardMargin is how much earlier than here a forwarded request ends at the
+// home, so that the home's own verdict arrives before the time is over.
+const forwardMargin = 20 * time.Millisecond
+
 // forwardToHome passes the request to a home. sent is false if no home could
 // be reached, so that this daemon serves the request itself.
 func (p *Proxy) forwardToHome(ctx context.Context, service *blackboard.Service, in *Incoming) (answer *Answer, sent bool) {
@@ -68,7 +72,7 @@
 	passed := *in
 	passed.Service, passed.Hops = service.Name, in.Hops+1
 	passed.Poison = service.AboutPoison(time.Now(), in.fingerprint(service.Name))
-	answer, err := p.Forwarder.Forward(ctx, home, &passed, time.Until(deadlineOf(ctx)))
+	answer, err := p.Forwarder.Forward(ctx, home, &passed, time.Until(deadlineOf(ctx))-forwardMargin)
 	result := "answered"
 	switch {
 	case errors.Is(err, ErrNotSent):
