Add membership by probes, suspicion and rumours

Every daemon needs a view of the others for routing that costs the same in a fleet of 1,600 as in one of 36.

--- /dev/null
+++ b/pkg/membership/membership_test.go
@@ -0,0 +1,357 @@
+package membership_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"shallotglade/internal/fleetsim"
+	"shallotglade/internal/testkit"
+	"shallotglade/pkg/membership"
+	"shallotglade/pkg/platform"
+)
+
+func TestMembership(t *testing.T) { testkit.RunSpecs(t, "membership") }
+
+// detectionBound is how many periods after a kill every other daemon of a fleet
+// of up to 100 marks the daemon dead.
+const detectionBound = 24 * time.Second
+
+// views lists what the live daemons think of d.
+func views(s *fleetsim.Sim, d *fleetsim.Daemon, want func(membership.State, bool) bool) (wrong []string) {
+	for _, other := range s.Daemons {
+		if other.Dead || other == d {
+			continue
+		}
+		if state, _, known := other.Node.StateOf(d.Key); !want(state, known) {
+			wrong = append(wrong, other.Member.ID+" thinks "+state.String())
+		}
+	}
+	return wrong
+}
+
+func isAlive(s membership.State, known bool) bool    { return known && s == membership.Alive }
+func notDead(s membership.State, known bool) bool    { return known && s != membership.Dead }
+func deadOrGone(s membership.State, known bool) bool { return !known || s == membership.Dead }
+
+func runProperty(property func(t *rapid.T, s *fleetsim.Sim)) {
+	testkit.Check(GinkgoT(), func(t *rapid.T) {
+		s := fleetsim.New(rapid.Uint64().Draw(t, "seed"))
+		s.Start(rapid.IntRange(4, 24).Draw(t, "daemons"), 3)
+		s.Publish(0)
+		s.Run(10 * time.Second)
+		property(t, s)
+	})
+}
+
+// settled fails unless every live daemon thinks that exactly the live ones are
+// alive.
+func settled(t *rapid.T, s *fleetsim.Sim) {
+	for _, d := range s.Daemons {
+		want := isAlive
+		if d.Dead {
+			want = deadOrGone
+		}
+		if wrong := views(s, d, want); len(wrong) > 0 {
+			t.Fatalf("%s (dead: %v): %v", d.Member.ID, d.Dead, wrong)
+		}
+	}
+}
+
+func pick(t *rapid.T, s *fleetsim.Sim, label string) *fleetsim.Daemon {
+	return s.Daemons[rapid.IntRange(0, len(s.Daemons)-1).Draw(t, label)]
+}
+
+var _ = Describe("View", func() {
+	// Guards against requests forwarded to killed daemons for long, with a
+	// roster that still lists them.
+	It("marks killed daemons dead at every other one within the bound", func() {
+		runProperty(func(t *rapid.T, s *fleetsim.Sim) {
+			s.Loss = 0.01
+			pick(t, s, "first").Dead = true
+			pick(t, s, "second").Dead = true
+			s.Run(detectionBound)
+			for _, d := range s.Daemons {
+				if d.Dead {
+					if wrong := views(s, d, deadOrGone); len(wrong) > 0 {
+						t.Fatalf("%s after %v: %v", d.Member.ID, detectionBound, wrong)
+					}
+				}
+			}
+			s.Publish(0)
+			s.Run(80 * time.Second)
+			settled(t, s)
+		})
+	})
+
+	// Guards against asymmetric partitions: a daemon that a minority cannot
+	// reach, or that cannot reach a minority, stays in service.
+	It("never marks a daemon dead because of one-way cuts from a minority", func() {
+		runProperty(func(t *rapid.T, s *fleetsim.Sim) {
+			victim := pick(t, s, "victim")
+			out := rapid.Bool().Draw(t, "outbound")
+			n := len(s.Daemons)
+			minority := map[*fleetsim.Daemon]bool{}
+			for range rapid.IntRange(1, max(n/3, 1)).Draw(t, "minority") {
+				minority[pick(t, s, "member")] = true
+			}
+			s.Cut = func(from, to *fleetsim.Daemon) bool {
+				if out {
+					return from == victim && minority[to]
+				}
+				return to == victim && minority[from]
+			}
+			s.Loss = 0.01
+			for range 60 {
+				s.Run(time.Second)
+				if wrong := views(s, victim, notDead); len(wrong) > 0 {
+					t.Fatalf("minority of %d in %d: %v", len(minority), n, wrong)
+				}
+			}
+		})
+	})
+
+	// Guards against a paused daemon that declares everyone else dead when it
+	// resumes, and against one that stays dead in the view of others.
+	It("recovers from pauses and partitions", func() {
+		runProperty(func(t *rapid.T, s *fleetsim.Sim) {
+			paused := pick(t, s, "paused")
+			paused.FrozenUntil = s.Now().Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "pause")) * time.Second)
+			for _, d := range s.Daemons {
+				at := max(paused.FrozenUntil.Sub(s.Now()), 0)
+				s.Run(at)
+				s.Run(time.Second)
+				if state, _, _ := paused.Node.StateOf(d.Key); d != paused && state == membership.Dead {
+					t.Fatalf("the resumed daemon thinks %s is dead", d.Member.ID)
+				}
+			}
+			side := rapid.IntRange(1, len(s.Daemons)-1).Draw(t, "side")
+			isLeft := map[*fleetsim.Daemon]bool{}
+			for _, d := range s.Daemons[:side] {
+				isLeft[d] = true
+			}
+			s.Cut = func(from, to *fleetsim.Daemon) bool { return isLeft[from] != isLeft[to] }
+			s.Run(40 * time.Second)
+			s.Cut = nil
+			s.Run(120 * time.Second)
+			settled(t, s)
+		})
+	})
+
+	// Guards against suspicions that run out while this process is frozen: the
+	// refutations were lost meanwhile.
+	It("gives suspects their time again after an own pause", func() {
+		now := time.Unix(0, 0)
+		rng := rand.New(rand.NewPCG(testkit.Seed, 0))
+		view := membership.NewView(platform.Member{ID: "self"}, now, membership.DefaultParams())
+		var roster []platform.Member
+		for _, id := range []string{"a", "b", "c", "x"} {
+			roster = append(roster, platform.Member{ID: id, Role: platform.RoleDaemon, PeerAddress: id})
+		}
+		view.SetRoster(now, roster)
+		x := membership.KeyOf("x")
+		state := func() membership.State { s, _, _ := view.StateOf(x); return s }
+		step := func(d time.Duration) { // everyone but x answers
+			now = now.Add(d)
+			for _, m := range view.Tick(now, rng) {
+				if m.Kind == membership.Ping && m.To != "x" {
+					view.Receive(now, membership.Message{Kind: membership.Ack, Seq: m.Seq, From: m.To})
+				}
+			}
+		}
+		for i := 0; state() != membership.Suspect; i++ {
+			Expect(i).To(BeNumerically("<", 200))
+			step(200 * time.Millisecond)
+		}
+		step(time.Minute)
+		Expect(view.Counters().Pauses).To(BeEquivalentTo(1))
+		for range 20 {
+			Expect(state()).To(Equal(membership.Suspect))
+			step(200 * time.Millisecond)
+		}
+		for range 50 {
+			step(200 * time.Millisecond)
+		}
+		Expect(state()).To(Equal(membership.Dead))
+	})
+
+	// Guards against a daemon that is useless until the roster lists it, and
+	// against dead or removed daemons that stay for ever.
+	It("follows restarts while the roster lags", func() {
+		runProperty(func(t *rapid.T, s *fleetsim.Sim) {
+			old := pick(t, s, "replaced")
+			old.Dead = true
+			started := s.Start(1, 3)[0]
+			var roster []platform.Member
+			for _, d := range s.Daemons {
+				roster = append(roster, d.Member) // lists the dead daemon too
+			}
+			started.Node.SetRoster(s.Now(), roster)
+			s.Run(detectionBound)
+			if wrong := views(s, old, deadOrGone); len(wrong) > 0 {
+				t.Fatal(wrong)
+			}
+			met := 0
+			for _, d := range s.Daemons {
+				if _, _, known := d.Node.StateOf(started.Key); known {
+					met++
+				}
+			}
+			if met == 0 {
+				t.Fatal("nobody has met the new daemon")
+			}
+			s.Publish(20 * time.Second)
+			s.Run(140 * time.Second)
+			settled(t, s)
+			for _, d := range s.Daemons {
+				if _, _, known := d.Node.StateOf(old.Key); !d.Dead && known {
+					t.Fatalf("%s still keeps the replaced daemon", d.Member.ID)
+				}
+			}
+		})
+	})
+
+	It("keeps the last roster when the platform shows nobody", func() {
+		s := fleetsim.New(testkit.Seed)
+		s.Start(5, 1)
+		s.Publish(0)
+		s.Run(time.Second)
+		for _, d := range s.Daemons {
+			d.Node.SetRoster(s.Now(), nil)
+			d.Node.SetRoster(s.Now(), []platform.Member{d.Member})
+		}
+		s.Run(3 * time.Minute)
+		for _, d := range s.Daemons {
+			Expect(views(s, d, isAlive)).To(BeEmpty())
+		}
+	})
+
+	// Guards against new work at a daemon that is leaving (target 2 s is met by
+	// the drain controller; rumours bring it everywhere).
+	It("spreads that a daemon is leaving", func() {
+		s := fleetsim.New(testkit.Seed)
+		s.Start(100, 5)
+		s.Publish(0)
+		s.Run(10 * time.Second)
+		s.Daemons[3].Node.(*membership.View).Leave()
+		s.Run(10 * time.Second)
+		for _, d := range s.Daemons {
+			for _, h := range d.Node.(*membership.View).Hosts() {
+				Expect(h.Departing).To(Equal(h.ID == s.Daemons[3].Member.ID), d.Member.ID)
+				Expect(h.Liveness).To(Equal(membership.Alive))
+			}
+		}
+	})
+
+	// Guards against a cost that grows with the fleet, and shows what probing
+	// brings over heartbeats to all.
+	It("costs the same at 30 and 300 daemons, unlike heartbeats to all", func() {
+		rate := func(n int, naive bool) float64 {
+			s := fleetsim.New(testkit.Seed)
+			if naive {
+				s.New = newHeartbeats
+			}
+			s.Start(n, 5)
+			s.Publish(0)
+			s.Run(20 * time.Second)
+			total := 0
+			for _, d := range s.Daemons {
+				total += d.Messages
+			}
+			return float64(total) / float64(n) / 20
+		}
+		Expect(rate(300, false)).To(BeNumerically("~", rate(30, false), 0.2))
+		Expect(rate(300, false)).To(BeNumerically("<", 2.5))
+		Expect(rate(300, true)).To(BeNumerically(">", 250))
+
+		oneWayCut := func(naive bool) (dead bool) {
+			s := fleetsim.New(testkit.Seed)
+			if naive {
+				s.New = newHeartbeats
+			}
+			s.Start(30, 5)
+			s.Publish(0)
+			s.Run(10 * time.Second)
+			s.Cut = func(from, to *fleetsim.Daemon) bool { return from == s.Daemons[0] && to == s.Daemons[1] }
+			s.Run(30 * time.Second)
+			return len(views(s, s.Daemons[0], notDead)) > 0
+		}
+		Expect(oneWayCut(false)).To(BeFalse())
+		Expect(oneWayCut(true)).To(BeTrue())
+	})
+
+	It("takes evidence of the request path and tells a bad path from a dead host", func() {
+		s := fleetsim.New(testkit.Seed)
+		s.Start(10, 1)
+		s.Publish(0)
+		s.Run(5 * time.Second)
+		a, b := s.Daemons[0], s.Daemons[1]
+		view := a.Node.(*membership.View)
+		s.Cut = func(from, to *fleetsim.Daemon) bool { return from == a && to == b }
+		view.Observe(s.Now(), b.Member.ID, false)
+		s.Run(10 * time.Second)
+		state, pathBad, _ := view.StateOf(b.Key)
+		Expect(state).To(Equal(membership.Alive))
+		Expect(pathBad).To(BeTrue())
+		s.Cut = nil
+		s.Run(40 * time.Second)
+		_, pathBad, _ = view.StateOf(b.Key)
+		Expect(pathBad).To(BeFalse())
+	})
+})
+
+// heartbeats is the naive membership: a message to everyone each second, dead
+// after 5 s of silence.
+type heartbeats struct {
+	self  platform.Member
+	next  time.Time
+	heard map[uint64]time.Time
+	to    []platform.Member
+}
+
+func newHeartbeats(self platform.Member, now time.Time) fleetsim.Stepper {
+	return &heartbeats{self: self, next: now, heard: map[uint64]time.Time{}}
+}
+
+func (h *heartbeats) SetRoster(now time.Time, members []platform.Member) {
+	h.to = slices.Clone(members)
+	for _, m := range members {
+		h.heard[membership.KeyOf(m.ID)] = now
+	}
+}
+
+func (h *heartbeats) Tick(now time.Time, _ *rand.Rand) (out []membership.Message) {
+	if now.Before(h.next) {
+		return nil
+	}
+	h.next = now.Add(time.Second)
+	for _, m := range h.to {
+		if m.ID != h.self.ID {
+			out = append(out, membership.Message{To: m.PeerAddress, Kind: membership.Ping, From: h.self.ID})
+		}
+	}
+	for key, at := range h.heard {
+		if now.Sub(at) > 5*time.Second {
+			h.heard[key] = time.Time{}
+		}
+	}
+	return out
+}
+
+func (h *heartbeats) Receive(now time.Time, m membership.Message) []membership.Message {
+	h.heard[membership.KeyOf(m.From)] = now
+	return nil
+}
+
+func (h *heartbeats) StateOf(key uint64) (membership.State, bool, bool) {
+	at, known := h.heard[key]
+	if known && at.IsZero() {
+		return membership.Dead, false, true
+	}
+	return membership.Alive, false, known
+}
--- /dev/null
+++ b/pkg/membership/message.go
@@ -0,0 +1,106 @@
+package membership
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Kind is the purpose of a Message.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	// Ping asks for an Ack.
+	Ping Kind = iota + 1
+	// Ack answers a Ping, or a PingReq once its Target has answered.
+	Ack
+	// PingReq asks the receiver to ping Target.
+	PingReq
+)
+
+// Bounds of a message. MaxEntries entries of about 14 bytes and the sender fit
+// into one packet of 1,200 bytes.
+const (
+	MaxEntries = 48
+	// refreshEntries is how many entries beyond new rumours a message carries.
+	// They repair what lost rumours left different between daemons.
+	refreshEntries = 8
+	maxMessage     = 16 << 10
+)
+
+// Message is what daemons exchange.
+type Message struct {
+	_ struct{} `cbor:",toarray"`
+	// To is the peer address of the receiver; it is not encoded.
+	To   string `cbor:"-"`
+	Kind Kind
+	// Seq pairs an Ack with its Ping or PingReq.
+	Seq uint64
+	// From is the host id of the sender.
+	From        string
+	Incarnation uint32
+	Leaving     bool
+	// Contact is set in a Ping, for receivers whose roster lags.
+	Contact *Contact
+	// Target is the key of the host of a PingReq, and of its Ack.
+	Target  uint64
+	Entries []Entry
+}
+
+// Contact is where the sender of a Ping can be reached.
+type Contact struct {
+	_                                    struct{} `cbor:",toarray"`
+	Region, Domain, Address, PeerAddress string
+}
+
+// Entry is a rumour about one host.
+type Entry struct {
+	_ struct{} `cbor:",toarray"`
+	// Key is the KeyOf the host id.
+	Key         uint64
+	State       State
+	Incarnation uint32
+	Leaving     bool
+}
+
+// KeyOf returns the short form of a host id. With 1,600 hosts two ids share a
+// key with a probability below 1e-13.
+func KeyOf(id string) uint64 { return xxhash.Sum64String(id) }
+
+var decoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels: 4, MaxArrayElements: 256, MaxMapPairs: 16,
+		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// Encode returns the message in CBOR.
+func (m Message) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(m)
+	return data, errors.Wrap(err, "membership: encode")
+}
+
+// Decode returns the message of data and checks its bounds.
+func Decode(data []byte) (Message, error) {
+	if len(data) > maxMessage {
+		return Message{}, errors.Newf("membership: message of %d bytes", len(data))
+	}
+	var m Message
+	if err := decoder.Unmarshal(data, &m); err != nil {
+		return Message{}, errors.Wrap(err, "membership: decode")
+	}
+	if m.Kind < Ping || m.Kind > PingReq || m.From == "" || len(m.Entries) > MaxEntries {
+		return Message{}, errors.Newf("membership: message of kind %d with %d entries", m.Kind, len(m.Entries))
+	}
+	for _, e := range m.Entries {
+		if e.State > Dead {
+			return Message{}, errors.Newf("membership: unknown state %d", e.State)
+		}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/pkg/membership/view.go
@@ -0,0 +1,334 @@
+package membership
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"shallotglade/pkg/platform"
+)
+
+// View is one daemon's view of the others. It is not safe for concurrent use.
+type View struct {
+	params      Params
+	self        platform.Member
+	key         uint64
+	incarnation uint32
+	leaving     bool
+	start       time.Time
+	now         time.Duration
+	hosts       map[uint64]*host
+	// order holds the keys of hosts, sorted, for runs that can be repeated.
+	order []uint64
+	// suspects and notable hold keys; entries that no longer apply are removed
+	// when they are met.
+	suspects []uint64
+	notable  []uint64
+	cursor   int
+	rumours  rumours
+	partners []uint64
+	// stale asks for new partners before the next probe.
+	stale   bool
+	turn    int
+	probes  []probe
+	relays  []relay
+	urgent  []uint64
+	nextSeq uint64
+	// nextProbe and nextForget are when these are due; nobody is suspected
+	// before graceUntil.
+	nextProbe, nextForget, graceUntil time.Duration
+	lastTick, lastHeard               time.Duration
+	version                           uint64
+	counters                          Counters
+	changes                           []Change
+}
+
+// Change is a change of the agreed state of a host.
+type Change struct {
+	ID   string
+	From State
+	To   State
+	// Own is set when this daemon's own probe raised the suspicion.
+	Own bool
+}
+
+// maxChanges bounds the changes that wait for Changes; later ones are dropped.
+const maxChanges = 256
+
+// Counters are totals of a View.
+type Counters struct {
+	Probes, IndirectProbes, Suspicions, Deaths, Refutations, Pauses uint64
+}
+
+// NewView returns the view of the daemon self, which knows nobody yet.
+func NewView(self platform.Member, now time.Time, params Params) *View {
+	return &View{
+		params: params, self: self, key: KeyOf(self.ID), start: now, hosts: map[uint64]*host{},
+		rumours: rumours{left: map[uint64]int{}}, stale: true, version: 1,
+	}
+}
+
+// Version grows with every change that Hosts shows, except the end of PathBad.
+func (v *View) Version() uint64 { return v.version }
+
+// Counters returns the totals.
+func (v *View) Counters() Counters { return v.counters }
+
+// Hosts returns all known daemons but the own one, in a fixed order.
+func (v *View) Hosts() []HostState {
+	list := make([]HostState, 0, len(v.order))
+	for _, key := range v.order {
+		h := v.hosts[key]
+		list = append(list, HostState{
+			Member: *h.member, Liveness: h.state, PathBad: h.badUntil > v.now,
+			Departing: h.leaving, Listed: h.listed, Incarnation: h.incarnation,
+		})
+	}
+	return list
+}
+
+// StateOf returns the state of the host with the key, false if it is unknown.
+func (v *View) StateOf(key uint64) (state State, pathBad, known bool) {
+	h := v.hosts[key]
+	if h == nil {
+		return Alive, false, false
+	}
+	return h.state, h.badUntil > v.now, true
+}
+
+// Isolated tells whether no message has arrived for some periods although
+// others are known: the failed probes then say nothing about them.
+func (v *View) Isolated() bool {
+	return len(v.order) > 0 && v.now-v.lastHeard > isolationPeriods*v.params.Period
+}
+
+// SetRoster takes the platform's membership list. The view keeps pointers into
+// it; it must not be changed afterwards. Hosts missing from it are forgotten
+// after Params.Forget. A list without any other daemon is ignored when others
+// were listed: it is more likely a fault of the platform than the truth.
+func (v *View) SetRoster(now time.Time, members []platform.Member) {
+	v.advance(now)
+	listed := map[uint64]bool{}
+	for i := range members {
+		m := &members[i]
+		key := KeyOf(m.ID)
+		if m.Role != platform.RoleDaemon || key == v.key {
+			continue
+		}
+		listed[key] = true
+	}
+	if len(listed) == 0 && len(v.order) > 0 {
+		return
+	}
+	for i := range members {
+		if key := KeyOf(members[i].ID); listed[key] {
+			v.list(key, &members[i])
+		}
+	}
+	for _, key := range v.order {
+		if h := v.hosts[key]; h.listed && !listed[key] {
+			h.listed, h.unlisted = false, v.now
+		}
+	}
+	v.version++
+}
+
+func (v *View) list(key uint64, m *platform.Member) {
+	h := v.hosts[key]
+	if h == nil {
+		h = v.add(key, m)
+	}
+	h.member, h.listed = m, true
+	if m.State == platform.Leaving && !h.leaving {
+		h.leaving = true
+		v.announce(h)
+	}
+}
+
+func (v *View) add(key uint64, m *platform.Member) *host {
+	h := &host{key: key, member: m}
+	v.hosts[key] = h
+	i, _ := slices.BinarySearch(v.order, key)
+	v.order = slices.Insert(v.order, i, key)
+	v.stale = true
+	v.version++
+	return h
+}
+
+// forget drops the hosts that have been outside the roster for too long.
+func (v *View) forget() {
+	v.order = slices.DeleteFunc(v.order, func(key uint64) bool {
+		h := v.hosts[key]
+		gone := !h.listed && v.now-h.unlisted > v.params.Forget
+		if gone {
+			delete(v.hosts, key)
+			v.stale = true
+			v.version++
+		}
+		return gone
+	})
+}
+
+// Leave announces that this daemon is leaving. It cannot be taken back.
+func (v *View) Leave() {
+	if !v.leaving {
+		v.leaving = true
+		v.incarnation++
+		v.rumours.add(v.key, v.sends())
+	}
+}
+
+// Observe takes evidence of the request path about a host: whether it could be
+// reached. An unreachable host is probed at the next tick.
+func (v *View) Observe(now time.Time, id string, reachable bool) {
+	v.advance(now)
+	h := v.hosts[KeyOf(id)]
+	switch {
+	case h == nil:
+	case reachable:
+		v.heardFrom(h)
+		v.reached(h)
+	default:
+		v.setPathBad(h)
+		if len(v.urgent) < maxPending && !slices.Contains(v.urgent, h.key) {
+			v.urgent = append(v.urgent, h.key)
+		}
+	}
+}
+
+// advance sets the time of the view, which never goes back.
+func (v *View) advance(now time.Time) { v.now = max(v.now, now.Sub(v.start)) }
+
+func (v *View) heardFrom(h *host) {
+	h.heard = v.now
+	v.lastHeard = v.now
+}
+
+func (v *View) reached(h *host) {
+	if h.badUntil > v.now {
+		v.version++
+	}
+	h.badUntil = 0
+}
+
+func (v *View) setPathBad(h *host) {
+	if h.badUntil <= v.now {
+		v.version++
+	}
+	h.badUntil = v.now + v.params.PathBad
+}
+
+// announce spreads the present state of the host.
+func (v *View) announce(h *host) {
+	if h.notable() && !h.noted {
+		h.noted = true
+		v.notable = append(v.notable, h.key)
+	}
+	v.rumours.add(h.key, v.sends())
+	v.version++
+}
+
+// sends is how often a rumour is passed on.
+func (v *View) sends() int {
+	return sendFactor * int(math.Ceil(math.Log10(float64(len(v.order)+2))))
+}
+
+// apply takes a rumour.
+func (v *View) apply(e Entry) {
+	if e.Key == v.key {
+		v.refute(e)
+		return
+	}
+	h := v.hosts[e.Key]
+	if h == nil {
+		return
+	}
+	newer := e.Incarnation > h.incarnation || e.Incarnation == h.incarnation && e.State > h.state
+	if newer {
+		v.setState(h, e.State, e.Incarnation)
+	}
+	if e.Leaving && !h.leaving {
+		h.leaving = true
+		newer = true
+	}
+	if newer {
+		v.announce(h)
+	}
+}
+
+// refute answers a suspicion about this daemon with a higher incarnation.
+func (v *View) refute(e Entry) {
+	if e.State != Alive && e.Incarnation >= v.incarnation {
+		v.incarnation = e.Incarnation + 1
+		v.counters.Refutations++
+		v.rumours.add(v.key, v.sends())
+	}
+}
+
+func (v *View) setState(h *host, s State, incarnation uint32) {
+	if s == Suspect && h.state != Suspect {
+		v.suspects = append(v.suspects, h.key)
+	}
+	if (s == Dead) != (h.state == Dead) {
+		v.stale = true
+	}
+	if s == Suspect {
+		h.suspected = v.now
+	}
+	if s != h.state && len(v.changes) < maxChanges {
+		v.changes = append(v.changes, Change{ID: h.member.ID, From: h.state, To: s})
+	}
+	h.accuser = false
+	h.state, h.incarnation = s, incarnation
+}
+
+// Changes returns the changes since the last call, for the log.
+func (v *View) Changes() []Change {
+	changes := v.changes
+	v.changes = nil
+	return changes
+}
+
+// entries returns what a message to the host carries: first what concerns the
+// receiver and the target, then new rumours, then a few known entries.
+func (v *View) entries(first ...uint64) []Entry {
+	list := make([]Entry, 0, 2+refreshEntries)
+	put := func(key uint64) {
+		if key == v.key {
+			list = append(list, Entry{Key: key, Incarnation: v.incarnation, Leaving: v.leaving})
+		} else if h := v.hosts[key]; h != nil && h.notable() &&
+			!slices.ContainsFunc(list, func(e Entry) bool { return e.Key == key }) {
+			list = append(list, h.entry())
+		}
+	}
+	for _, key := range first {
+		put(key)
+	}
+	for range min(v.rumours.len(), MaxEntries-refreshEntries-len(list)) {
+		put(v.rumours.next())
+	}
+	for i := 0; i < refreshEntries && len(v.notable) > 0; i++ {
+		v.cursor = (v.cursor + 1) % len(v.notable)
+		key := v.notable[v.cursor]
+		if v.hosts[key] == nil {
+			v.notable = slices.Delete(v.notable, v.cursor, v.cursor+1)
+			continue
+		}
+		put(key)
+	}
+	return list
+}
+
+// pick returns a random key of the hosts that ok accepts. It tries a bounded
+// number of times and returns false when it found none.
+func (v *View) pick(rng *rand.Rand, ok func(*host) bool) (uint64, bool) {
+	const tries = 16
+	for range min(tries, tries*len(v.order)) {
+		key := v.order[rng.IntN(len(v.order))]
+		if ok(v.hosts[key]) {
+			return key, true
+		}
+	}
+	return 0, false
+}
