Take zero queue limits for the defaults and mend the invariant test

A policy without MaxQueue or MaxWait refused all that had to wait. Change: the test requires Cancel to succeed for every ticket that it counts as waiting, which is stricter; Policy takes its defaults.

--- a/pkg/limits/policy.go
+++ b/pkg/limits/policy.go
@@ -32,9 +32,10 @@
 	// Default applies to callers that are not in Callers.
 	Default CallerPolicy
 	Callers map[string]CallerPolicy
-	// MaxQueue limits the waiting requests.
+	// MaxQueue limits the waiting requests; zero means DefaultMaxQueue.
 	MaxQueue int
-	// MaxWait limits the waiting time of every request.
+	// MaxWait limits the waiting time of every request; zero means
+	// DefaultMaxWait.
 	MaxWait time.Duration
 }
 
@@ -43,6 +44,16 @@
 	return Policy{MaxQueue: DefaultMaxQueue, MaxWait: DefaultMaxWait}
 }
 
+func (p Policy) withDefaults() Policy {
+	if p.MaxQueue <= 0 {
+		p.MaxQueue = DefaultMaxQueue
+	}
+	if p.MaxWait <= 0 {
+		p.MaxWait = DefaultMaxWait
+	}
+	return p
+}
+
 func (p *Policy) of(caller string) CallerPolicy {
 	c, ok := p.Callers[caller]
 	if !ok {
--- a/pkg/limits/property_test.go
+++ b/pkg/limits/property_test.go
@@ -197,8 +197,9 @@
 				case 4:
 					if ids := keys(waiting); len(ids) > 0 {
 						x := waiting[rapid.SampledFrom(ids).Draw(t, "cancel")]
-						q.Expire(now)
-						q.Cancel(x)
+						if !q.Cancel(x) {
+							t.Fatalf("ticket %v waits and can't be cancelled", x)
+						}
 						delete(waiting, x.ID)
 					}
 				default:
--- a/pkg/limits/queue.go
+++ b/pkg/limits/queue.go
@@ -58,7 +58,7 @@
 // once, see routing.Capacity.
 func NewQueue(p Policy, capacity int) *Queue {
 	return &Queue{
-		policy: p, capacity: capacity, service: DefaultServiceTime,
+		policy: p.withDefaults(), capacity: capacity, service: DefaultServiceTime,
 		callers: map[string]*caller{}, waiting: map[uint64]*waiter{}, running: map[uint64]run{},
 	}
 }
@@ -120,7 +120,7 @@
 
 // SetPolicy changes the limits; waiting and running requests are kept.
 func (q *Queue) SetPolicy(now time.Time, p Policy) []Ticket {
-	q.policy = p
+	q.policy = p.withDefaults()
 	q.weights = 0
 	for _, c := range q.callers {
 		c.refill(now)
