--- a/cmd/shallotctl/service.go
+++ b/cmd/shallotctl/service.go
@@ -246,7 +246,7 @@
 			return o.print(cmd.OutOrStdout(), changes, func() [][]string {
 				rows := [][]string{{"VERSION", "AT", "AUTHOR"}}
 				for _, ch := range changes {
-					rows = append(rows, []string{fmt.Sprint(ch.Version), ch.At.Format(time.RFC3339), ch.Author})
+					rows = append(rows, []string{fmt.Sprint(ch.Version), ch.Time.Format(time.RFC3339), ch.Author})
 				}
 				return rows
 			})
--- a/internal/bench/processes/change.go
+++ b/internal/bench/processes/change.go
@@ -22,10 +22,10 @@
 // nothing wrong and with two daemons frozen or killed each time.
 func (b *bench) change(ctx context.Context) ([]result, error) {
 	f, err := b.start(ctx, "change", changeDaemons, 3)
-	defer f.Close()
 	if err != nil {
 		return nil, err
 	}
+	defer f.Close()
 	var rows []result
 	for _, kills := range []int{0, 1} {
 		took, err := b.changeSeries(ctx, f, kills)
--- a/internal/bench/processes/cost.go
+++ b/internal/bench/processes/cost.go
@@ -44,10 +44,10 @@
 func (b *bench) costOf(ctx context.Context, n int) (result, error) {
 	r := result{Case: fmt.Sprintf("control cost, %d daemons", n)}
 	f, err := b.start(ctx, fmt.Sprintf("cost%d", n), n, costUpstreams)
-	defer f.Close()
 	if err != nil {
 		return r, err
 	}
+	defer f.Close()
 	time.Sleep(settle)
 	calls0, err := f.Counts()
 	if err != nil {
--- a/internal/bench/processes/fleet.go
+++ b/internal/bench/processes/fleet.go
@@ -25,28 +25,36 @@
 		return nil, err
 	}
 	f := fleettest.New(b.bin, dir)
+	if err := fill(ctx, f, daemons, upstreams); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func fill(ctx context.Context, f *fleettest.Fleet, daemons, upstreams int) error {
 	if err := f.StartPlatform(); err != nil {
-		return f, err
+		return err
 	}
 	for i := range upstreams {
 		if _, err := f.StartUpstream(service, fmt.Sprintf("w%d", i), domains[i%3], 6, "--service-time", "10ms"); err != nil {
-			return f, err
+			return err
 		}
 	}
 	for i := range daemons {
 		if _, err := f.StartDaemon(fmt.Sprintf("d%d", i), domains[i%3]); err != nil {
-			return f, err
+			return err
 		}
 	}
 	if err := f.AwaitReady(startLimit); err != nil {
-		return f, err
+		return err
 	}
 	version, err := f.Apply(ctx, "service: "+service+"\nfloor: {share: 75%}\n")
 	if err != nil {
-		return f, err
+		return err
 	}
 	_, err = f.AwaitInForce(ctx, service, version, startLimit)
-	return f, err
+	return err
 }
 
 // load runs callers until stop is called, and returns what they saw.
--- a/internal/bench/processes/loss.go
+++ b/internal/bench/processes/loss.go
@@ -31,10 +31,10 @@
 // rolling replaces every daemon under load, until enough requests were sent.
 func (b *bench) rolling(ctx context.Context) ([]result, error) {
 	f, err := b.start(ctx, "rolling", lossDaemons, lossUpstreams)
-	defer f.Close()
 	if err != nil {
 		return nil, err
 	}
+	defer f.Close()
 	l, stop := load(ctx, f, lossCallers)
 	defer stop()
 	replaced := 0
@@ -75,10 +75,10 @@
 // kill ends the chosen daemons at one moment and looks how long callers notice.
 func (b *bench) kill(ctx context.Context, name string, chosen func(int, *fleettest.Daemon) bool) ([]result, error) {
 	f, err := b.start(ctx, name, lossDaemons, lossUpstreams)
-	defer f.Close()
 	if err != nil {
 		return nil, err
 	}
+	defer f.Close()
 	l, stop := load(ctx, f, lossCallers)
 	defer stop()
 	time.Sleep(3 * time.Second)
--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -10,6 +10,8 @@
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cockroachdb/errors"
+
+	"shallotglade/pkg/history"
 )
 
 // clientTimeout bounds one call, longer than the server's own time limit.
@@ -112,7 +114,7 @@
 }
 
 // History lists earlier versions of a document.
-func (c *Client) History(ctx context.Context, name string) (out []Change, err error) {
+func (c *Client) History(ctx context.Context, name string) (out []history.Entry, err error) {
 	return out, c.call(ctx, "GET", "/v1/services/"+name+"/history", nil, nil, &out)
 }
 
--- a/pkg/admin/documents.go
+++ b/pkg/admin/documents.go
@@ -8,23 +8,20 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pmezard/go-difflib/difflib"
+	"github.com/rs/zerolog"
 
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/document"
+	"shallotglade/pkg/history"
 	"shallotglade/pkg/platform"
 )
 
-// History keeps earlier versions of documents.
-type History interface {
-	Append(ctx context.Context, service string, change Change) error
-	List(ctx context.Context, service string) ([]Change, error)
-}
-
 // Documents changes service documents in the platform.
 type Documents struct {
 	Store   platform.Store
 	Board   *blackboard.Board
-	History History
+	History *history.Log
+	Log     zerolog.Logger
 	// Publish takes over an accepted object for distribution.
 	Publish func(platform.Object)
 	Now     func() time.Time
@@ -64,7 +61,8 @@
 	if parsed.Service != name {
 		return Service{}, &Failure{Status: 422, Reason: ReasonInvalid, Detail: "The document describes service " + parsed.Service + ", not " + name + "."}
 	}
-	if err := d.mayChange(ctx, team, name, parsed); err != nil {
+	before, err := d.mayChange(ctx, team, name, parsed)
+	if err != nil {
 		return Service{}, err
 	}
 	if other, taken := d.routeTaken(parsed); taken {
@@ -82,26 +80,24 @@
 	if err != nil {
 		return Service{}, platformFailure(err)
 	}
-	return d.accepted(ctx, name, o)
+	return d.accepted(ctx, name, o, before)
 }
 
-// mayChange reports whether the team owns the service before and after.
-func (d *Documents) mayChange(ctx context.Context, team, name string, parsed *document.Service) error {
-	if team == AllTeams {
-		return nil
-	}
-	if parsed.Team != team {
-		return &Failure{Status: 403, Reason: ReasonForbidden, Detail: "The key belongs to team " + team + ", the document to team " + parsed.Team + "."}
+// mayChange fails unless the team owns the service before and after. It returns
+// the present document, or the zero Service if there is none.
+func (d *Documents) mayChange(ctx context.Context, team, name string, parsed *document.Service) (Service, error) {
+	if team != AllTeams && parsed.Team != team {
+		return Service{}, &Failure{Status: 403, Reason: ReasonForbidden, Detail: "The key belongs to team " + team + ", the document to team " + parsed.Team + "."}
 	}
 	current, err := d.Get(ctx, name)
 	var f *Failure
 	if errors.As(err, &f) && f.Reason == ReasonNotFound {
-		return nil
+		return Service{}, nil
 	}
 	if err != nil {
-		return err
+		return Service{}, err
 	}
-	return ownedBy(current, team)
+	return current, ownedBy(current, team)
 }
 
 func ownedBy(s Service, team string) error {
@@ -153,14 +149,19 @@
 	}
 }
 
-func (d *Documents) accepted(ctx context.Context, name string, o platform.Object) (Service, error) {
+// accepted publishes a stored change and notes it in the history. A lost line of
+// history does not undo the change; the next change fills it in.
+func (d *Documents) accepted(ctx context.Context, name string, o platform.Object, before Service) (Service, error) {
 	d.Publish(o)
 	s, err := describe(name, o)
-	if err == nil && d.History != nil {
-		// The change is accepted; a lost line of history does not undo it.
-		_ = d.History.Append(ctx, name, Change{Version: s.Version, At: s.At, Author: s.Author, Document: s.Document})
+	if err != nil {
+		return s, err
 	}
-	return s, err
+	entry := history.Entry{Version: s.Version, Time: s.At, Author: s.Author, Document: s.Document, Previous: before.Version}
+	if err := d.History.Append(ctx, name, entry, before.Document); err != nil {
+		d.Log.Warn().Str("service", name).Uint64("version", s.Version).Err(err).Msg("admin: change accepted, its history line not stored")
+	}
+	return s, nil
 }
 
 func (d *Documents) conflict(ctx context.Context, name, yours string) error {
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -17,14 +17,6 @@
 	Document string    `json:"document,omitempty" yaml:"document,omitempty"`
 }
 
-// Change is an earlier version of a document.
-type Change struct {
-	Version  uint64    `json:"version" yaml:"version"`
-	At       time.Time `json:"at" yaml:"at"`
-	Author   string    `json:"author" yaml:"author"`
-	Document string    `json:"document" yaml:"document"`
-}
-
 // DaemonStatus is what one daemon sees of a service, or why it did not say.
 type DaemonStatus struct {
 	Daemon string             `json:"daemon" yaml:"daemon"`
--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -61,18 +61,18 @@
 	// pausedUntil is until when an upstream that has shed a request is left
 	// alone.
 	pausedUntil map[string]time.Time
-	inFlight   *routing.InFlight
-	attempts   map[uint64]*Attempt
-	nextID     uint64
-	budget     *retry.Budget
-	poison     *poison.Tracker
-	rng        *rand.Rand
+	inFlight    *routing.InFlight
+	attempts    map[uint64]*Attempt
+	nextID      uint64
+	budget      *retry.Budget
+	poison      *poison.Tracker
+	rng         *rand.Rand
 }
 
 func newService(d *document.Service, self, domain string) *Service {
 	s := &Service{
 		Name: d.Service, self: self, domain: domain, document: d,
-		left:      map[string]bool{}, pausedUntil: map[string]time.Time{},
+		left: map[string]bool{}, pausedUntil: map[string]time.Time{},
 		group:     detector.NewGroup(detector.TuningFor(d.Detection.Weight)),
 		record:    ejection.Record{Service: d.Service},
 		demotions: map[string]ejection.Demotion{},
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"shallotglade/pkg/claims"
 	"shallotglade/pkg/confsync"
 	"shallotglade/pkg/health"
+	"shallotglade/pkg/history"
 	"shallotglade/pkg/peer"
 	"shallotglade/pkg/platform"
 	"shallotglade/pkg/proxy"
@@ -179,7 +180,7 @@
 	}
 	d.admin = &admin.Server{
 		Documents: &admin.Documents{
-			Store: d.store, Board: d.board, History: newHistory(d.store), Now: time.Now,
+			Store: d.store, Board: d.board, History: &history.Log{Store: d.store}, Log: d.log, Now: time.Now,
 			Publish: func(o platform.Object) { d.replica.Apply(o) },
 		},
 		Fleet: d, Keys: d.settings.Admin.Keys, Registry: d.metrics.Registry, Log: d.log,
