Hold answers of crashed requests until the other homes know; probe on closing connections

Cause: a caller that sends a crashing request again at once could meet a home that had not heard of the crash; an upstream that ends connections may leave. Change: after a crash the report goes to the other homes with an acknowledgement (100 ms at most) before the caller gets its answer; an unrequested connection close asks for a probe.

--- a/internal/bench/processes/loss.go
+++ b/internal/bench/processes/loss.go
@@ -25,6 +25,7 @@
 	r.set("wrong answers", float64(len(l.Wrong)))
 	r.set("may have run", float64(l.MayHaveRun))
 	r.set("not run", float64(l.NotRun))
+	r.set("refused, sent again", float64(l.Refused))
 	return r
 }
 
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -21,6 +21,8 @@
 	Wrong []string
 	// Lost are requests that got no answer at all.
 	Lost []string
+	// Refused counts refusals after which the request was sent again.
+	Refused int
 	// MayHaveRun and NotRun count answers that are no success, by verdict.
 	MayHaveRun, NotRun int
 	// trouble is when the last request that was no success ended.
@@ -36,6 +38,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.Sent++
+	l.Refused += o.Refused
 	l.ByStatus[o.Status]++
 	l.ByUpstream[o.Upstream]++
 	if o.Status != 200 || o.Err != nil {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -148,6 +148,10 @@
 		Send: func(ctx context.Context, to health.Peer, body []byte) error {
 			return d.node.Send(ctx, to.Address, kindSummary, body)
 		},
+		Tell: func(ctx context.Context, to health.Peer, body []byte) error {
+			_, err := d.node.Call(ctx, to.Address, kindSummary, body)
+			return err
+		},
 	}
 	if err := d.health.Provision(); err != nil {
 		return errors.Wrap(err, "health")
@@ -163,6 +167,10 @@
 	d.node.HandleMessage(kindSummary, func(_ context.Context, from peer.Identity, body []byte) {
 		d.health.Receive(body, from.Owns)
 	})
+	d.node.Handle(kindSummary, func(_ context.Context, from peer.Identity, body []byte) ([]byte, error) {
+		d.health.Receive(body, from.Owns)
+		return nil, nil
+	})
 	d.node.Handle(kindStatus, d.handleStatus)
 	return nil
 }
--- a/pkg/health/controller.go
+++ b/pkg/health/controller.go
@@ -44,6 +44,8 @@
 	Homes func(service string) []Peer
 	// Send sends a report, which may be lost.
 	Send func(ctx context.Context, to Peer, body []byte) error
+	// Tell sends a report and returns once the other home has it.
+	Tell func(ctx context.Context, to Peer, body []byte) error
 	// Publish takes over a newer object for distribution.
 	Publish func(platform.Object)
 	Sender  upstream.Sender
@@ -92,6 +94,40 @@
 	}
 }
 
+// tellTimeout is how long a caller's answer waits for the other homes. It is a
+// few times the way between failure domains and back.
+const tellTimeout = 100 * time.Millisecond
+
+// ShareNow implements the request path's notification.
+func (c *Controller) ShareNow(ctx context.Context, s *blackboard.Service) {
+	body, ok := c.encodeReport(s)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, h := range c.Homes(s.Name) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := c.Tell(ctx, h, body); err != nil {
+				c.Log.Debug().Str("service", s.Name).Str("home", h.ID).Err(err).Msg("health: report not acknowledged")
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// Probe implements the request path's notification. An upstream that is probed
+// already is not probed again within a second.
+func (c *Controller) Probe(s *blackboard.Service, u blackboard.Upstream) {
+	if s.Document().Upstreams.HealthPath == "" || !c.probeDue(s.Name+"/"+u.ID, time.Now(), time.Second) {
+		return
+	}
+	c.background(func() { c.probeOne(context.Background(), s, u) })
+}
+
 // Run works until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	tick := time.NewTicker(roundInterval)
@@ -166,14 +202,8 @@
 	if len(homes) == 0 {
 		return
 	}
-	r, said := s.Report(time.Now())
-	if !said {
-		return
-	}
-	r.Home = c.Board.Self()
-	body, err := blackboard.EncodeReport(r)
-	if err != nil {
-		c.Log.Error().Str("service", s.Name).Err(err).Msg("health: report cannot be encoded")
+	body, ok := c.encodeReport(s)
+	if !ok {
 		return
 	}
 	for _, h := range homes {
@@ -187,6 +217,21 @@
 	}
 }
 
+// encodeReport returns this home's report, unless it says nothing.
+func (c *Controller) encodeReport(s *blackboard.Service) ([]byte, bool) {
+	r, said := s.Report(time.Now())
+	if !said {
+		return nil, false
+	}
+	r.Home = c.Board.Self()
+	body, err := blackboard.EncodeReport(r)
+	if err != nil {
+		c.Log.Error().Str("service", s.Name).Err(err).Msg("health: report cannot be encoded")
+		return nil, false
+	}
+	return body, true
+}
+
 // Receive takes the report of another home. owns tells whether the sender may
 // speak for a daemon id.
 func (c *Controller) Receive(body []byte, owns func(id string) bool) {
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -133,7 +133,20 @@
 	if ended.Assess {
 		x.proxy.Notifier.Assess(x.service)
 	}
-	if ended.Share || leaving {
+	x.share(ctx, r.Kind, ended.Share, leaving)
+	if r.Response != nil && r.Response.Closing {
+		x.proxy.Notifier.Probe(x.service, a.Upstream)
+	}
+}
+
+// share tells the other homes what cannot wait. After a crash the answer is held
+// until they know, so that the caller cannot send the request to a home that has
+// not heard of it yet.
+func (x *exchange) share(ctx context.Context, kind upstream.Kind, crashed, leaving bool) {
+	switch {
+	case crashed && kind == upstream.Lost:
+		x.proxy.Notifier.ShareNow(ctx, x.service)
+	case crashed || leaving:
 		x.proxy.Notifier.Share(x.service)
 	}
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -47,6 +47,11 @@
 	Assess(service *blackboard.Service)
 	// Share asks for this home's report to be sent to the other homes.
 	Share(service *blackboard.Service)
+	// ShareNow sends the report and waits until the other homes have it, for a
+	// short time at most.
+	ShareNow(ctx context.Context, service *blackboard.Service)
+	// Probe asks for a probe of an upstream now.
+	Probe(service *blackboard.Service, upstream blackboard.Upstream)
 }
 
 // Proxy is the request path of one daemon. All fields are required.
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -89,6 +89,9 @@
 func (quiet) Assess(*blackboard.Service) {}
 func (quiet) Share(*blackboard.Service)  {}
 
+func (quiet) ShareNow(context.Context, *blackboard.Service)  {}
+func (quiet) Probe(*blackboard.Service, blackboard.Upstream) {}
+
 func newProxy(self, text string, store *memstore.Store, sender upstream.Sender, d *directory) *proxy.Proxy {
 	doc, problems := document.Parse("d", []byte(text))
 	Expect(problems).To(BeEmpty())
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -140,7 +140,9 @@
 		c.close()
 		return Result{Kind: Failure, Verdict: verdict.MayHaveRun, Err: errors.Newf("the answer belongs to request %q", id)}
 	}
-	return judge(copyResponse(resp, body), verdict.Parse(string(resp.Header.Peek(verdict.Header))))
+	response := copyResponse(resp, body)
+	response.Closing = resp.ConnectionClose() && !r.FreshConnection
+	return judge(response, verdict.Parse(string(resp.Header.Peek(verdict.Header))))
 }
 
 // lostOrTruncated tells an answer of which a part arrived from none at all. The
--- a/pkg/upstream/types.go
+++ b/pkg/upstream/types.go
@@ -44,6 +44,9 @@
 	Body    []byte
 	// Leaving means that the upstream announced that it takes no more work.
 	Leaving bool
+	// Closing means that the upstream ends a connection that could have been
+	// kept, which may be a sign that it leaves.
+	Closing bool
 }
 
 // Kind says how an attempt ended, as evidence about the upstream.
