--- a/internal/bench/detection/main.go
+++ b/internal/bench/detection/main.go
@@ -23,6 +23,8 @@
 	Trials int     `json:"trialsPerCell"`
 	Days   float64 `json:"upstreamDaysPerService"`
 	Hours  float64 `json:"hoursOfMisleadingProbes"`
+	// Weight replaces the weights of the deployments if it is not negative.
+	Weight float64 `json:"weight"`
 	json   string
 	plot   string
 }
@@ -33,6 +35,7 @@
 	flag.IntVar(&o.Trials, "trials", 30, "trials per service, fault and detector")
 	flag.Float64Var(&o.Days, "days", 2, "upstream-days of healthy work per service")
 	flag.Float64Var(&o.Hours, "hours", 0.5, "hours of misleading probes with 36 daemons")
+	flag.Float64Var(&o.Weight, "weight", -1, "weight of all services instead of the deployments' weights, 0 to 1")
 	flag.StringVar(&o.json, "json", "", "file for the results as JSON")
 	flag.StringVar(&o.plot, "plot", "", "directory for plots (PNG)")
 	flag.Parse()
@@ -44,6 +47,11 @@
 
 func run(o options) error {
 	begin := time.Now()
+	for i := range services {
+		if o.Weight >= 0 {
+			services[i].Weight = o.Weight
+		}
+	}
 	r := measure(o)
 	r.print(os.Stdout)
 	fmt.Printf("\nseed %d, %d trials per cell, wall time %.0f s\n", o.Seed, o.Trials, time.Since(begin).Seconds())
--- a/internal/bench/detection/report.go
+++ b/internal/bench/detection/report.go
@@ -51,6 +51,9 @@
 	Void int `json:"voidTrials"`
 	// Detected is the share of trials with a detection within 40 s.
 	Detected float64 `json:"detected"`
+	// Ejected is the share of trials in which the upstream was also ejected,
+	// not only demoted.
+	Ejected float64 `json:"ejected"`
 	// P50 and P99 are detection times in seconds; undetected trials count as 40 s.
 	P50 float64 `json:"p50Seconds"`
 	P99 float64 `json:"p99Seconds"`
@@ -93,6 +96,9 @@
 			c.Detected++
 			after = t.after
 		}
+		if t.ejected {
+			c.Ejected += 1 / float64(len(trials))
+		}
 		if t.void {
 			c.Void++
 		} else {
@@ -154,7 +160,7 @@
 			s.Floor, 100*s.Utilisation, s.Median, s.rate(), s.rate()/float64(s.Upstreams*homesPerService),
 			tuning.FalseAlarms, tuning.Threshold)
 	}
-	t.row("\nservice\tfault\tdetector\tdetected\tp50 s\tp99 s\tlost ‰\tlate ‰\tfalse dem./d\tfalse ej./d\toutcomes\tbound\tratio\ttimes faster\n")
+	t.row("\nservice\tfault\tdetector\tdetected\tejected\tp50 s\tp99 s\tlost ‰\tlate ‰\tfalse dem./d\tfalse ej./d\toutcomes\tbound\tratio\ttimes faster\n")
 	for si := range r.Cells {
 		for fi, cells := range r.Cells[si] {
 			for ji, c := range cells {
@@ -179,8 +185,8 @@
 }
 
 func (r *report) printCell(t table, c cell, f fault, cells []cell, ji int) {
-	t.row("%s\t%s\t%s\t%.0f%%\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f", c.Service, c.Fault, c.Detector,
-		100*c.Detected, c.P50, c.P99, c.Lost, c.Late, c.FalseDemotions, c.FalseEjections)
+	t.row("%s\t%s\t%s\t%.0f%%\t%.0f%%\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f", c.Service, c.Fault, c.Detector,
+		100*c.Detected, 100*c.Ejected, c.P50, c.P99, c.Lost, c.Late, c.FalseDemotions, c.FalseEjections)
 	if f.Harmless {
 		t.row("\t-\t-\t-\t-\n")
 		return
--- a/internal/bench/detection/sim.go
+++ b/internal/bench/detection/sim.go
@@ -38,6 +38,8 @@
 	// void trials began with the upstream already excluded by a false alarm.
 	void     bool
 	detected bool
+	// ejected tells that the faulty upstream was also ejected.
+	ejected bool
 	// after is the time from the onset until no home that the fault concerns
 	// gives the upstream ordinary work.
 	after time.Duration
@@ -365,6 +367,7 @@
 		}
 	}
 	c := s.judge.counts()
+	s.trial.ejected = c.ejections[sick] > 0
 	for i := range s.service.Upstreams {
 		if i != sick || s.fault.Harmless {
 			s.trial.falseDemotions += c.demotions[i]
