--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -166,10 +166,18 @@
 		h := newHome(0.8, 4)
 		h.healthyWork(20, "")
 		h.fault(6, Failure, 0)
-		h.observe("u3", Success, h.latency(1))
+		for h.of("u3").Score >= 1 {
+			h.observe("u3", Success, h.latency(1))
+		}
+		Expect(h.of("u3").Condition).To(Equal(Sick), "hysteresis")
+		for h.of("u3").Score >= clearScore {
+			h.observe("u3", Success, h.latency(1))
+		}
+		Expect(h.of("u3").Condition).To(Equal(Healthy), "good work")
+		h.fault(6, Failure, 0)
 		Expect(h.of("u3").Condition).To(Equal(Sick))
 		h.now = h.now.Add(5 * time.Minute)
-		Expect(h.of("u3").Condition).To(Equal(Healthy))
+		Expect(h.of("u3").Condition).To(Equal(Healthy), "time")
 	})
 
 	It("judges anew after Restart and finds a relapse sooner", func() {
@@ -289,6 +297,18 @@
 		Expect(h.of("u3").Condition).To(Equal(Healthy), "contradicted by own work")
 	})
 
+	// Guards against the small evidence that a healthy upstream has at each of
+	// many homes adding up to a judgement.
+	It("ignores the usual noise of many homes", func() {
+		h := newHome(0.8, 18)
+		h.healthyWork(20, "")
+		for i := range 35 {
+			h.Merge(h.now, fmt.Sprint(i), Summary{Reports: []Evidence{{Upstream: "u3", Score: 0.2}}})
+		}
+		h.fault(1, Failure, 0)
+		Expect(h.of("u3").Condition).To(Equal(Healthy))
+	})
+
 	It("stays finite whatever it is given", func() {
 		testkit.Check(GinkgoT(), func(t *rapid.T) {
 			h := newHome(rapid.Float64().Draw(t, "weight"), 11)
