Always forward a pushed object to the daemons listed with it

Cause: with 300 daemons a change took up to 1141 ms. When the pushes of the two relays of a domain crossed, a daemon that had the object from one push did not forward it in the other, and some daemons were left out of both until the next digest comparison. Change: forwarding no longer depends on the object being new; the lists of daemons only get shorter, so no loop arises. The copy held is sent, which may be newer.

--- a/pkg/confsync/push.go
+++ b/pkg/confsync/push.go
@@ -26,7 +26,10 @@
 )
 
 // handleObjects applies pushed objects and passes the new ones on. Objects
-// that are not new are not passed on, which ends every loop.
+// that are not new are not passed on, which ends every loop. Those with a list
+// of daemons to forward to are always passed on: the lists only get shorter, and
+// when the pushes of two relays cross, each would otherwise leave a daemon to
+// the other.
 func (s *Syncer) handleObjects(body []byte) error {
 	var m objectsMessage
 	if err := decode(body, &m); err != nil {
@@ -42,12 +45,14 @@
 		return errors.Wrapf(errMessage, "spread %d", m.Spread)
 	}
 	applied := s.config.Replica.applyAll(m.Objects)
+	if m.Spread == spreadForward {
+		s.pushTree(m.Forward, s.heldCopies(m.Objects))
+		return nil
+	}
 	if len(applied) == 0 {
 		return nil
 	}
 	switch m.Spread {
-	case spreadForward:
-		s.pushTree(m.Forward, applied)
 	case spreadDomain:
 		s.pushDomain(applied)
 	case spreadGossip:
@@ -56,6 +61,15 @@
 	return nil
 }
 
+// heldCopies returns the copies held of the given objects, which may be newer.
+func (s *Syncer) heldCopies(objects []platform.Object) []platform.Object {
+	out := make([]platform.Object, len(objects))
+	for i, o := range objects {
+		out[i], _ = s.config.Replica.held(o.Key)
+	}
+	return out
+}
+
 // pushAll sends objects that came from the platform to the own domain and to
 // one relay of each other domain.
 func (s *Syncer) pushAll(objects []platform.Object) {
