Bound how long Settle waits for a release

Cause: go test -race ./pkg/claims hung once for 10 min (1 of about 20 runs): in the storm test the last sender left the platform down and waited in Settle, which waited as long as its context, for a platform that only came back after it. A request without a deadline would hang through an outage likewise. Change: Settle waits at most Config.ClaimTimeout and then returns ErrDeferred; the release goes on in the background.

--- a/pkg/claims/cells.go
+++ b/pkg/claims/cells.go
@@ -242,6 +242,8 @@
 	if outcome.Verdict == verdict.Ran {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, l.config.ClaimTimeout)
+	defer cancel()
 	select {
 	case a := <-answered:
 		return a.err
--- a/pkg/claims/config.go
+++ b/pkg/claims/config.go
@@ -53,7 +53,8 @@
 	Now func() time.Time
 	// Retention is how long a key is protected; default DefaultRetention.
 	Retention time.Duration
-	// ClaimTimeout bounds Claim in addition to its context; default DefaultClaimTimeout.
+	// ClaimTimeout bounds how long Claim and Settle wait, in addition to their
+	// contexts; default DefaultClaimTimeout.
 	ClaimTimeout time.Duration
 	// CallTimeout bounds each platform call; default DefaultCallTimeout.
 	CallTimeout time.Duration
--- a/pkg/claims/ledger.go
+++ b/pkg/claims/ledger.go
@@ -50,10 +50,10 @@
 	Claim(ctx context.Context, key Key, attempt Attempt) (Result, error)
 	// Settle records the outcome of an attempt that has won; call it exactly
 	// once, after the last dispatch of the attempt has ended. NotRun releases
-	// the key and waits for that, at most until ctx ends. Ran returns at once
-	// and is stored in the background. MayHaveRun writes nothing, because an
-	// unsettled claim means just that. ErrDeferred and ErrNotRecorded leave a
-	// state that is true.
+	// the key and waits for that, at most until ctx ends or for
+	// Config.ClaimTimeout. Ran returns at once and is stored in the
+	// background. MayHaveRun writes nothing, because an unsettled claim means
+	// just that. ErrDeferred and ErrNotRecorded leave a state that is true.
 	Settle(ctx context.Context, key Key, attempt Attempt, outcome Outcome) error
 	// Close refuses new claims and waits until every outcome handed to the
 	// ledger is stored, or until ctx ends; it then returns ErrDeferred.
