Compare digests mostly with peers to which a connection is open

Cause: a comparison with a random peer costs a handshake on both sides; a daemon's processor time grew with the fleet (0.67% of a core at 36 daemons, 1.02% at 100). Change: 7 of 8 comparisons go to the daemons that membership probes anyway.

--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -61,8 +61,8 @@
 	Tries int
 	// Refused is how many of them were refused as not run.
 	Refused int
-	Took  time.Duration
-	Err   error
+	Took    time.Duration
+	Err     error
 }
 
 // Addresses asks which addresses to use for a service.
--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -37,12 +37,22 @@
 	s.checkReady(ctx)
 }
 
-// choosePeer returns a random peer, mostly of the own domain.
+// randomShare is the share of comparisons with any peer instead of a near one,
+// so that near peers that form a group of their own cannot stay behind.
+const randomShare = 1.0 / 8
+
+// choosePeer returns a random peer, mostly one to which a connection is open,
+// else mostly one of the own domain.
 func (s *Syncer) choosePeer() (Peer, bool) {
 	own, other := s.others()
 	if !s.Ready() {
 		return s.chooseBootPeer(append(own, other...))
 	}
+	if s.config.Near != nil && s.float() >= randomShare {
+		if near := s.config.Near(); len(near) > 0 {
+			return near[int(s.float()*float64(len(near)))], true
+		}
+	}
 	from := own
 	share := max(otherDomainShare, 1/float64(len(own)+1))
 	if len(other) > 0 && s.float() < share {
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -54,6 +54,10 @@
 	// Peers returns the daemons that are believed to be alive; Self may be
 	// among them.
 	Peers func() []Peer
+	// Near returns peers to which connections are open anyway. Most comparisons
+	// go to them, since a new connection costs a handshake on both sides; nil
+	// means none.
+	Near func() []Peer
 	// Relays returns the relays of a domain, the preferred first.
 	Relays func(domain string) []Peer
 	// Rand chooses peers and jitter; the Syncer guards it by a lock.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -119,6 +119,7 @@
 		Store:     d.store,
 		Transport: d.node,
 		Peers:     d.roster.syncPeers,
+		Near:      d.roster.nearPeers,
 		Relays:    d.roster.relays,
 		Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Log:       d.log,
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -255,6 +255,20 @@
 	return out
 }
 
+// nearPeers returns the daemons that membership probes in turn.
+func (r *roster) nearPeers() []confsync.Peer {
+	partners := r.members.Partners()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []confsync.Peer
+	for _, h := range r.hosts {
+		if h.Condition != placement.Failed && slices.Contains(partners, h.ID) {
+			out = append(out, confsync.Peer{Address: h.PeerAddress, Domain: h.Domain})
+		}
+	}
+	return out
+}
+
 func (r *roster) relays(domain string) []confsync.Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
