--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -28,6 +28,10 @@
 	// refreshInterval is how soon homes follow a change of the daemons or
 	// documents.
 	refreshInterval = 100 * time.Millisecond
+	// refreshPause times the length of a refresh is the least time until the
+	// next. A refresh takes 36 ms at 1,600 daemons and 380 services, and a
+	// failing domain brings a change with every tick.
+	refreshPause = 50
 	// slotsPerHome is how many slots one home of a domain serves before the
 	// service gets another there (docs/decisions/homes-per-service.md).
 	slotsPerHome = 240
@@ -74,15 +78,18 @@
 func (r *roster) run(ctx context.Context) {
 	tick := time.NewTicker(refreshInterval)
 	defer tick.Stop()
+	var next time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			r.members.Close()
 			return
-		case <-tick.C:
-			if r.changed() {
-				r.refresh()
+		case now := <-tick.C:
+			if now.Before(next) || !r.changed() {
+				continue
 			}
+			r.refresh()
+			next = time.Now().Add(refreshPause * time.Since(now))
 		}
 	}
 }
@@ -289,6 +296,10 @@
 	}, hosts, homesPerDomain(s))
 	scale := float64(d.settings.Addresses.Lifetime) / float64(referenceLifetime)
 	lifetime := time.Duration(float64(a.Lifetime) * scale)
+	if d.settings.Log.Decisions {
+		d.log.Info().Str("service", q.Service).Str("caller", q.Caller).Str("domain", q.Domain).Strs("failed", q.Failed).
+			Strs("addresses", a.Addresses).Msg("placement: addresses given")
+	}
 	return proxy.AddressAnswer{Service: q.Service, Addresses: a.Addresses, LifetimeMs: lifetime.Milliseconds()}, nil
 }
 
