Test that listed daemons always get a push forwarded

Cause: the fault of crossing pushes had only been seen in a measurement. Measured: the spec fails when forwarding depends on the object being new; go test -race ./pkg/... ./internal/... ./cmd/... passes.

--- a/pkg/confsync/message_test.go
+++ b/pkg/confsync/message_test.go
@@ -76,6 +76,21 @@
 		Expect(link.calls).To(BeNumerically("<", 120))
 	})
 
+	// Guards against a daemon that is left out of two crossing pushes because
+	// each forwarder already held the object from the other.
+	It("are forwarded to the daemons listed even if nothing in them is new", func() {
+		link := &loop{}
+		s, replica := pair(link)
+		link.to, _ = pair(&loop{})
+		held := platform.Object{Key: prefix + "a", Version: 7, Value: []byte("v")}
+		replica.Apply(held)
+		body, err := cbor.Marshal(map[int]any{1: []platform.Object{held}, 3: []string{"b"}})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.Handle(context.Background(), confsync.KindObjects, body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(link.calls).To(Equal(1))
+	})
+
 	// Guards against a digest that depends on the order of changes.
 	It("have a digest that stands for what is held", func() {
 		a, b := confsync.NewReplica(), confsync.NewReplica()
