Count what is no success by status in the loss measurements

The caller stand-in took an answer without addresses for a success of the question. Change: such an answer is an error; the measurement names each status.

--- a/internal/bench/processes/loss.go
+++ b/internal/bench/processes/loss.go
@@ -19,6 +19,11 @@
 
 func lossRow(name string, l *standin.Load) result {
 	r := result{Case: name}
+	for status, n := range l.ByStatus {
+		if status != 200 {
+			r.set(fmt.Sprintf("status %d", status), float64(n))
+		}
+	}
 	r.set("requests", float64(l.Sent))
 	r.set("ok", float64(l.OK))
 	r.set("no answer", float64(len(l.Lost)))
--- a/internal/bench/processes/main.go
+++ b/internal/bench/processes/main.go
@@ -68,7 +68,9 @@
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(dir)
+	if os.Getenv("KEEP_LOGS") == "" {
+		defer os.RemoveAll(dir)
+	}
 	b := &bench{bin: dir, dir: dir, requests: *requests}
 	for _, s := range strings.Split(*sizes, ",") {
 		n, err := strconv.Atoi(s)
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -127,7 +127,10 @@
 	refused := 0
 	for out.Tries < maxTries {
 		addresses, err := c.Addresses(ctx, service, failed)
-		if err != nil || len(addresses) == 0 {
+		if err == nil && len(addresses) == 0 {
+			err = errors.New("the answer names no address")
+		}
+		if err != nil {
 			out.Err = err
 			break
 		}
