Correct older states at once and refresh marks of dead hosts first

Messages now refresh hosts that are not alive first, and the answer to an older state carries the newer one.

--- a/pkg/membership/host.go
+++ b/pkg/membership/host.go
@@ -69,6 +69,8 @@
 	listed      bool
 	// noted is set while the key is in View.notable.
 	noted bool
+	// downListed is set while the key is in View.down.
+	downListed bool
 	// accuser is set when this daemon's own probe raised the suspicion.
 	accuser bool
 	// suspected is the start of the suspicion.
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -24,8 +24,11 @@
 	// MaxEntries is reached only in storms of rumours, such as the end of a
 	// partition of 1,600 daemons. An entry has about 14 bytes.
 	MaxEntries = 128
-	// refreshEntries is how many entries beyond new rumours a message carries.
-	// They repair what lost rumours left different between daemons.
+	// refreshEntries is how many entries of hosts that are not alive, and of
+	// hosts once suspected, a message carries beyond new rumours. They repair
+	// what lost rumours left different: the receiver of an older state answers
+	// with its newer one. Without the former, single wrong marks lasted up to
+	// 45 s after a partition of 300 daemons.
 	refreshEntries = 8
 	maxMessage     = 16 << 10
 )
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -276,13 +276,15 @@
 		}
 	}
 	v.heardFrom(h)
+	v.corrections = v.corrections[:0]
 	v.apply(Entry{Key: key, Incarnation: m.Incarnation, Leaving: m.Leaving})
 	for _, e := range m.Entries[:min(len(m.Entries), MaxEntries)] {
 		v.apply(e)
 	}
 	switch m.Kind {
 	case Ping:
-		return []Message{v.message(Ack, m.Seq, cmp.Or(contactAddress(m), h.member.PeerAddress), key)}
+		return []Message{v.message(Ack, m.Seq, cmp.Or(contactAddress(m), h.member.PeerAddress),
+			append([]uint64{key}, v.corrections...)...)}
 	case PingReq:
 		return v.relayPing(h, m)
 	case Ack:
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -25,9 +25,13 @@
 	// when they are met.
 	suspects []uint64
 	notable  []uint64
-	cursor   int
-	rumours  rumours
-	partners []uint64
+	down     []uint64
+	// cursor and downCursor are where the refresh of notable and down goes on.
+	cursor, downCursor int
+	// corrections holds keys of which the last message had an older state.
+	corrections []uint64
+	rumours     rumours
+	partners    []uint64
 	// stale asks for new partners before the next probe.
 	stale   bool
 	turn    int
@@ -256,8 +260,12 @@
 	}
 	if newer {
 		v.announce(h)
-	} else if e == h.entry() {
+		return
+	}
+	if e == h.entry() {
 		v.rumours.heard(e.Key)
+	} else if len(v.corrections) < MaxEntries/2 {
+		v.corrections = append(v.corrections, e.Key)
 	}
 }
 
@@ -274,6 +282,10 @@
 	if s == Suspect && h.state != Suspect {
 		v.suspects = append(v.suspects, h.key)
 	}
+	if s != Alive && !h.downListed {
+		h.downListed = true
+		v.down = append(v.down, h.key)
+	}
 	if (s == Dead) != (h.state == Dead) {
 		v.stale = true
 	}
@@ -312,19 +324,29 @@
 	for _, key := range first {
 		put(key)
 	}
-	for _, key := range v.rumours.take(MaxEntries - refreshEntries - len(list)) {
+	for _, key := range v.rumours.take(MaxEntries - 2*refreshEntries - len(list)) {
 		put(key)
 	}
-	for i := 0; i < refreshEntries && len(v.notable) > 0; i++ {
-		v.cursor = (v.cursor + 1) % len(v.notable)
-		key := v.notable[v.cursor]
-		if v.hosts[key] == nil {
-			v.notable = slices.Delete(v.notable, v.cursor, v.cursor+1)
+	v.refresh(&v.down, &v.downCursor, put, func(h *host) bool { return h.state != Alive })
+	v.refresh(&v.notable, &v.cursor, put, (*host).notable)
+	return list
+}
+
+// refresh puts the next few keys of the list and removes those that no longer
+// belong there.
+func (v *View) refresh(list *[]uint64, cursor *int, put func(uint64), keep func(*host) bool) {
+	for i := 0; i < refreshEntries && len(*list) > 0; i++ {
+		*cursor = (*cursor + 1) % len(*list)
+		key := (*list)[*cursor]
+		if h := v.hosts[key]; h != nil && keep(h) {
+			put(key)
 			continue
 		}
-		put(key)
+		if h := v.hosts[key]; h != nil && list == &v.down {
+			h.downListed = false
+		}
+		*list = slices.Delete(*list, *cursor, *cursor+1)
 	}
-	return list
 }
 
 // pick returns a random key of the hosts that ok accepts. It tries a bounded
