Compare the hosts of routes without the port

Cause: the route table looked up the Host header as it came, so that a route with a host never matched a request to a port other than the default, although the document says that the port does not count. Change: the port is cut off before the lookup.

--- a/pkg/blackboard/routes.go
+++ b/pkg/blackboard/routes.go
@@ -37,10 +37,19 @@
 	}
 }
 
+// withoutPort returns the host of a Host header. A colon within brackets belongs
+// to an IPv6 number.
+func withoutPort(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
+		return host[:i]
+	}
+	return host
+}
+
 // find returns the service whose route has the longest path; of two routes with
 // the same path, the one that names the host.
 func (t *routeTable) find(host, path string) (string, bool) {
-	named, any := t.byHost[strings.ToLower(host)], t.byHost[""]
+	named, any := t.byHost[strings.ToLower(withoutPort(host))], t.byHost[""]
 	path = strings.TrimSuffix(path, "/")
 	for {
 		if s, ok := named[path]; ok {
