Settle lost replies of changes and deletions for certain

Cause: a deletion whose reply was lost was reported as outcome-unknown without reading back, and a change that was not there at the first read was reported as "nothing was changed", although a delayed write may still take effect. Change: after a lost reply the daemon reads back and, if the former version is still there, sends the conditional write once more, of which the platform accepts one. Only when that reply is lost too, the answer is outcome-unknown.

--- a/pkg/admin/documents.go
+++ b/pkg/admin/documents.go
@@ -123,29 +123,52 @@
 }
 
 // write stores a value and settles a lost reply by reading back: the value holds
-// team and time, so that it equals what another operator wrote only by chance.
+// team and time, so that it equals what another operator wrote only by chance. A
+// value that is not there may still arrive, so it is sent again: of two
+// conditional updates from the same version, the platform accepts one.
 func (d *Documents) write(ctx context.Context, name string, version uint64, value []byte) (platform.Object, error) {
 	key := document.Prefix + name
-	var o platform.Object
-	var err error
-	if version == 0 {
-		o, err = d.Store.Create(ctx, key, value)
-	} else {
-		o, err = d.Store.Update(ctx, key, version, value)
+	for lost := false; ; lost = true {
+		o, err := d.writeOnce(ctx, key, version, value)
+		if err == nil || !lost && !errors.Is(err, platform.ErrUnknownOutcome) {
+			return o, err
+		}
+		back, getErr := d.Store.Get(ctx, key)
+		switch {
+		case getErr == nil && string(back.Value) == string(value):
+			return back, nil
+		case getErr == nil && back.Version != version, errors.Is(getErr, platform.ErrNotFound) && version != 0:
+			return platform.Object{}, platform.ErrConflict
+		case getErr != nil && !errors.Is(getErr, platform.ErrNotFound), lost:
+			return platform.Object{}, platform.ErrUnknownOutcome
+		}
 	}
-	if !errors.Is(err, platform.ErrUnknownOutcome) {
-		return o, err
+}
+
+func (d *Documents) writeOnce(ctx context.Context, key string, version uint64, value []byte) (platform.Object, error) {
+	if version == 0 {
+		return d.Store.Create(ctx, key, value)
 	}
-	back, getErr := d.Store.Get(ctx, key)
-	switch {
-	case getErr == nil && string(back.Value) == string(value):
-		return back, nil
-	case getErr == nil && back.Version != version:
-		return platform.Object{}, platform.ErrConflict
-	case getErr == nil, errors.Is(getErr, platform.ErrNotFound):
-		return platform.Object{}, platform.ErrUnavailable
-	default:
-		return platform.Object{}, err
+	return d.Store.Update(ctx, key, version, value)
+}
+
+// remove deletes a version and settles a lost reply as write does.
+func (d *Documents) remove(ctx context.Context, name string, version uint64) error {
+	key := document.Prefix + name
+	for lost := false; ; lost = true {
+		err := d.Store.Delete(ctx, key, version)
+		if err == nil || !lost && !errors.Is(err, platform.ErrUnknownOutcome) {
+			return err
+		}
+		back, getErr := d.Store.Get(ctx, key)
+		switch {
+		case errors.Is(getErr, platform.ErrNotFound):
+			return nil
+		case getErr == nil && back.Version != version:
+			return platform.ErrConflict
+		case getErr != nil, lost:
+			return platform.ErrUnknownOutcome
+		}
 	}
 }
 
@@ -185,7 +208,7 @@
 	if err := ownedBy(current, team); err != nil {
 		return err
 	}
-	if err := d.Store.Delete(ctx, document.Prefix+name, version); err != nil {
+	if err := d.remove(ctx, name, version); err != nil {
 		if errors.Is(err, platform.ErrConflict) {
 			return d.conflict(ctx, name, "")
 		}
