Refuse a route that differs from another service's only by a slash

Cause: the check compared routes as they are written, while the route table takes /bons and /bons/ for one, so that a service whose name sorts first took all requests of the other. Change: the check compares paths without the slash at the end. Measured: go test ./pkg/admin, before: the spec with {path: /bons/} failed, the document was accepted; after: passed, 5 separate runs with -race.

--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -299,7 +299,8 @@
 		_, err = put(coopKey, 0, "service: a-service\nteam: cooperative\nroutes: ["+route+"]\n")
 		Expect(failure(err).Reason).To(Equal(admin.ReasonRouteTaken))
 	},
-		Entry("as it is written there", "{path: /bons}"))
+		Entry("as it is written there", "{path: /bons}"),
+		Entry("written with a slash at the end", "{path: /bons/}"))
 
 	// Guards against a change that names no version overwriting another.
 	It("requires a version for changes and deletions", func() {
--- a/pkg/admin/documents.go
+++ b/pkg/admin/documents.go
@@ -114,7 +114,7 @@
 			continue
 		}
 		for _, r := range s.Document().Routes {
-			if slices.Contains(parsed.Routes, r) {
+			if slices.ContainsFunc(parsed.Routes, func(own document.Route) bool { return sameRoute(own, r) }) {
 				return s.Name, true
 			}
 		}
@@ -122,6 +122,12 @@
 	return "", false
 }
 
+// sameRoute reports whether two routes select the same requests; a slash at the
+// end of a path makes no difference.
+func sameRoute(a, b document.Route) bool {
+	return a.Host == b.Host && strings.TrimSuffix(a.Path, "/") == strings.TrimSuffix(b.Path, "/")
+}
+
 // write stores a value and settles a lost reply by reading back: the value holds
 // team and time, so that it equals what another operator wrote only by chance. A
 // value that is not there may still arrive, so it is sent again: of two
