Show watchers that the last member has left

Cause: memstore returned a nil list once the last member was removed. A nil list means that nothing changed, so WithMembers never made the tombstone of that member, and its watch returned at once again and again. Change: memstore returns an empty list.

--- a/pkg/platform/memstore/store.go
+++ b/pkg/platform/memstore/store.go
@@ -209,7 +209,8 @@
 	change()
 	lag := s.faults.MembersLag
 	revision := s.revision
-	list := slices.Collect(maps.Values(s.members))
+	// Not nil when it is empty: a nil list means that nothing has changed.
+	list := slices.AppendSeq([]platform.Member{}, maps.Values(s.members))
 	slices.SortFunc(list, func(a, b platform.Member) int { return strings.Compare(a.ID, b.ID) })
 	if lag == 0 {
 		s.show(list, revision)
