Take the body after 100 Continue when the daemon leaves

Cause: the interim answer "100 Continue" counted as the answer to the request. The connection was then taken for one between two requests, and a drain cut it while the body arrived; the time for the arrival of the request began anew as well. Change: an interim answer leaves the phase of the connection as it is.

--- a/pkg/listener/conn.go
+++ b/pkg/listener/conn.go
@@ -121,13 +121,18 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-var statusLineEnd = []byte("\r\n")
+var (
+	statusLineEnd = []byte("\r\n")
+	// interim starts an answer such as "100 Continue", after which the body of
+	// the same request still arrives.
+	interim = []byte("HTTP/1.1 1")
+)
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	before := c.phase
-	if before != idle {
+	if before != idle && (before != reading || !bytes.HasPrefix(b, interim)) {
 		c.phase = written
 	}
 	c.mu.Unlock()
--- a/pkg/listener/doc.go
+++ b/pkg/listener/doc.go
@@ -4,7 +4,9 @@
 //     which its bytes trickle in,
 //   - the number of open connections is bounded,
 //   - the answers that the HTTP library writes itself to malformed requests
-//     carry the verdict "not-run", since no handler saw the request,
+//     carry the verdict "not-run", since no handler saw the request; only for a
+//     request that was sent before the answer to the one before it they carry
+//     none, which callers take for "may-have-run",
 //   - a daemon that leaves closes connections between requests and never
 //     during one.
 //
