Report duplicate fields with all other problems, refuse fractions for integers

Cause: the YAML parser refuses a duplicate field as a syntax error, so that no other problem of the file was reported; and the library cuts off the fraction of a number that goes into an integer, so that floor.count: 3.9 meant 3. NaN was taken for a number, which only the checks of the documents stopped. Change: the parser lets duplicates through to the decoder, which reports them; integers take whole numbers only; NaN and infinities are refused.

--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"sort"
 	"strings"
@@ -58,7 +59,8 @@
 // file could expand to an enormous one.
 func Decode(file string, data []byte, into any) (*Source, Problems) {
 	d := &decoder{src: &Source{file: file, lines: map[string]int{}, texts: map[string]string{}}}
-	tree, err := parser.ParseBytes(data, 0)
+	// The decoder reports duplicate fields itself, together with other problems.
+	tree, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		return d.src, Problems{syntaxProblem(file, err)}
 	}
@@ -159,11 +161,20 @@
 		d.fail(field, node, typeName(into))
 		return
 	}
-	if err := yaml.NodeToValue(node, into.Addr().Interface()); err != nil {
+	// The library cuts the fraction off a number that goes into an integer.
+	whole := into.CanInt() && !isLeaf(into)
+	if whole && node.Type() != ast.IntegerType {
+		d.fail(field, node, typeName(into))
+		return
+	}
+	err := yaml.NodeToValue(node, into.Addr().Interface())
+	if err != nil || into.CanFloat() && !finite(into.Float()) {
 		d.fail(field, node, typeName(into))
 	}
 }
 
+func finite(f float64) bool { return !math.IsNaN(f) && !math.IsInf(f, 0) }
+
 func isLeaf(v reflect.Value) bool {
 	_, custom := v.Addr().Interface().(yaml.BytesUnmarshaler)
 	return custom || v.Type() == reflect.TypeFor[time.Duration]()
