Let a leaving daemon wait for the longest address answers

Cause: answers hold for up to 1.2 times addresses.lifetime, but a daemon that leaves waited only for addresses.lifetime, so that callers with a longer answer met a closed port. Change: the wait is that of the longest answer.

--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -261,6 +261,12 @@
 	return r.relaysOf[domain]
 }
 
+// scaledLifetime turns a lifetime that placement gave into one for the mean
+// lifetime of the settings.
+func scaledLifetime(given, mean time.Duration) time.Duration {
+	return time.Duration(float64(given) * float64(mean) / float64(referenceLifetime))
+}
+
 // addresses answers a caller's question which addresses to use.
 func (d *Daemon) addresses(q proxy.AddressQuery) (proxy.AddressAnswer, *verdict.Error) {
 	s, ok := d.board.Service(q.Service)
@@ -273,8 +279,7 @@
 	a := placement.Addresses(placement.Query{
 		Service: q.Service, Domain: q.Domain, Caller: q.Caller, Failed: q.Failed, Now: time.Now(),
 	}, hosts, homesPerDomain(s))
-	scale := float64(d.settings.Addresses.Lifetime) / float64(referenceLifetime)
-	lifetime := time.Duration(float64(a.Lifetime) * scale)
+	lifetime := scaledLifetime(a.Lifetime, d.settings.Addresses.Lifetime)
 	return proxy.AddressAnswer{Service: q.Service, Addresses: a.Addresses, LifetimeMs: lifetime.Milliseconds()}, nil
 }
 
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"shallotglade/pkg/placement"
 )
 
 const (
@@ -84,7 +86,7 @@
 	start := time.Now()
 	d.log.Info().Msg("drain: leaves; other daemons are told")
 	d.roster.leave()
-	time.Sleep(spreadTime + d.settings.Addresses.Lifetime)
+	time.Sleep(spreadTime + scaledLifetime(placement.MaxLifetime, d.settings.Addresses.Lifetime))
 	d.log.Info().Int("connections", d.callers.OpenConnections()).Msg("drain: answers that name this daemon have run out")
 	d.callers.Drain()
 	deadline := time.Now().Add(d.settings.Drain.Requests)
--- a/pkg/placement/addresses.go
+++ b/pkg/placement/addresses.go
@@ -13,10 +13,11 @@
 	// Slice is the length of a time slice: a caller is given its homes in the
 	// same order within one, and in another order in the next.
 	Slice = 10 * time.Second
-	// minLifetime and maxLifetime bound the jittered lifetime of an answer.
-	// The jitter keeps callers from asking at the same moment.
+	// MaxLifetime is the longest lifetime of an answer.
+	MaxLifetime = 12 * time.Second
+	// minLifetime is the shortest one. The jitter between both keeps callers
+	// from asking at the same moment.
 	minLifetime = 8 * time.Second
-	maxLifetime = 12 * time.Second
 	// maxAddresses bounds an answer. Homes in 5 domains need 10.
 	maxAddresses = 16
 )
@@ -75,7 +76,7 @@
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.round, b.round), cmp.Compare(a.domain, b.domain))
 	})
-	answer := Answer{Lifetime: minLifetime + time.Duration(mix(turn)%uint64(maxLifetime-minLifetime))}
+	answer := Answer{Lifetime: minLifetime + time.Duration(mix(turn)%uint64(MaxLifetime-minLifetime))}
 	for _, c := range list {
 		if len(answer.Addresses) < maxAddresses && !slices.Contains(answer.Addresses, c.address) {
 			answer.Addresses = append(answer.Addresses, c.address)
