Pause between looks at a membership list without members

Cause: Members returns at once for revision 0, which is the revision of a list that has never had a member, so that a relay called the platform without a pause. Change: the watch of WithMembers looks once a second while the revision is 0. Measured: go test ./pkg/platform, before: the watch returned at once without an error; after: passed, also ./pkg/confsync and ./pkg/catalog, with -race.

--- a/pkg/platform/members.go
+++ b/pkg/platform/members.go
@@ -14,6 +14,10 @@
 // MembersPrefix is the prefix under which WithMembers shows the membership list.
 const MembersPrefix = "members/"
 
+// emptyListPoll is the time between two looks at a membership list that has never
+// had a member.
+const emptyListPoll = time.Second
+
 // WithMembers returns a Store that shows the membership list as read-only
 // objects "members/<id>", so that one mechanism distributes documents and
 // members. The value is the Member in JSON, the version the member's own. A
@@ -49,6 +53,22 @@
 	if prefix != MembersPrefix {
 		return s.Store.Watch(ctx, prefix, after, wait)
 	}
+	end := time.Now().Add(wait)
+	for {
+		objects, revision, err := s.changes(ctx, after, wait)
+		left := time.Until(end)
+		if err != nil || len(objects) > 0 || revision > 0 || left <= 0 {
+			return objects, revision, err
+		}
+		// Members returns at once for revision 0.
+		if err := pause(ctx, min(left, emptyListPoll)); err != nil {
+			return nil, after, err
+		}
+	}
+}
+
+// changes waits for a newer membership list and returns what changed.
+func (s *memberStore) changes(ctx context.Context, after uint64, wait time.Duration) ([]Object, uint64, error) {
 	members, revision, err := s.Members(ctx, after, wait)
 	if err != nil || members == nil {
 		return nil, after, err
@@ -57,6 +77,17 @@
 	return objects, revision, err
 }
 
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // objects returns the members that are newer than after, and tombstones of those
 // that have vanished.
 func (s *memberStore) objects(members []Member, revision, after uint64) ([]Object, error) {
--- a/pkg/platform/members_test.go
+++ b/pkg/platform/members_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -76,6 +77,22 @@
 		})
 	})
 
+	// Guards against a daemon that calls the platform without a pause while no
+	// host is registered: Members returns at once for revision 0.
+	It("waits while the membership list has never had a member", func() {
+		behind := memstore.New()
+		s := platform.WithMembers(behind)
+		ctx, cancel := context.WithCancel(ctx)
+		done := make(chan error, 1)
+		go func() {
+			_, _, err := s.Watch(ctx, platform.MembersPrefix, 0, time.Hour)
+			done <- err
+		}()
+		Eventually(func() uint64 { return behind.Counts().Watches }).Should(BeNumerically(">", 0))
+		cancel()
+		Eventually(done, "10s").Should(Receive(MatchError(context.Canceled)))
+	})
+
 	// Guards against members that show up in lists of other objects, and other
 	// objects that are hidden by the wrapper.
 	It("leaves other prefixes and outages as they are", func() {
