Wait for the arriving request in the drain spec of the listener

Cause: the spec drained at times before the server had read the first bytes of the arriving request; such a connection is one between requests. Seen once in a run of all packages at a load of about 20 (write: connection reset by peer). Change: the spec waits until the connection is in the reading phase; what it asks for is unchanged.

--- /dev/null
+++ b/pkg/listener/export_test.go
@@ -0,0 +1,16 @@
+package listener
+
+// Arriving returns the number of connections on which a request is arriving.
+func (l *Listener) Arriving() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for c := range l.conns {
+		c.mu.Lock()
+		if c.phase == reading {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
--- a/pkg/listener/listener_test.go
+++ b/pkg/listener/listener_test.go
@@ -142,6 +142,7 @@
 		arriving, arrivingReader := dial()
 		send(arriving, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab")
 		Eventually(started, patience).Should(HaveLen(2))
+		Eventually(l.Arriving, patience).Should(Equal(1))
 		l.Drain()
 		_, err := idleReader.ReadByte()
 		Expect(err).To(MatchError(io.EOF))
