--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -282,6 +282,12 @@
 	return r.relaysOf[domain]
 }
 
+// scaledLifetime turns a lifetime that placement gave into one for the mean
+// lifetime of the settings.
+func scaledLifetime(given, mean time.Duration) time.Duration {
+	return time.Duration(float64(given) * float64(mean) / float64(referenceLifetime))
+}
+
 // addresses answers a caller's question which addresses to use.
 func (d *Daemon) addresses(q proxy.AddressQuery) (proxy.AddressAnswer, *verdict.Error) {
 	s, ok := d.board.Service(q.Service)
@@ -294,8 +300,7 @@
 	a := placement.Addresses(placement.Query{
 		Service: q.Service, Domain: q.Domain, Caller: q.Caller, Failed: q.Failed, Now: time.Now(),
 	}, hosts, homesPerDomain(s))
-	scale := float64(d.settings.Addresses.Lifetime) / float64(referenceLifetime)
-	lifetime := time.Duration(float64(a.Lifetime) * scale)
+	lifetime := scaledLifetime(a.Lifetime, d.settings.Addresses.Lifetime)
 	if d.settings.Log.Decisions {
 		d.log.Info().Str("service", q.Service).Str("caller", q.Caller).Str("domain", q.Domain).Strs("failed", q.Failed).
 			Strs("addresses", a.Addresses).Msg("placement: addresses given")
