--- /dev/null
+++ b/internal/bench/path/core.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// workers is how many requests the closed loop keeps in flight.
+	workers    = 32
+	closedTime = 3 * time.Second
+	// clockTicks is the unit of processor time in /proc, a second's part.
+	clockTicks = 100
+)
+
+// core measures requests for each second of processor time that a daemon takes,
+// with the decision log on and off, and the same of the naive proxy.
+func (b *bench) core(ctx context.Context) ([]result, error) {
+	var rows []result
+	for _, on := range []bool{true, false} {
+		r, err := b.coreOf(ctx, on, !on)
+		rows = append(rows, r...)
+		if err != nil {
+			return rows, err
+		}
+	}
+	return rows, nil
+}
+
+func (b *bench) coreOf(ctx context.Context, logDecisions, withNaive bool) ([]result, error) {
+	f, err := b.start(ctx, fmt.Sprintf("core-%v", logDecisions), 1, logDecisions)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	home, _, err := split(ctx, f)
+	if err != nil {
+		return nil, err
+	}
+	name := "closed loop, home, log off"
+	if logDecisions {
+		name = "closed loop, home, log on"
+	}
+	r, err := closedLoop(name, home.Callers, home.PID())
+	rows := []result{r}
+	if err != nil || !withNaive {
+		return rows, err
+	}
+	address, naive, err := startNaive(ctx, f)
+	if err != nil {
+		return rows, err
+	}
+	defer func() { _ = naive.Process.Kill(); _ = naive.Wait() }()
+	r, err = closedLoop("closed loop, naive proxy", address, naive.Process.Pid)
+	return append(rows, r), err
+}
+
+func closedLoop(name, address string, pid int) (result, error) {
+	r := result{Case: name}
+	c := newClient()
+	var count atomic.Int64
+	var failed atomic.Pointer[error]
+	var wg sync.WaitGroup
+	cpu0, err := processorTime(pid)
+	if err != nil {
+		return r, err
+	}
+	start := time.Now()
+	for range workers {
+		wg.Go(func() {
+			for n := 0; time.Since(start) < closedTime; n++ {
+				if _, err := c.send(kind{to: []string{address}}, n); err != nil {
+					failed.Store(&err)
+					return
+				}
+				count.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	took := time.Since(start).Seconds()
+	if err := failed.Load(); err != nil {
+		return r, errors.Wrap(*err, name)
+	}
+	cpu1, err := processorTime(pid)
+	if err != nil {
+		return r, err
+	}
+	requests := float64(count.Load())
+	r.set("requests/s per core", round(requests/(cpu1-cpu0)))
+	r.set("requests/s", round(requests/took))
+	r.set("cores", round((cpu1-cpu0)/took))
+	return r, nil
+}
+
+func round(x float64) float64 { return math.Round(x*1000) / 1000 }
+
+// processorTime returns the processor seconds that a process has taken.
+func processorTime(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+	var sum float64
+	for _, i := range []int{11, 12} { // utime and stime, see proc(5)
+		ticks, err := strconv.ParseFloat(fields[i], 64)
+		if err != nil {
+			return 0, err
+		}
+		sum += ticks / clockTicks
+	}
+	return sum, nil
+}
