Put upstream connections on the Go runtime's poller

Cause: the client connections of netpoll now and then report a new connection as closed when many are opened and closed. A fresh connection is what each request that is not idempotent uses, so a healthy upstream was blamed for a crash and the caller was told may-have-run. They also cost a goroutine switch on each answer. Change: a net.Conn with netpoll's buffers; whether an idle connection is open with nothing unread is asked of the system at the moment of its reuse.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -8,10 +8,8 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
-	hertznetpoll "github.com/cloudwego/hertz/pkg/network/netpoll"
 	"github.com/cloudwego/hertz/pkg/protocol/client"
 	"github.com/cloudwego/hertz/pkg/protocol/http1"
-	"github.com/cloudwego/netpoll"
 	"github.com/cockroachdb/errors"
 )
 
@@ -29,7 +27,7 @@
 	http client.HostClient
 
 	mu       sync.Mutex
-	open     netpoll.Connection
+	open     *socket
 	canceled bool
 }
 
@@ -64,7 +62,7 @@
 func (c *conn) reusable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.canceled && c.open != nil && c.open.IsActive() && c.open.Reader().Len() == 0
+	return !c.canceled && c.open != nil && c.open.quiet()
 }
 
 // singleDialer opens the one connection of a conn and refuses to open a second.
@@ -83,7 +81,7 @@
 		return nil, errors.New("the kept connection was closed")
 	}
 	d.used = true
-	nc, err := hertznetpoll.NewDialer().DialConnection("tcp", d.address, d.timeout, nil)
+	nc, err := dialSocket(d.address, d.timeout)
 	if err != nil {
 		return nil, errors.Mark(err, errNotSent)
 	}
@@ -94,21 +92,10 @@
 		nc.Close()
 		return nil, errors.Mark(context.Canceled, errNotSent)
 	}
-	c.open = connectionOf(nc)
+	c.open = nc
 	return nc, nil
 }
 
-// connectionOf returns the library's connection, which knows at any time
-// whether the other side has closed it and how many bytes are unread.
-func connectionOf(nc network.Conn) netpoll.Connection {
-	if wrapper, ok := nc.(*hertznetpoll.Conn); ok {
-		if open, ok := wrapper.Conn.(netpoll.Connection); ok {
-			return open
-		}
-	}
-	return nil
-}
-
 // DialTimeout implements network.Dialer; the library does not call it.
 func (d *singleDialer) DialTimeout(_, _ string, _ time.Duration, _ *tls.Config) (net.Conn, error) {
 	return nil, errors.Mark(errors.New("not supported"), errNotSent)
