--- a/Makefile
+++ b/Makefile
@@ -27,8 +27,19 @@
 fmt: tools
 	$(LINT) fmt
 
+# All benches take 10 minutes or more; make bench BENCHES=path runs one.
+BENCHES := detection traffic claims confsync fleet processes path
+
 bench: build
-	go run ./internal/bench
+	@mkdir -p bench-results
+	@failed=; for b in $(BENCHES); do \
+		test -d internal/bench/$$b || continue; \
+		flag=-json; test $$b = confsync && flag=-out; \
+		echo "== $$b"; \
+		go run ./internal/bench/$$b $$flag bench-results/$$b.json || failed="$$failed $$b"; \
+	done; \
+	go run ./internal/bench/report bench-results/*.json; \
+	test -z "$$failed" || { echo "failed:$$failed"; exit 1; }
 
 clean:
 	rm -rf bin
