--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -54,10 +54,12 @@
 	if err != nil {
 		return Result{Kind: Refused, Verdict: verdict.NotRun, Err: err}
 	}
-	var req protocol.Request
-	var resp protocol.Response
-	fill(ctx, &req, target, request)
-	result := conn.exchange(ctx, request, &req, &resp)
+	// The result holds copies only, so both go back to the library's pool.
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	fill(ctx, req, target, request)
+	result := conn.exchange(ctx, request, req, resp)
 	result.Latency = time.Since(start)
 	whole := result.Response != nil && !resp.ConnectionClose() && !request.FreshConnection
 	p.give(conn, whole, time.Now())
