Size headers, bodies and request ids before they are filled

Cause: slices of headers and the body grew step by step, and the request id went through fmt. Bodies above 64 KB still grow as they arrive, since an upstream may announce more than it sends. go test -run '^$' -bench HTTP -benchmem ./pkg/proxy: 61 allocs/op, 3552 B before, 57 allocs/op, 3023 B after; times 88-111 us before and 109-123 us after, which is within what other work on the machine changes.

--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -139,6 +141,7 @@
 		}
 		in.Deadline = in.Arrived.Add(time.Duration(ms) * time.Millisecond)
 	}
+	in.Headers = make([]upstream.Header, 0, h.Len())
 	h.VisitAll(func(key, value []byte) {
 		if name := string(key); passesOn(name) {
 			in.Headers = append(in.Headers, upstream.Header{Name: name, Value: string(value)})
@@ -170,7 +173,13 @@
 	return true
 }
 
-func newRequestID() string { return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64()) }
+// newRequestID returns 128 random bits in hexadecimal digits.
+func newRequestID() string {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], rand.Uint64())
+	binary.BigEndian.PutUint64(b[8:], rand.Uint64())
+	return hex.EncodeToString(b[:])
+}
 
 // problem is the body of a refusal, as application/problem+json.
 type problem struct {
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -160,7 +160,7 @@
 	if !resp.IsBodyStream() {
 		return append([]byte(nil), resp.Body()...), nil
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxResponseBytes+1))
+	body, err := readStream(resp.BodyStream(), resp.Header.ContentLength())
 	if err == nil && len(body) > maxResponseBytes {
 		err = errors.Newf("the answer is larger than %d bytes", maxResponseBytes)
 	}
@@ -170,6 +170,21 @@
 	return body, err
 }
 
+// smallBody is up to which length a body gets a buffer of exactly its size
+// before it has arrived; an upstream may announce more than it sends.
+const smallBody = 64 << 10
+
+// readStream reads a body of which length bytes were announced; length is
+// negative when it is not known.
+func readStream(r io.Reader, length int) ([]byte, error) {
+	if length < 0 || length > smallBody {
+		return io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
+	}
+	body := make([]byte, length)
+	n, err := io.ReadFull(r, body)
+	return body[:n], err
+}
+
 func judge(r *Response, told verdict.Verdict) Result {
 	switch {
 	case r.Status == 503 && told == verdict.NotRun:
@@ -209,7 +224,7 @@
 func IsHopHeader(name string) bool { return hopHeaders[name] }
 
 func copyResponse(resp *protocol.Response, body []byte) *Response {
-	r := &Response{Status: resp.StatusCode(), Body: body}
+	r := &Response{Status: resp.StatusCode(), Body: body, Headers: make([]Header, 0, resp.Header.Len())}
 	r.Leaving = string(resp.Header.Peek(HeaderLeaving)) == "true"
 	resp.Header.VisitAll(func(key, value []byte) {
 		if name := string(key); !IsHopHeader(name) {
