--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -8,10 +8,8 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/network"
-	hertznetpoll "github.com/cloudwego/hertz/pkg/network/netpoll"
 	"github.com/cloudwego/hertz/pkg/protocol/client"
 	"github.com/cloudwego/hertz/pkg/protocol/http1"
-	"github.com/cloudwego/netpoll"
 	"github.com/cockroachdb/errors"
 )
 
@@ -19,6 +17,18 @@
 // byte of them goes to the caller.
 const maxResponseBytes = 64 << 20
 
+// The HTTP library has a goroutine for each connection object that looks for
+// idle connections and, at the next look after the connection has closed, ends.
+// The looks are that far apart. With an hour between them each connection left
+// 2 KB and its buffers behind for an hour.
+const (
+	// keptIdle is longer than maxIdle, so that the pool and never the library
+	// closes a kept connection.
+	keptIdle = 2 * maxIdle
+	// freshIdle is for connections that carry one request and are never idle.
+	freshIdle = 100 * time.Millisecond
+)
+
 // errNotSent marks errors of attempts whose request certainly did not leave.
 var errNotSent = errors.New("the request was not sent")
 
@@ -29,17 +39,21 @@
 	http client.HostClient
 
 	mu       sync.Mutex
-	open     netpoll.Connection
+	open     *socket
 	canceled bool
 }
 
-func newConn(target Target) *conn {
+func newConn(target Target, fresh bool) *conn {
 	c := &conn{}
+	idle := keptIdle
+	if fresh {
+		idle = freshIdle
+	}
 	c.http = http1.NewHostClient(&http1.ClientOptions{
 		Dialer:                        &singleDialer{conn: c, address: target.Address, timeout: target.ConnectTimeout},
 		MaxConns:                      1,
 		DialTimeout:                   target.ConnectTimeout,
-		MaxIdleConnDuration:           time.Hour,
+		MaxIdleConnDuration:           idle,
 		MaxResponseBodySize:           maxResponseBytes,
 		ResponseBodyStream:            true,
 		NoDefaultUserAgentHeader:      true,
@@ -64,7 +78,7 @@
 func (c *conn) reusable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.canceled && c.open != nil && c.open.IsActive() && c.open.Reader().Len() == 0
+	return !c.canceled && c.open != nil && c.open.quiet()
 }
 
 // singleDialer opens the one connection of a conn and refuses to open a second.
@@ -83,7 +97,7 @@
 		return nil, errors.New("the kept connection was closed")
 	}
 	d.used = true
-	nc, err := hertznetpoll.NewDialer().DialConnection("tcp", d.address, d.timeout, nil)
+	nc, err := dialSocket(d.address, d.timeout)
 	if err != nil {
 		return nil, errors.Mark(err, errNotSent)
 	}
@@ -94,21 +108,10 @@
 		nc.Close()
 		return nil, errors.Mark(context.Canceled, errNotSent)
 	}
-	c.open = connectionOf(nc)
+	c.open = nc
 	return nc, nil
 }
 
-// connectionOf returns the library's connection, which knows at any time
-// whether the other side has closed it and how many bytes are unread.
-func connectionOf(nc network.Conn) netpoll.Connection {
-	if wrapper, ok := nc.(*hertznetpoll.Conn); ok {
-		if open, ok := wrapper.Conn.(netpoll.Connection); ok {
-			return open
-		}
-	}
-	return nil
-}
-
 // DialTimeout implements network.Dialer; the library does not call it.
 func (d *singleDialer) DialTimeout(_, _ string, _ time.Duration, _ *tls.Config) (net.Conn, error) {
 	return nil, errors.Mark(errors.New("not supported"), errNotSent)
