Wait longer for the news of leaving to spread in a large fleet

Cause: at 100 daemons the announcement reaches all of them within 10 s (docs/decisions/membership.md); the exit waited 3 s at any size. Change: 12 s in fleets of more than 48 daemons; 3 s below.

--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -11,9 +11,13 @@
 )
 
 const (
-	// spreadTime is how long it takes until other daemons know that this one
-	// leaves and name it in no new answer.
-	spreadTime = 3 * time.Second
+	// It takes spreadTime until the daemons of a fleet of up to smallFleet know
+	// that this one leaves and name it in no new answer, and largeSpreadTime in
+	// a larger one, where the news goes over several others
+	// (docs/decisions/membership.md).
+	spreadTime      = 3 * time.Second
+	largeSpreadTime = 12 * time.Second
+	smallFleet      = 48
 	// closeTimeout bounds each of the last steps of an exit.
 	closeTimeout = 10 * time.Second
 	drainPoll    = 50 * time.Millisecond
@@ -86,7 +90,7 @@
 	start := time.Now()
 	d.log.Info().Msg("drain: leaves; other daemons are told")
 	d.roster.leave()
-	time.Sleep(spreadTime + scaledLifetime(placement.MaxLifetime, d.settings.Addresses.Lifetime))
+	time.Sleep(d.spreadTime() + scaledLifetime(placement.MaxLifetime, d.settings.Addresses.Lifetime))
 	d.log.Info().Int("connections", d.callers.OpenConnections()).Msg("drain: answers that name this daemon have run out")
 	d.callers.Drain()
 	deadline := time.Now().Add(d.settings.Drain.Requests)
@@ -105,6 +109,14 @@
 	return nil
 }
 
+// spreadTime is how long the news that this daemon leaves takes to all others.
+func (d *Daemon) spreadTime() time.Duration {
+	if len(d.Daemons()) > smallFleet {
+		return largeSpreadTime
+	}
+	return spreadTime
+}
+
 func within(f func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
