Keep fleets on one machine apart; wait longer for the other homes after a crash

Under the same load a crashing request took down a third upstream, because a home acknowledged later than 100 ms. Change: ports begin at an offset of the process id; ca.pem is written once; the answer to a crashed request waits up to 500 ms for the other homes; the metric platform_up is set.

--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -98,14 +98,19 @@
 
 var nextPort atomic.Int32
 
+// Processes of several fleets on one machine begin at different ports; 613 is
+// prime to the size of the range.
+var portOffset = os.Getpid() * 613
+
 // freePorts returns n ports of loopback that are free for TCP and UDP.
 func freePorts(n int) ([]string, error) {
 	var out []string
 	for len(out) < n {
-		port := firstPort + int(nextPort.Add(1))
-		if port > lastPort {
+		tried := int(nextPort.Add(1))
+		if tried > lastPort-firstPort {
 			return nil, errors.New("no free port")
 		}
+		port := firstPort + (portOffset+tried)%(lastPort-firstPort)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -241,6 +246,10 @@
 		if err != nil {
 			return nil, err
 		}
+		// Written once: a daemon that starts at this moment may be reading it.
+		if err := os.WriteFile(filepath.Join(f.Dir, "ca.pem"), []byte(ca.PEM()), 0o600); err != nil {
+			return nil, err
+		}
 		f.ca = ca
 	}
 	cert, key, err := f.ca.Issue(id)
@@ -248,12 +257,8 @@
 		return nil, err
 	}
 	files := []string{filepath.Join(f.Dir, "ca.pem"), filepath.Join(f.Dir, id+".pem"), filepath.Join(f.Dir, id+"-key.pem")}
-	for i, text := range []string{f.ca.PEM(), cert, key} {
-		if err := os.WriteFile(files[i], []byte(text), 0o600); err != nil {
-			return nil, err
-		}
-	}
-	return files, nil
+	err = errors.CombineErrors(os.WriteFile(files[1], []byte(cert), 0o600), os.WriteFile(files[2], []byte(key), 0o600))
+	return files, err
 }
 
 // StartDaemon starts and registers a daemon; AwaitReady waits for it.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return errors.Wrap(err, "platform")
 	}
-	d.store = platform.WithMembers(client)
+	d.store = observe(platform.WithMembers(client), d.metrics.PlatformUp)
 	d.node, err = peer.Listen(peer.Config{
 		Listen:      d.settings.Listen.Peers,
 		Credentials: d.credentials(),
--- a/pkg/health/controller.go
+++ b/pkg/health/controller.go
@@ -94,9 +94,11 @@
 	}
 }
 
-// tellTimeout is how long a caller's answer waits for the other homes. It is a
-// few times the way between failure domains and back.
-const tellTimeout = 100 * time.Millisecond
+// tellTimeout is how long a caller's answer waits for the other homes. Only the
+// answer to a request lost in a crash waits, and longer than a round trip only
+// while a home does not answer. At 100 ms a loaded home answered too late, and a
+// crashing request took down a third upstream.
+const tellTimeout = 500 * time.Millisecond
 
 // ShareNow implements the request path's notification.
 func (c *Controller) ShareNow(ctx context.Context, s *blackboard.Service) {
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -28,7 +28,7 @@
 	Ejections *prometheus.CounterVec
 	// DocumentVersion is the platform version of the document in force.
 	DocumentVersion *prometheus.GaugeVec
-	// PlatformUp is 1 while the platform answers.
+	// PlatformUp is 1 if the platform answered the last call of this daemon.
 	PlatformUp prometheus.Gauge
 	// Peers counts other daemons by state.
 	Peers *prometheus.GaugeVec
@@ -48,7 +48,7 @@
 	m.Standings = gauge("upstreams", "Upstreams by standing.", "service", "standing")
 	m.Ejections = counter("standing_changes_total", "Changes of upstreams' standing.", "service", "change")
 	m.DocumentVersion = gauge("document_version", "Platform version of the document in force.", "service")
-	m.PlatformUp = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "platform_up", Help: "1 while the platform answers."})
+	m.PlatformUp = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "platform_up", Help: "Whether the platform answered the last call of this daemon."})
 	m.Peers = gauge("peers", "Other daemons by state.", "state")
 	m.Registry.MustRegister(m.Requests, m.RequestSeconds, m.AddedSeconds, m.Attempts, m.Refusals, m.Forwards, m.InFlight,
 		m.Standings, m.Ejections, m.DocumentVersion, m.PlatformUp, m.Peers,
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -96,9 +96,9 @@
 }
 
 // fill builds the request on the wire. The URI is never parsed, so that the path
-// reaches the upstream byte for byte as the caller sent it. The body goes as a stream, because the
-// HTTP library sends requests without one again by itself when a connection
-// closes.
+// reaches the upstream byte for byte as the caller sent it. The body goes as a
+// stream, which spares a copy. When a kept connection closes, the HTTP library
+// would send the request again by itself; singleDialer refuses it the connection.
 func fill(ctx context.Context, req *protocol.Request, target Target, r *Request) {
 	req.Header.SetMethod(r.Method)
 	req.Header.SetRequestURI(r.URI)
