--- a/internal/standin/demo.go
+++ b/internal/standin/demo.go
@@ -80,8 +80,13 @@
 	return nil
 }
 
-func isReady(ctx context.Context, address string) bool {
-	r, err := http.NewRequestWithContext(ctx, "GET", "http://"+address+"/readyz", nil)
+func isReady(ctx context.Context, address string) bool { return answersOK(ctx, address, "/readyz") }
+
+func isAlive(ctx context.Context, address string) bool { return answersOK(ctx, address, "/livez") }
+
+// answersOK reports whether a GET of the path is answered with 200.
+func answersOK(ctx context.Context, address, path string) bool {
+	r, err := http.NewRequestWithContext(ctx, "GET", "http://"+address+path, nil)
 	if err != nil {
 		return false
 	}
@@ -253,16 +258,3 @@
 		"every request answered, the daemon gone after at most 8 s",
 		fmt.Sprintf("%d of %d answered, statuses %v, lost %s, gone: %v", l.OK, l.Sent, l.ByStatus, strings.Join(l.Lost, "; "), exited))
 }
-
-func isAlive(ctx context.Context, address string) bool {
-	r, err := http.NewRequestWithContext(ctx, "GET", "http://"+address+"/livez", nil)
-	if err != nil {
-		return false
-	}
-	resp, err := control.Do(r)
-	if err != nil {
-		return false
-	}
-	resp.Body.Close()
-	return true
-}
