Prove with real processes that a leaving upstream gets no new work

Change: a test for each of two signs (membership list; answers and health), 6 daemons, 4 upstreams, under load.

--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -20,6 +20,7 @@
 	"shallotglade/internal/standin"
 	"shallotglade/internal/testkit"
 	"shallotglade/pkg/admin"
+	"shallotglade/pkg/platform"
 	"shallotglade/pkg/platform/memstore"
 	"shallotglade/pkg/verdict"
 )
@@ -206,6 +207,43 @@
 		Expect(load.OK).To(Equal(load.Sent), "statuses %v", load.ByStatus)
 	})
 
+	// Guards against work for an upstream that is about to end: 2 s after its
+	// first sign it must get none, through no daemon.
+	DescribeTable("sends nothing to an upstream 2 s after it says that it leaves",
+		func(leave func(*fleettest.Fleet, *fleettest.Upstream)) {
+			f := begin(6, 4, reads)
+			ctx := context.Background()
+			run := func(length time.Duration) *standin.Load {
+				l := standin.NewLoad()
+				ctx, cancel := context.WithTimeout(ctx, length)
+				defer cancel()
+				l.Run(ctx, f.Callers("carver", 6), 2*time.Millisecond, func(c *standin.Caller, _ int) standin.Outcome {
+					return c.Do(context.Background(), "stone-catalogue", "GET", "/x", "", nil)
+				})
+				return l
+			}
+			run(500 * time.Millisecond)
+			leave(f, f.Upstreams[0])
+			run(2 * time.Second)
+			before, err := standin.Executions(ctx, f.Upstreams[0].Address)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(before.Served).To(BeNumerically(">", 0))
+			l := run(time.Second)
+			after, err := standin.Executions(ctx, f.Upstreams[0].Address)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(after.Served).To(Equal(before.Served))
+			Expect(l.OK).To(Equal(l.Sent))
+		},
+		Entry("in the membership list", func(f *fleettest.Fleet, u *fleettest.Upstream) {
+			Expect(f.Register(platform.Member{
+				ID: u.ID, Role: platform.RoleUpstream, Service: u.Service, Address: u.Address, Domain: u.Domain, Slots: u.Slots, State: platform.Leaving,
+			})).To(Succeed())
+		}),
+		Entry("in its answers", func(_ *fleettest.Fleet, u *fleettest.Upstream) {
+			Expect(standin.SetMode(context.Background(), u.Address, standin.Mode{Leaving: true})).To(Succeed())
+		}),
+	)
+
 	// Guards against a daemon that cannot start, or serves old documents, while
 	// the platform is away.
 	It("starts a daemon from its peers while the platform is down", func() {
