Keep the result rows of the benches in one package

The benches path and processes each had the same type with the same two methods; internal/bench/table serves both.

--- a/internal/bench/path/core.go
+++ b/internal/bench/path/core.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"shallotglade/internal/bench/table"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -24,8 +26,8 @@
 
 // core measures requests for each second of processor time that a daemon takes,
 // with the decision log on and off, and the same of the naive proxy.
-func (b *bench) core(ctx context.Context) ([]result, error) {
-	var rows []result
+func (b *bench) core(ctx context.Context) ([]table.Result, error) {
+	var rows []table.Result
 	for _, on := range []bool{true, false} {
 		r, err := b.coreOf(ctx, on, !on)
 		rows = append(rows, r...)
@@ -36,7 +38,7 @@
 	return rows, nil
 }
 
-func (b *bench) coreOf(ctx context.Context, logDecisions, withNaive bool) ([]result, error) {
+func (b *bench) coreOf(ctx context.Context, logDecisions, withNaive bool) ([]table.Result, error) {
 	f, err := b.start(ctx, fmt.Sprintf("core-%v", logDecisions), 1, logDecisions)
 	if err != nil {
 		return nil, err
@@ -51,7 +53,7 @@
 		name = "closed loop, home, log on"
 	}
 	r, err := closedLoop(name, home.Callers, home.PID())
-	rows := []result{r}
+	rows := []table.Result{r}
 	if err != nil || !withNaive {
 		return rows, err
 	}
@@ -64,8 +66,8 @@
 	return append(rows, r), err
 }
 
-func closedLoop(name, address string, pid int) (result, error) {
-	r := result{Case: name}
+func closedLoop(name, address string, pid int) (table.Result, error) {
+	r := table.Result{Case: name}
 	c := newClient()
 	var count atomic.Int64
 	var failed atomic.Pointer[error]
@@ -96,9 +98,9 @@
 		return r, err
 	}
 	requests := float64(count.Load())
-	r.set("requests/s per core", round(requests/(cpu1-cpu0)))
-	r.set("requests/s", round(requests/took))
-	r.set("cores", round((cpu1-cpu0)/took))
+	r.Set("requests/s per core", round(requests/(cpu1-cpu0)))
+	r.Set("requests/s", round(requests/took))
+	r.Set("cores", round((cpu1-cpu0)/took))
 	return r, nil
 }
 
--- a/internal/bench/path/latency.go
+++ b/internal/bench/path/latency.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"shallotglade/internal/bench/table"
+
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
@@ -84,7 +86,7 @@
 
 // latency measures the time added at each rate, each proxied request after a
 // direct one of the same method in the same run.
-func (b *bench) latency(ctx context.Context) ([]result, error) {
+func (b *bench) latency(ctx context.Context) ([]table.Result, error) {
 	f, err := b.start(ctx, "latency", 2, true)
 	if err != nil {
 		return nil, err
@@ -115,7 +117,7 @@
 	for _, p := range pairs {
 		openLoop(c, warmRate, time.Second, p[:])
 	}
-	var rows []result
+	var rows []table.Result
 	for _, rate := range b.rates {
 		rows = append(rows, b.latencyRows(c, pairs, rate)...)
 	}
@@ -123,7 +125,7 @@
 }
 
 // latencyRows measures the pairs one after the other, slow rates at once.
-func (b *bench) latencyRows(c *client, pairs [][2]kind, rate int) []result {
+func (b *bench) latencyRows(c *client, pairs [][2]kind, rate int) []table.Result {
 	seen := make([][]added, len(pairs))
 	for range b.runs {
 		var samples []*sample
@@ -138,7 +140,7 @@
 			seen[i] = append(seen[i], difference(samples[2*i], samples[2*i+1]))
 		}
 	}
-	var rows []result
+	var rows []table.Result
 	for i, p := range pairs {
 		rows = append(rows, row(fmt.Sprintf("added, %s, %d/s", p[1].name, rate), seen[i]))
 	}
@@ -154,8 +156,8 @@
 }
 
 // row gives the medians over runs, and the range of the 99th percentile.
-func row(name string, runs []added) result {
-	r := result{Case: name}
+func row(name string, runs []added) table.Result {
+	r := table.Result{Case: name}
 	of := func(pick func(added) float64) []float64 {
 		var out []float64
 		for _, a := range runs {
@@ -165,17 +167,17 @@
 		return out
 	}
 	p99 := of(func(a added) float64 { return a.p99 })
-	r.set("p50 ms", median(of(func(a added) float64 { return a.p50 })))
-	r.set("p99 ms", median(p99))
-	r.set("least p99", p99[0])
-	r.set("most p99", p99[len(p99)-1])
+	r.Set("p50 ms", median(of(func(a added) float64 { return a.p50 })))
+	r.Set("p99 ms", median(p99))
+	r.Set("least p99", p99[0])
+	r.Set("most p99", p99[len(p99)-1])
 	failed := 0
 	for _, a := range runs {
 		failed += a.failed
 	}
-	r.set("failed", float64(failed))
-	r.set("direct p50", median(of(func(a added) float64 { return a.direct50 })))
-	r.set("direct p99", median(of(func(a added) float64 { return a.direct99 })))
+	r.Set("failed", float64(failed))
+	r.Set("direct p50", median(of(func(a added) float64 { return a.direct50 })))
+	r.Set("direct p99", median(of(func(a added) float64 { return a.direct99 })))
 	return r
 }
 
--- a/internal/bench/processes/change.go
+++ b/internal/bench/processes/change.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"shallotglade/internal/bench/table"
+
 	"github.com/cockroachdb/errors"
 
 	"shallotglade/internal/fleettest"
@@ -20,23 +22,23 @@
 
 // change measures how soon accepted changes are in force at all daemons, with
 // nothing wrong and with two daemons frozen or killed each time.
-func (b *bench) change(ctx context.Context) ([]result, error) {
+func (b *bench) change(ctx context.Context) ([]table.Result, error) {
 	f, err := b.start(ctx, "change", changeDaemons, 3)
 	if err != nil {
 		return nil, err
 	}
 	defer f.Close()
-	var rows []result
+	var rows []table.Result
 	for _, kills := range []int{0, 1} {
 		took, err := b.changeSeries(ctx, f, kills)
 		if err != nil {
 			return rows, err
 		}
-		r := result{Case: fmt.Sprintf("change in force, %d daemons, %d killed each", len(f.Live()), kills)}
+		r := table.Result{Case: fmt.Sprintf("change in force, %d daemons, %d killed each", len(f.Live()), kills)}
 		slices.Sort(took)
-		r.set("changes", float64(len(took)))
-		r.set("p50 ms", millis(took[len(took)/2]))
-		r.set("max ms", millis(took[len(took)-1]))
+		r.Set("changes", float64(len(took)))
+		r.Set("p50 ms", millis(took[len(took)/2]))
+		r.Set("max ms", millis(took[len(took)-1]))
 		rows = append(rows, r)
 	}
 	return rows, nil
--- a/internal/bench/processes/cost.go
+++ b/internal/bench/processes/cost.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"shallotglade/internal/bench/table"
+
 	"github.com/cockroachdb/errors"
 
 	"shallotglade/internal/fleettest"
@@ -29,8 +31,8 @@
 }
 
 // cost measures what an idle daemon takes as the fleet grows.
-func (b *bench) cost(ctx context.Context) ([]result, error) {
-	var rows []result
+func (b *bench) cost(ctx context.Context) ([]table.Result, error) {
+	var rows []table.Result
 	for _, n := range b.sizes {
 		r, err := b.costOf(ctx, n)
 		if err != nil {
@@ -41,8 +43,8 @@
 	return rows, nil
 }
 
-func (b *bench) costOf(ctx context.Context, n int) (result, error) {
-	r := result{Case: fmt.Sprintf("control cost, %d daemons", n)}
+func (b *bench) costOf(ctx context.Context, n int) (table.Result, error) {
+	r := table.Result{Case: fmt.Sprintf("control cost, %d daemons", n)}
 	f, err := b.start(ctx, fmt.Sprintf("cost%d", n), n, costUpstreams)
 	if err != nil {
 		return r, err
@@ -67,10 +69,10 @@
 		return r, err
 	}
 	seconds := costTime.Seconds()
-	r.set("core %", round(100*(cpu1-cpu0)/seconds/float64(n)))
-	r.set("RSS MB", round(memory(f)/float64(n)/1e6))
-	r.set("loopback KB/s", round((net1-net0)/seconds/float64(n)/1e3))
-	r.set("platform calls/s", round(float64(calls1.Reads+calls1.Writes+calls1.Watches-calls0.Reads-calls0.Writes-calls0.Watches)/seconds))
+	r.Set("core %", round(100*(cpu1-cpu0)/seconds/float64(n)))
+	r.Set("RSS MB", round(memory(f)/float64(n)/1e6))
+	r.Set("loopback KB/s", round((net1-net0)/seconds/float64(n)/1e3))
+	r.Set("platform calls/s", round(float64(calls1.Reads+calls1.Writes+calls1.Watches-calls0.Reads-calls0.Writes-calls0.Watches)/seconds))
 	return r, nil
 }
 
--- a/internal/bench/processes/loss.go
+++ b/internal/bench/processes/loss.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"shallotglade/internal/bench/table"
+
 	"shallotglade/internal/fleettest"
 	"shallotglade/internal/standin"
 )
@@ -17,25 +19,25 @@
 	exitLimit     = 60 * time.Second
 )
 
-func lossRow(name string, l *standin.Load) result {
-	r := result{Case: name}
+func lossRow(name string, l *standin.Load) table.Result {
+	r := table.Result{Case: name}
 	for status, n := range l.ByStatus {
 		if status != 200 {
-			r.set(fmt.Sprintf("status %d", status), float64(n))
+			r.Set(fmt.Sprintf("status %d", status), float64(n))
 		}
 	}
-	r.set("requests", float64(l.Sent))
-	r.set("ok", float64(l.OK))
-	r.set("no answer", float64(len(l.Lost)))
-	r.set("wrong answers", float64(len(l.Wrong)))
-	r.set("may have run", float64(l.MayHaveRun))
-	r.set("not run", float64(l.NotRun))
-	r.set("refused, sent again", float64(l.Refused))
+	r.Set("requests", float64(l.Sent))
+	r.Set("ok", float64(l.OK))
+	r.Set("no answer", float64(len(l.Lost)))
+	r.Set("wrong answers", float64(len(l.Wrong)))
+	r.Set("may have run", float64(l.MayHaveRun))
+	r.Set("not run", float64(l.NotRun))
+	r.Set("refused, sent again", float64(l.Refused))
 	return r
 }
 
 // rolling replaces every daemon under load, until enough requests were sent.
-func (b *bench) rolling(ctx context.Context) ([]result, error) {
+func (b *bench) rolling(ctx context.Context) ([]table.Result, error) {
 	f, err := b.start(ctx, "rolling", lossDaemons, lossUpstreams)
 	if err != nil {
 		return nil, err
@@ -66,20 +68,20 @@
 	}
 	stop()
 	r := lossRow("rolling replacement", l)
-	r.set("daemons replaced", float64(replaced))
-	return []result{r}, nil
+	r.Set("daemons replaced", float64(replaced))
+	return []table.Result{r}, nil
 }
 
-func (b *bench) killThird(ctx context.Context) ([]result, error) {
+func (b *bench) killThird(ctx context.Context) ([]table.Result, error) {
 	return b.kill(ctx, "a third of the daemons killed", func(i int, _ *fleettest.Daemon) bool { return i < lossDaemons/3 })
 }
 
-func (b *bench) killDomain(ctx context.Context) ([]result, error) {
+func (b *bench) killDomain(ctx context.Context) ([]table.Result, error) {
 	return b.kill(ctx, "a failure domain killed", func(_ int, d *fleettest.Daemon) bool { return d.Domain == domains[0] })
 }
 
 // kill ends the chosen daemons at one moment and looks how long callers notice.
-func (b *bench) kill(ctx context.Context, name string, chosen func(int, *fleettest.Daemon) bool) ([]result, error) {
+func (b *bench) kill(ctx context.Context, name string, chosen func(int, *fleettest.Daemon) bool) ([]table.Result, error) {
 	f, err := b.start(ctx, name, lossDaemons, lossUpstreams)
 	if err != nil {
 		return nil, err
@@ -98,7 +100,7 @@
 	time.Sleep(10 * time.Second)
 	stop()
 	r := lossRow(name, l)
-	r.set("requests before", float64(before))
-	r.set("seconds to normal", l.LastTrouble(at).Seconds())
-	return []result{r}, nil
+	r.Set("requests before", float64(before))
+	r.Set("seconds to normal", l.LastTrouble(at).Seconds())
+	return []table.Result{r}, nil
 }
--- a/internal/bench/processes/main.go
+++ b/internal/bench/processes/main.go
@@ -16,32 +16,11 @@
 	"strconv"
 	"strings"
 
+	"shallotglade/internal/bench/table"
+
 	"github.com/cockroachdb/errors"
 )
 
-// result is one row of the table.
-type result struct {
-	Case   string             `json:"case"`
-	Values map[string]float64 `json:"values"`
-	order  []string
-}
-
-func (r *result) set(name string, value float64) {
-	if r.Values == nil {
-		r.Values = map[string]float64{}
-	}
-	r.Values[name] = value
-	r.order = append(r.order, name)
-}
-
-func (r *result) print() {
-	parts := make([]string, len(r.order))
-	for i, name := range r.order {
-		parts[i] = name + " " + strconv.FormatFloat(r.Values[name], 'f', -1, 64)
-	}
-	fmt.Printf("%-34s %s\n", r.Case, strings.Join(parts, ", "))
-}
-
 // bench is what all cases share.
 type bench struct {
 	bin, dir string
@@ -90,11 +69,11 @@
 	return err
 }
 
-func (b *bench) runCases(ctx context.Context, names []string) ([]result, error) {
-	known := map[string]func(context.Context) ([]result, error){
+func (b *bench) runCases(ctx context.Context, names []string) ([]table.Result, error) {
+	known := map[string]func(context.Context) ([]table.Result, error){
 		"rolling": b.rolling, "kill": b.killThird, "domain": b.killDomain, "change": b.change, "cost": b.cost,
 	}
-	var all []result
+	var all []table.Result
 	for _, name := range names {
 		f, ok := known[name]
 		if !ok {
@@ -102,7 +81,7 @@
 		}
 		rows, err := f(ctx)
 		for i := range rows {
-			rows[i].print()
+			rows[i].Print()
 		}
 		all = append(all, rows...)
 		if err != nil {
