Count requests in flight in one place

Cause: homes sent their in-flight counts twice, as loads of pkg/routing, which deals slots by them, and within the detector's evidence, which nobody read (SetInFlight, InFlightElsewhere); the blackboard copied one to the other four times a second for each upstream. Change: the detector's copy is removed; board.Service serves in place of Has.

--- a/pkg/blackboard/board.go
+++ b/pkg/blackboard/board.go
@@ -42,12 +42,6 @@
 	return b.services.get(name)
 }
 
-// Has reports whether the service's document is in force.
-func (b *Board) Has(name string) bool {
-	_, ok := b.services.get(name)
-	return ok
-}
-
 // Services returns all services, sorted by name.
 func (b *Board) Services() []*Service {
 	all := b.services.all()
--- a/pkg/blackboard/report.go
+++ b/pkg/blackboard/report.go
@@ -64,9 +64,6 @@
 func (s *Service) Report(now time.Time) (Report, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, u := range s.upstreams {
-		s.group.SetInFlight(now, u.ID, s.inFlight.Own(u.ID))
-	}
 	r := Report{Service: s.Name, Evidence: s.group.Summary(now), Load: s.inFlight.Report(now, s.Gate.Stats().Waiting)}
 	if summary := s.poison.Summary(now); len(summary.Events) > 0 {
 		if b, err := summary.Encode(); err == nil {
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -119,7 +119,8 @@
 	r.mu.Lock()
 	for name, placed := range r.homes {
 		// A service that came into force meanwhile keeps what place worked out.
-		if _, done := homes[name]; !done && r.d.board.Has(name) {
+		_, done := homes[name]
+		if _, inForce := r.d.board.Service(name); inForce && !done {
 			homes[name] = placed
 		}
 	}
--- a/pkg/detector/group.go
+++ b/pkg/detector/group.go
@@ -75,12 +75,6 @@
 	g.upstream(now, id).warmUntil = until
 }
 
-// SetInFlight states how many requests this home has in flight at the
-// upstream, for the next Summary.
-func (g *Group) SetInFlight(now time.Time, id string, requests int) {
-	g.upstream(now, id).inFlight = requests
-}
-
 // Restart begins a new judgement of an upstream whose trial begins. A third of
 // the threshold stays as a head start, so that a relapse is found sooner.
 func (g *Group) Restart(now time.Time, id string) {
--- a/pkg/detector/summary.go
+++ b/pkg/detector/summary.go
@@ -46,8 +46,6 @@
 	// Successes and Failures are recent outcomes, fading with a half-life of 5 s.
 	Successes float32 `json:"successes,omitempty" cbor:"4,keyasint,omitempty"`
 	Failures  float32 `json:"failures,omitempty" cbor:"5,keyasint,omitempty"`
-	// InFlight is the number of the home's requests in flight at the upstream.
-	InFlight int `json:"inFlight,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // remoteHome is the latest summary of another home.
@@ -69,7 +67,6 @@
 			Path:      float32(g.pathScore(u)),
 			Successes: rounded(u.successes),
 			Failures:  rounded(u.failures),
-			InFlight:  u.inFlight,
 		}
 		if r != (Evidence{Upstream: u.id}) {
 			s.Reports = append(s.Reports, r)
@@ -94,25 +91,12 @@
 			r.Upstream = u.id
 			r.Score, r.Path = clamp(r.Score, maxScore), clamp(r.Path, maxScore)
 			r.Successes, r.Failures = clamp(r.Successes, math.MaxUint16), clamp(r.Failures, math.MaxUint16)
-			r.InFlight = min(max(r.InFlight, 0), math.MaxUint16)
 			remote.reports[u.id] = r
 		}
 	}
 	g.homes[home] = remote
 }
 
-// InFlightElsewhere returns the requests in flight at the upstream according
-// to the other homes' latest summaries.
-func (g *Group) InFlightElsewhere(now time.Time, id string) int {
-	sum := 0
-	for _, home := range g.homes {
-		if now.Sub(home.at) < contradictionAge {
-			sum += home.reports[id].InFlight
-		}
-	}
-	return sum
-}
-
 func (g *Group) forgetHomes(now time.Time) {
 	for id, home := range g.homes {
 		if now.Sub(home.at) > remoteForgotten {
--- a/pkg/detector/upstream.go
+++ b/pkg/detector/upstream.go
@@ -74,7 +74,6 @@
 
 	// Recent outcomes, fading with recentHalfLife.
 	successes, failures, timeouts float64
-	inFlight                      int
 
 	badAt     time.Time // last failed or slow outcome
 	pathAt    time.Time // when dials began to fail
