--- a/cmd/shallotctl/fleet.go
+++ b/cmd/shallotctl/fleet.go
@@ -10,7 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"shallotglade/pkg/admin"
-	"shallotglade/pkg/proxy"
+	"shallotglade/pkg/dialect"
 )
 
 func newStatus(o *options) *cobra.Command {
@@ -99,14 +99,14 @@
 			if err != nil {
 				return err
 			}
-			status, body, err := http.Get(cmd.Context(), nil, "http://"+from+proxy.AddressesPath+"?"+q.Encode())
+			status, body, err := http.Get(cmd.Context(), nil, "http://"+from+dialect.AddressesPath+"?"+q.Encode())
 			if err != nil {
 				return err
 			}
 			if status != 200 {
 				return errors.Newf("status %d: %s", status, body)
 			}
-			var answer proxy.AddressAnswer
+			var answer dialect.NativeAnswer
 			if err := json.Unmarshal(body, &answer); err != nil {
 				return err
 			}
--- a/cmd/shallotgladed/main.go
+++ b/cmd/shallotgladed/main.go
@@ -16,11 +16,15 @@
 	"shallotglade/pkg/daemon"
 	"shallotglade/pkg/settings"
 	"shallotglade/pkg/telemetry"
+	adapter "shallotglade/platform"
 )
 
 // exitInvalid is the exit code for settings that are not valid.
 const exitInvalid = 2
 
+// adapters are the platforms that the daemon can run on besides the native one.
+var adapters = map[string]daemon.AdapterFactory{adapter.Name: adapter.New}
+
 func main() { os.Exit(execute()) }
 
 // execute runs the command and returns the exit code.
@@ -68,7 +72,7 @@
 func run(ctx context.Context, s *settings.Settings) error {
 	log := telemetry.NewLogger(os.Stderr, s.Log.Level, s.Listen.Callers)
 	telemetry.CaptureHTTP(log)
-	d, err := daemon.New(s, log)
+	d, err := daemon.New(s, adapters, log)
 	if err != nil {
 		return err
 	}
--- a/internal/platformapi/api_test.go
+++ b/internal/platformapi/api_test.go
@@ -50,10 +50,15 @@
 
 func connect(urls ...string) *platform.Client {
 	GinkgoHelper()
-	c, err := platform.NewClient(platform.ClientConfig{URLs: urls, Key: fleetKey})
+	return connectWith(fleetKey, urls...)
+}
+
+func connectWith(key string, urls ...string) *platform.Client {
+	GinkgoHelper()
+	c, err := platform.NewCaller(platform.CallerConfig{URLs: urls, Key: key})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(c.Close)
-	return c
+	return platform.NewClient(c)
 }
 
 // refusedURL is an address at which nothing listens.
@@ -161,9 +166,7 @@
 		_, err = connect(refused, up).Create(ctx, "l", nil)
 		Expect(err).To(MatchError(platform.ErrUnavailable))
 		Expect(err).NotTo(MatchError(platform.ErrUnknownOutcome))
-		wrongKey, err := platform.NewClient(platform.ClientConfig{URLs: []string{up}, Key: "other"})
-		Expect(err).NotTo(HaveOccurred())
-		_, err = wrongKey.Create(ctx, "m", nil)
+		_, err = connectWith("other", up).Create(ctx, "m", nil)
 		Expect(err).To(MatchError(platform.ErrUnavailable))
 	})
 
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/proxy"
 	"shallotglade/pkg/verdict"
 )
@@ -90,11 +91,11 @@
 	return nil, errors.Wrap(last, "no daemon says which addresses to use")
 }
 
-func (c *Caller) ask(ctx context.Context, seed string, q url.Values) (proxy.AddressAnswer, error) {
-	var answer proxy.AddressAnswer
+func (c *Caller) ask(ctx context.Context, seed string, q url.Values) (dialect.NativeAnswer, error) {
+	var answer dialect.NativeAnswer
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, "GET", "http://"+seed+proxy.AddressesPath+"?"+q.Encode(), nil)
+	r, err := http.NewRequestWithContext(ctx, "GET", "http://"+seed+dialect.AddressesPath+"?"+q.Encode(), nil)
 	if err != nil {
 		return answer, err
 	}
@@ -193,7 +194,7 @@
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	out := Outcome{
-		Status: resp.StatusCode, Verdict: verdict.Parse(resp.Header.Get(verdict.Header)), Upstream: resp.Header.Get(proxy.HeaderUpstream),
+		Status: resp.StatusCode, Verdict: verdict.Parse(resp.Header.Get(verdict.Header)), Upstream: resp.Header.Get(dialect.HeaderUpstream),
 		Body: string(text), Replayed: resp.Header.Get(proxy.HeaderReplayed) == "true", Err: err,
 	}
 	if err == nil && resp.StatusCode == 200 && !out.Replayed {
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -11,7 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 
-	"shallotglade/pkg/upstream"
+	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/verdict"
 )
 
@@ -122,9 +122,9 @@
 func (u *Upstream) work(ctx context.Context, c *app.RequestContext) {
 	m := u.current()
 	if m.Leaving {
-		c.Header(upstream.HeaderLeaving, "true")
+		c.Header(dialect.HeaderLeaving, "true")
 	}
-	c.Header(upstream.HeaderRequestID, string(c.GetHeader(upstream.HeaderRequestID)))
+	c.Header(dialect.HeaderRequestID, string(c.GetHeader(dialect.HeaderRequestID)))
 	if !u.enter(ctx) {
 		c.Header(verdict.Header, verdict.NotRun.String())
 		c.String(503, "shed")
@@ -194,7 +194,7 @@
 		return
 	}
 	if m.ForeignAnswers {
-		c.Header(upstream.HeaderRequestID, "another-request")
+		c.Header(dialect.HeaderRequestID, "another-request")
 	}
 	c.Data(200, "application/json", []byte(body))
 }
--- a/pkg/blackboard/blackboard_test.go
+++ b/pkg/blackboard/blackboard_test.go
@@ -81,7 +81,7 @@
 				host := rapid.SampledFrom([]string{"", "a.example", "A.Example", "a.example:8080", "b.example:80", "c", "[::1]:80"}).Draw(t, "asked host")
 				path := "/" + strings.TrimPrefix(paths.Draw(t, "asked path"), "/")
 				got := ""
-				if s, ok := board.Route("", host, path); ok {
+				if _, s, ok := board.Route("", host, path); ok {
 					got = s.Name
 				}
 				if want := naiveRoute(documents, host, path); got != want {
--- a/pkg/blackboard/board.go
+++ b/pkg/blackboard/board.go
@@ -19,12 +19,15 @@
 	// rebuild serializes the rebuilding of routes.
 	rebuild sync.Mutex
 	routes  atomic.Pointer[routeTable]
+	// configured is the platform version of the configuration in force.
+	configured    uint64
+	configuration atomic.Pointer[document.Configuration]
 }
 
 // New returns the empty board of the daemon self in a failure domain.
 func New(self, domain string) *Board {
 	b := &Board{self: self, domain: domain, services: newShards[*Service]()}
-	b.routes.Store(newRouteTable(nil))
+	b.routes.Store(newRouteTable())
 	return b
 }
 
@@ -49,16 +52,68 @@
 	return all
 }
 
-// Route returns the service of a request: the one it names, else the one whose
-// route fits host and path.
-func (b *Board) Route(name, host, path string) (*Service, bool) {
+// Route returns the route of a request and the service that is to serve it:
+// that of the service it names, else the one that fits host and path.
+func (b *Board) Route(name, host, path string) (*Route, *Service, bool) {
+	table := b.routes.Load()
+	r, ok := table.named[name]
 	if name == "" {
-		var ok bool
-		if name, ok = b.routes.Load().find(host, path); !ok {
-			return nil, false
+		r, ok = table.find(host, path)
+	}
+	if !ok {
+		return nil, nil, false
+	}
+	service, ok := r.next()
+	return r, service, ok
+}
+
+// ServicesAt returns the names of the services behind the routes of a host, in
+// no order.
+func (b *Board) ServicesAt(host string) []string { return b.routes.Load().servicesAt(host) }
+
+// Connections returns the bounds of callers' connections that the
+// configuration in force states.
+func (b *Board) Connections() document.Connections {
+	if c := b.configuration.Load(); c != nil {
+		return c.Connections
+	}
+	return document.Connections{}
+}
+
+// Configured reports whether any route is in force.
+func (b *Board) Configured() bool { return b.configuration.Load() != nil || len(b.services.all()) > 0 }
+
+// PutConfiguration puts all routes and services in force at once, unless a
+// newer configuration is. It reports whether it is in force now. Requests that
+// were routed before end by the rules under which they began.
+func (b *Board) PutConfiguration(c *document.Configuration, version uint64) bool {
+	b.rebuild.Lock()
+	defer b.rebuild.Unlock()
+	if version <= b.configured {
+		return false
+	}
+	stated := map[string]bool{}
+	for _, d := range c.Services {
+		stated[d.Service] = true
+		s := b.services.getOrCreate(d.Service, func() *Service { return newService(d, b.self, b.domain) })
+		s.setDocument(d, version, nil)
+	}
+	table := newRouteTable()
+	for i := range c.Routes {
+		if r, ok := newRoute(&c.Routes[i], version, b.services.get); ok {
+			table.add(r)
 		}
 	}
-	return b.services.get(name)
+	b.configured = version
+	b.configuration.Store(c)
+	b.routes.Store(table)
+	for _, s := range b.services.all() {
+		if !stated[s.Name] {
+			b.services.remove(s.Name)
+		}
+	}
+	b.generation.Add(1)
+	return true
 }
 
 // PutDocument puts a document in force, unless a newer version is. It reports
@@ -78,14 +133,23 @@
 	b.rebuildRoutes()
 }
 
+// rebuildRoutes puts the routes of all documents in force.
 func (b *Board) rebuildRoutes() {
 	b.rebuild.Lock()
 	defer b.rebuild.Unlock()
-	services := b.Services()
-	documents := make([]*document.Service, len(services))
-	for i, s := range services {
-		documents[i] = s.Document()
+	table := newRouteTable()
+	for _, s := range b.Services() {
+		d, version := s.Document(), s.Version()
+		named, rules := d.Rule(), d.Rules()
+		if r, ok := newRoute(&named, version, b.services.get); ok {
+			table.named[s.Name] = r
+		}
+		for i := range rules {
+			if r, ok := newRoute(&rules[i], version, b.services.get); ok {
+				table.add(r)
+			}
+		}
 	}
-	b.routes.Store(newRouteTable(documents))
+	b.routes.Store(table)
 	b.generation.Add(1)
 }
--- a/pkg/blackboard/doc.go
+++ b/pkg/blackboard/doc.go
@@ -6,7 +6,7 @@
 // know (documents, upstreams, ejection records, reports of other homes), the
 // request path reads it and adds outcomes:
 //
-//	service, ok := board.Route(name, host, path)
+//	route, service, ok := board.Route(name, host, path)
 //	attempt, choice := service.Begin(now, attemptRequest)
 //	... send ...
 //	service.End(now, attempt, result)
--- a/pkg/blackboard/routes.go
+++ b/pkg/blackboard/routes.go
@@ -2,38 +2,86 @@
 
 import (
 	"strings"
+	"sync"
 
 	"shallotglade/pkg/document"
 )
 
-// routeTable finds the service of a request in a number of steps that depends
-// on the segments of its path and not on the number of routes.
+// Route is a rule in force with the services behind it.
+type Route struct {
+	*document.Rule
+	// Version is the platform version of the configuration or document.
+	Version  uint64
+	backends []backend
+
+	mu sync.Mutex
+}
+
+// backend is a part of a route's requests. credit implements smooth weighted
+// round robin, which keeps the parts even over few requests too.
+type backend struct {
+	service *Service
+	weight  int
+	credit  int
+}
+
+// next returns the service of the next request. Parts follow the weights.
+func (r *Route) next() (*Service, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total, best := 0, -1
+	for i := range r.backends {
+		b := &r.backends[i]
+		b.credit += b.weight
+		total += b.weight
+		if b.weight > 0 && (best < 0 || b.credit > r.backends[best].credit) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil, false
+	}
+	r.backends[best].credit -= total
+	return r.backends[best].service, true
+}
+
+// routeTable finds the route of a request in a number of steps that depends on
+// the segments of its path and not on the number of routes. It is not changed
+// once it is in force.
 type routeTable struct {
-	// byHost maps a host, or "" for any, to paths and their services.
-	byHost map[string]map[string]string
+	// byHost maps a host, or "" for any, to paths and their routes.
+	byHost map[string]map[string]*Route
+	// named holds the routes of requests that name their service.
+	named map[string]*Route
+}
+
+func newRouteTable() *routeTable {
+	return &routeTable{byHost: map[string]map[string]*Route{}, named: map[string]*Route{}}
 }
 
-func newRouteTable(documents []*document.Service) *routeTable {
-	t := &routeTable{byHost: map[string]map[string]string{}}
-	for _, d := range documents {
-		for _, r := range d.Routes {
-			t.add(r, d.Service)
+// newRoute returns the route of a rule, or false when none of its services is in
+// force.
+func newRoute(rule *document.Rule, version uint64, services func(name string) (*Service, bool)) (*Route, bool) {
+	r := &Route{Rule: rule, Version: version}
+	for _, b := range rule.Backends {
+		if s, ok := services(b.Service); ok {
+			r.backends = append(r.backends, backend{service: s, weight: b.Weight})
 		}
 	}
-	return t
+	return r, len(r.backends) > 0
 }
 
-// add enters a route. Of two services with the same route the one whose name
-// sorts first gets it, so that all daemons agree.
-func (t *routeTable) add(r document.Route, service string) {
-	paths := t.byHost[r.Host]
+// add enters a route. Of two routes with the same host and path the one whose
+// name sorts first wins, so that all daemons agree.
+func (t *routeTable) add(r *Route) {
+	rule := r.Rule
+	paths := t.byHost[rule.Host]
 	if paths == nil {
-		paths = map[string]string{}
-		t.byHost[r.Host] = paths
+		paths = map[string]*Route{}
+		t.byHost[rule.Host] = paths
 	}
-	path := strings.TrimSuffix(r.Path, "/")
-	if old, taken := paths[path]; !taken || service < old {
-		paths[path] = service
+	if old, taken := paths[rule.Path]; !taken || rule.Name < old.Name {
+		paths[rule.Path] = r
 	}
 }
 
@@ -46,22 +94,42 @@
 	return host
 }
 
-// find returns the service whose route has the longest path; of two routes with
-// the same path, the one that names the host.
-func (t *routeTable) find(host, path string) (string, bool) {
+// find returns the route with the longest path; of two routes with the same
+// path, the one that names the host.
+func (t *routeTable) find(host, path string) (*Route, bool) {
 	named, any := t.byHost[strings.ToLower(withoutPort(host))], t.byHost[""]
-	path = strings.TrimSuffix(path, "/")
-	for {
-		if s, ok := named[path]; ok {
-			return s, true
+	look := func(prefix string) (*Route, bool) {
+		if r, ok := named[prefix]; ok {
+			return r, true
 		}
-		if s, ok := any[path]; ok {
-			return s, true
+		r, ok := any[prefix]
+		return r, ok
+	}
+	if r, ok := look(path); ok {
+		return r, true
+	}
+	for i := strings.LastIndexByte(path, '/'); i >= 0; i = strings.LastIndexByte(path[:i], '/') {
+		if r, ok := look(path[:i+1]); ok {
+			return r, true
 		}
-		i := strings.LastIndexByte(path, '/')
-		if i < 0 {
-			return "", false
+		if r, ok := look(path[:i]); ok {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// servicesAt returns the services of all routes of a host.
+func (t *routeTable) servicesAt(host string) []string {
+	var out []string
+	seen := map[string]bool{}
+	for _, r := range t.byHost[strings.ToLower(withoutPort(host))] {
+		for _, b := range r.backends {
+			if !seen[b.service.Name] {
+				seen[b.service.Name] = true
+				out = append(out, b.service.Name)
+			}
 		}
-		path = path[:i]
 	}
+	return out
 }
--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -29,6 +29,12 @@
 	Leaving bool
 	// Joined is when the upstream was added to a list that existed before.
 	Joined time.Time
+	// Incarnation tells one start of the process from another under the same
+	// ID; 0 means that the ID is new at each start.
+	Incarnation uint64
+	// WarmUp is how long the upstream was to be slow after its start when it
+	// was listed; 0 means that the document's time applies.
+	WarmUp time.Duration
 }
 
 // Service is what this daemon knows of one service. It is safe for concurrent
@@ -192,12 +198,18 @@
 	next := make([]Upstream, 0, len(list))
 	left := map[string]bool{}
 	for _, u := range list {
-		if old, ok := known[u.ID]; ok {
+		old, ok := known[u.ID]
+		restarted := ok && old.Incarnation != u.Incarnation
+		switch {
+		case ok && !restarted:
 			u.Joined = old.Joined
-		} else if !first {
+		case !first:
 			u.Joined = now
 			s.group.SetWarmUp(now, u.ID, now.Add(s.document.Upstreams.WarmUp))
 		}
+		if restarted {
+			s.forgetUpstreamLocked(now, u.ID)
+		}
 		if s.left[u.ID] {
 			u.Leaving, left[u.ID] = true, true
 		}
@@ -220,6 +232,15 @@
 	s.group.Retain(now, ids)
 }
 
+// forgetUpstreamLocked drops what is known of an upstream that started again
+// under its id.
+func (s *Service) forgetUpstreamLocked(now time.Time, id string) {
+	s.poison.Forget(id)
+	s.group.Restart(now, id)
+	delete(s.pausedUntil, id)
+	delete(s.left, id)
+}
+
 // MarkLeaving notes that an upstream announced that it leaves. It reports
 // whether that is news.
 func (s *Service) MarkLeaving(now time.Time, id string) bool {
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -26,11 +26,18 @@
 // EjectionsPrefix is the prefix of the objects that hold ejection records.
 const EjectionsPrefix = "ejections/"
 
-// Prefixes are the prefixes of all objects that the catalog needs.
+// Prefixes are the prefixes of all objects that the catalog needs where each
+// service has a document of its own.
 func Prefixes() []string {
 	return []string{document.Prefix, EjectionsPrefix, platform.MembersPrefix}
 }
 
+// ConfigurationPrefixes are the prefixes of all objects that the catalog needs
+// where one configuration holds all services, and daemons enter themselves.
+func ConfigurationPrefixes() []string {
+	return []string{document.ConfigurationsPrefix, platform.MembersPrefix, platform.DaemonsPrefix}
+}
+
 // Catalog applies changed objects to a board.
 type Catalog struct {
 	board   *blackboard.Board
@@ -48,6 +55,7 @@
 	records   map[string]platform.Object
 	onDaemons func([]platform.Member)
 	onService func(*blackboard.Service)
+	onEntry   func(platform.Object)
 }
 
 // New returns a catalog that writes to board.
@@ -75,6 +83,22 @@
 	c.onService = f
 }
 
+// OnEntry registers a callback that gets every change of a daemon's own entry.
+// The callback must be fast.
+func (c *Catalog) OnEntry(f func(platform.Object)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onEntry = f
+}
+
+// Daemon returns the member of a daemon.
+func (c *Catalog) Daemon(id string) (platform.Member, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.daemons[id]
+	return m, ok
+}
+
 // Changed puts an object in force.
 func (c *Catalog) Changed(o platform.Object) {
 	switch {
@@ -82,8 +106,18 @@
 		c.changeDocument(strings.TrimPrefix(o.Key, document.Prefix), o)
 	case strings.HasPrefix(o.Key, EjectionsPrefix):
 		c.changeRecord(strings.TrimPrefix(o.Key, EjectionsPrefix), o)
+	case strings.HasPrefix(o.Key, document.ConfigurationsPrefix):
+		c.changeConfiguration(strings.TrimPrefix(o.Key, document.ConfigurationsPrefix), o)
 	case strings.HasPrefix(o.Key, platform.MembersPrefix):
 		c.changeMember(strings.TrimPrefix(o.Key, platform.MembersPrefix), o)
+	case strings.HasPrefix(o.Key, platform.DaemonsPrefix):
+		c.changeMember(strings.TrimPrefix(o.Key, platform.DaemonsPrefix), o)
+		c.mu.Lock()
+		notify := c.onEntry
+		c.mu.Unlock()
+		if notify != nil {
+			notify(o)
+		}
 	}
 }
 
@@ -115,6 +149,31 @@
 	c.afterDocument(d)
 }
 
+// changeConfiguration puts a whole configuration in force. A deleted one stays
+// in force: operators who want no routes write a configuration without any.
+func (c *Catalog) changeConfiguration(name string, o platform.Object) {
+	if o.Deleted {
+		c.log.Error().Str("configuration", name).Uint64("version", o.Version).Msg("config: configuration was deleted; it stays in force")
+		return
+	}
+	configuration, err := document.DecodeConfiguration(o.Value)
+	if err != nil {
+		c.metrics.ConfigurationsRefused.Inc()
+		c.log.Error().Str("configuration", name).Uint64("version", o.Version).Err(err).
+			Msg("config: configuration cannot be read; the former one stays in force")
+		return
+	}
+	if !c.board.PutConfiguration(configuration, o.Version) {
+		return
+	}
+	c.metrics.ConfigurationVersion.Set(float64(configuration.Version))
+	c.log.Info().Str("configuration", name).Uint64("version", o.Version).Uint64("stated", configuration.Version).
+		Int("routes", len(configuration.Routes)).Int("services", len(configuration.Services)).Msg("config: configuration in force")
+	for _, d := range configuration.Services {
+		c.afterDocument(d)
+	}
+}
+
 // afterDocument gives a service that is new here what arrived before it.
 func (c *Catalog) afterDocument(d *document.Service) {
 	c.mu.Lock()
@@ -161,6 +220,7 @@
 			c.log.Error().Str("member", id).Err(err).Msg("membership: member cannot be read")
 			return
 		}
+		m.Version = o.Version
 	}
 	c.mu.Lock()
 	before := c.serviceOf[id]
@@ -189,7 +249,11 @@
 		c.putUpstreams(before)
 	}
 	if m.Role == platform.RoleUpstream {
+		c.log.Info().Str("upstream", id).Str("service", m.Service).Str("state", string(m.State)).Str("address", m.Address).
+			Uint64("version", o.Version).Msg("membership: upstream listed")
 		c.putUpstreams(m.Service)
+	} else if before != "" {
+		c.log.Info().Str("upstream", id).Str("service", before).Uint64("version", o.Version).Msg("membership: upstream gone from the list")
 	}
 }
 
@@ -206,6 +270,7 @@
 	for _, m := range c.upstreams[membership] {
 		list = append(list, blackboard.Upstream{
 			ID: m.ID, Address: m.Address, Domain: m.Domain, Slots: m.Slots, Leaving: m.State == platform.Leaving,
+			Incarnation: m.Incarnation, WarmUp: time.Duration(m.WarmUpMs) * time.Millisecond,
 		})
 	}
 	c.mu.Unlock()
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -108,7 +108,7 @@
 		c.Changed(upstreamObject("u2", "s", 3))
 		c.Changed(recordObject("s", 4, "u1"))
 		c.Changed(platform.Object{Key: "services/s", Version: 5, Deleted: true})
-		_, ok := board.Route("", "", "/s")
+		_, _, ok := board.Route("", "", "/s")
 		Expect(ok).To(BeFalse())
 		c.Changed(documentObject("s", 6, "service: s\nfloor: {share: 50%}"))
 		Expect(standings(board, "s")).To(Equal(map[string]string{"u1": "ejected", "u2": "normal"}))
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -18,9 +18,11 @@
 	"shallotglade/pkg/confsync"
 	"shallotglade/pkg/health"
 	"shallotglade/pkg/history"
+	"shallotglade/pkg/ingress"
 	"shallotglade/pkg/peer"
 	"shallotglade/pkg/platform"
 	"shallotglade/pkg/proxy"
+	"shallotglade/pkg/registration"
 	"shallotglade/pkg/settings"
 	"shallotglade/pkg/telemetry"
 	"shallotglade/pkg/upstream"
@@ -39,6 +41,8 @@
 	log      zerolog.Logger
 	metrics  *telemetry.Metrics
 
+	adapter Adapter
+	self    platform.Member
 	store   platform.Store
 	board   *blackboard.Board
 	node    *peer.Node
@@ -53,39 +57,35 @@
 	callers *proxy.Server
 	admin   *admin.Server
 
-	callersListener net.Listener
-	serving         atomic.Bool
-	leave           chan struct{}
-	leaveOnce       sync.Once
+	registration *registration.Controller
+	// questions answer callers' questions on listeners of their own.
+	questions []*ingress.Server
+
+	serving   atomic.Bool
+	leave     chan struct{}
+	leaveOnce sync.Once
 }
 
-// New opens the ports of a daemon and prepares its parts.
-func New(s *settings.Settings, log zerolog.Logger) (*Daemon, error) {
+// New opens the ports of a daemon and prepares its parts. adapters are the
+// adapters that the settings may name besides the native one.
+func New(s *settings.Settings, adapters map[string]AdapterFactory, log zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, log: log, metrics: telemetry.NewMetrics(), leave: make(chan struct{})}
-	if err := d.provision(); err != nil {
+	if err := d.provision(adapters); err != nil {
 		return nil, err
 	}
 	return d, nil
 }
 
-func (d *Daemon) provision() error {
-	client, err := platform.NewClient(platform.ClientConfig{
-		URLs: d.settings.Platform.Addresses, Key: d.settings.Platform.Key, ReadTimeout: d.settings.Platform.Timeout,
-	})
-	if err != nil {
-		return errors.Wrap(err, "platform")
+func (d *Daemon) provision(adapters map[string]AdapterFactory) error {
+	if err := d.provisionPlatform(adapters); err != nil {
+		return err
 	}
-	d.store = observe(platform.WithMembers(client), d.metrics.PlatformUp)
-	d.node, err = peer.Listen(peer.Config{
-		Listen:      d.settings.Listen.Peers,
-		Credentials: d.credentials(),
-		Logger:      d.log,
-	})
-	if err != nil {
-		return errors.Wrapf(err, "listen for peers on %s", d.settings.Listen.Peers)
+	if err := d.provisionPeers(); err != nil {
+		return err
 	}
 	d.board = blackboard.New(d.node.ID(), d.settings.Domain)
 	d.catalog = catalog.New(d.board, d.log, d.metrics)
+	var err error
 	d.roster, err = newRoster(d)
 	if err != nil {
 		return errors.Wrap(err, "membership")
@@ -99,23 +99,79 @@
 	return d.provisionServers()
 }
 
+func (d *Daemon) provisionPlatform(adapters map[string]AdapterFactory) error {
+	caller, err := platform.NewCaller(platform.CallerConfig{
+		URLs: d.settings.Platform.Addresses, Key: d.settings.Platform.Key, ReadTimeout: d.settings.Platform.Timeout,
+	})
+	if err != nil {
+		return errors.Wrap(err, "platform")
+	}
+	factory := AdapterFactory(native)
+	if name := d.settings.Platform.Adapter; name != settings.AdapterNative {
+		if factory = adapters[name]; factory == nil {
+			return errors.Newf("platform.adapter: no adapter %q", name)
+		}
+	}
+	d.adapter = factory(d.settings, caller, d.log)
+	d.store = observe(d.adapter.Store, d.metrics.PlatformUp)
+	return nil
+}
+
+func (d *Daemon) provisionPeers() error {
+	config := peer.Config{Listen: d.settings.Listen.Peers, Logger: d.log}
+	if d.settings.Peers.Trust == settings.TrustRegistered {
+		var err error
+		if config.Registered, err = peer.NewRegistered(registration.NewID(d.settings.Host)); err != nil {
+			return err
+		}
+		config.Registered.KeyOf = func(id string) string {
+			m, _ := d.catalog.Daemon(id)
+			return m.PeerKey
+		}
+	} else {
+		config.Credentials = d.credentials()
+	}
+	var err error
+	if d.node, err = peer.Listen(config); err != nil {
+		return errors.Wrapf(err, "listen for peers on %s", d.settings.Listen.Peers)
+	}
+	d.self = platform.Member{
+		ID: d.node.ID(), Role: platform.RoleDaemon, Address: d.settings.Listen.Callers, PeerAddress: d.node.Addr(),
+		Region: d.settings.Region, Domain: d.settings.Domain, State: platform.Live,
+	}
+	if config.Registered != nil {
+		d.self.PeerKey = config.Registered.KeyHash()
+	}
+	return nil
+}
+
 func (d *Daemon) credentials() peer.Credentials {
 	p := d.settings.Peers
 	return peer.Credentials{CA: []string{p.CA}, Cert: p.Certificate, Key: p.Key}
 }
 
-// Reload reads the peer keys again.
-func (d *Daemon) Reload() error { return d.node.Reload(d.credentials()) }
+// Reload reads the peer keys again. Keys that the daemon made itself stay.
+func (d *Daemon) Reload() error {
+	if d.settings.Peers.Trust == settings.TrustRegistered {
+		return nil
+	}
+	return d.node.Reload(d.credentials())
+}
 
 func (d *Daemon) provisionSync() error {
 	d.replica = confsync.NewReplica()
 	d.replica.OnChange(d.catalog.Changed)
 	d.catalog.OnDaemons(d.roster.setRoster)
 	d.catalog.OnService(d.roster.place)
+	if d.adapter.Registers {
+		d.registration = &registration.Controller{Store: d.store, Self: d.self, Log: d.log}
+		d.registration.Provision()
+		d.catalog.OnEntry(d.registration.Seen)
+	}
 	var err error
 	d.syncer, err = confsync.New(confsync.Config{
 		Self:      confsync.Peer{Address: d.node.Addr(), Domain: d.settings.Domain},
-		Prefixes:  catalog.Prefixes(),
+		Prefixes:  d.adapter.Prefixes,
 		Replica:   d.replica,
 		Store:     d.store,
 		Transport: d.node,
@@ -137,7 +193,7 @@
 }
 
 func (d *Daemon) provisionPath() error {
-	d.sender = upstream.NewClient()
+	d.sender = upstream.NewClient(d.adapter.Dialect)
 	var err error
 	d.ledger, err = claims.New(claims.Config{Store: d.store})
 	if err != nil {
@@ -158,11 +214,13 @@
 	if err := d.health.Provision(); err != nil {
 		return errors.Wrap(err, "health")
 	}
-	forward := &forwarder{node: d.node, observe: d.roster.members.Observe}
 	d.proxy = &proxy.Proxy{
-		Board: d.board, Sender: d.sender, Ledger: d.ledger, Directory: d.roster, Forwarder: forward,
+		Dialect: d.adapter.Dialect, Board: d.board, Sender: d.sender, Ledger: d.ledger, Directory: d.roster,
 		Notifier: d.health, Log: d.log, Metrics: d.metrics, LogDecisions: d.settings.Log.Decisions,
 	}
+	if d.adapter.Forwards {
+		d.proxy.Forwarder = &forwarder{node: d.node, observe: d.roster.members.Observe}
+	}
 	d.node.Handle(proxy.ForwardKind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
 		return d.proxy.HandleForward(ctx, body)
 	})
@@ -178,12 +236,22 @@
 }
 
 func (d *Daemon) provisionServers() error {
-	var err error
-	d.callersListener, err = net.Listen("tcp", d.settings.Listen.Callers)
+	ln, err := net.Listen("tcp", d.settings.Listen.Callers)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	d.callers = proxy.NewServer(d.callersListener, d.settings.Callers, d.proxy, d.addresses)
+	book := d.addresses
+	if d.settings.Listen.Addresses != "" {
+		book = nil
+	}
+	d.callers = proxy.NewServer(ln, d.settings.Callers, d.proxy, book)
+	if err := d.provisionQuestions(); err != nil {
+		return err
+	}
+	return d.provisionAdmin()
+}
+
+func (d *Daemon) provisionAdmin() error {
 	ln, err := net.Listen("tcp", d.settings.Listen.Admin)
 	if err != nil {
 		return errors.Wrap(err, "listen for administration")
--- /dev/null
+++ b/pkg/daemon/questions.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cockroachdb/errors"
+
+	"shallotglade/pkg/ingress"
+	"shallotglade/pkg/proxy"
+)
+
+// questionLimits bound the connections on which callers ask for addresses and
+// the platform for readiness. Questions have no body.
+var questionLimits = ingress.Limits{
+	Connections: 2000, MaxHeaderBytes: 8 << 10, MaxBodyBytes: 1 << 10, RequestArrival: 3 * time.Second, Idle: 15 * time.Second,
+}
+
+// provisionQuestions opens the listeners for addresses and readiness that the
+// settings name.
+func (d *Daemon) provisionQuestions() error {
+	for _, l := range []struct {
+		address string
+		handler ingress.Handler
+	}{
+		{d.settings.Listen.Addresses, d.answerAddresses},
+		{d.settings.Listen.Readiness, d.answerReadiness},
+	} {
+		if l.address == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen for questions on %s", l.address)
+		}
+		d.questions = append(d.questions, ingress.New(ln, func() ingress.Limits { return questionLimits }, l.handler, d.log))
+	}
+	return nil
+}
+
+func (d *Daemon) answerAddresses(_ context.Context, r *ingress.Request, resp *protocol.Response) {
+	if string(r.Path()) != d.adapter.Dialect.Addresses.Path {
+		resp.SetStatusCode(404)
+		return
+	}
+	proxy.AnswerAddresses(d.adapter.Dialect, d.addresses, r, resp)
+}
+
+func (d *Daemon) answerReadiness(_ context.Context, r *ingress.Request, resp *protocol.Response) {
+	switch {
+	case string(r.Path()) != d.adapter.Dialect.ReadyPath:
+		resp.SetStatusCode(404)
+	case !d.Ready():
+		resp.SetStatusCode(503)
+	default:
+		resp.SetStatusCode(200)
+	}
+}
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -12,6 +12,7 @@
 	"shallotglade/pkg/admin"
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/confsync"
+	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/health"
 	"shallotglade/pkg/membership"
 	"shallotglade/pkg/placement"
@@ -56,13 +57,7 @@
 }
 
 func newRoster(d *Daemon) (*roster, error) {
-	members, err := membership.Start(membership.Config{
-		Self: platform.Member{
-			ID: d.node.ID(), Role: platform.RoleDaemon, Address: d.settings.Listen.Callers, PeerAddress: d.node.Addr(),
-			Region: d.settings.Region, Domain: d.settings.Domain, State: platform.Live,
-		},
-		Node: d.node, Seed: rand.Uint64(), Logger: d.log,
-	})
+	members, err := membership.Start(membership.Config{Self: d.self, Node: d.node, Seed: rand.Uint64(), Logger: d.log})
 	if err != nil {
 		return nil, errors.Wrap(err, "membership")
 	}
@@ -307,10 +302,16 @@
 }
 
 // addresses answers a caller's question which addresses to use.
-func (d *Daemon) addresses(q proxy.AddressQuery) (proxy.AddressAnswer, *verdict.Error) {
+func (d *Daemon) addresses(q dialect.AddressQuery) (dialect.AddressAnswer, *verdict.Error) {
+	if q.Service == "" {
+		q.Service = d.serviceAt(q.Host)
+	}
 	s, ok := d.board.Service(q.Service)
-	if !ok {
-		return proxy.AddressAnswer{}, verdict.Refuse(404, "unknown-service", "No service has this name.")
+	switch {
+	case !ok && !d.board.Configured():
+		return dialect.AddressAnswer{}, verdict.Refuse(503, "no-configuration", "The daemon has not learned any route yet.")
+	case !ok:
+		return dialect.AddressAnswer{}, verdict.Refuse(404, "unknown-service", "No service has this name.")
 	}
 	d.roster.mu.Lock()
 	hosts := d.roster.hosts
@@ -323,7 +324,18 @@
 		d.log.Info().Str("service", q.Service).Str("caller", q.Caller).Str("domain", q.Domain).Strs("failed", q.Failed).
 			Strs("addresses", a.Addresses).Msg("placement: addresses given")
 	}
-	return proxy.AddressAnswer{Service: q.Service, Addresses: a.Addresses, LifetimeMs: lifetime.Milliseconds()}, nil
+	return dialect.AddressAnswer{Service: q.Service, Addresses: a.Addresses, Lifetime: lifetime}, nil
+}
+
+// serviceAt returns the service whose homes are named to callers of a host: of
+// the services behind it, the one whose name sorts first, so that all daemons
+// agree.
+func (d *Daemon) serviceAt(host string) string {
+	services := d.board.ServicesAt(host)
+	if len(services) == 0 {
+		return ""
+	}
+	return slices.Min(services)
 }
 
 // Daemons implements admin.Fleet.
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -43,15 +43,22 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var background sync.WaitGroup
-	for _, run := range []func(context.Context){d.syncer.Run, d.roster.run, d.health.Run} {
+	runs := []func(context.Context){d.syncer.Run, d.roster.run, d.health.Run}
+	if d.registration != nil {
+		runs = append(runs, d.registration.Run)
+	}
+	for _, run := range runs {
 		background.Add(1)
 		go func() {
 			defer background.Done()
 			run(work)
 		}()
 	}
-	failed := make(chan error, 2)
+	failed := make(chan error, 2+len(d.questions))
 	go func() { failed <- errors.Wrap(d.admin.Run(), "administration server") }()
+	for _, q := range d.questions {
+		go func() { failed <- errors.Wrap(q.Run(), "question server") }()
+	}
 	if err := d.serveWhenReady(ctx, failed); err != nil {
 		return err
 	}
@@ -94,13 +101,13 @@
 	// that are still open at the end of the wait have no more use.
 	d.callers.EndAfterAnswer()
 	time.Sleep(d.spreadTime() + scaledLifetime(placement.MaxLifetime, d.settings.Addresses.Lifetime))
-	d.log.Info().Int("connections", d.callers.OpenConnections()).Msg("drain: answers that name this daemon have run out")
+	d.log.Info().Int("connections", d.callers.Open()).Msg("drain: answers that name this daemon have run out")
 	d.callers.Drain()
 	deadline := time.Now().Add(d.settings.Drain.Requests)
-	for d.callers.OpenConnections() > 0 && time.Now().Before(deadline) {
+	for d.callers.Open() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPoll)
 	}
-	left := d.callers.OpenConnections()
+	left := d.callers.Open()
 	// Requests that other daemons passed on end before the ledger closes, since
 	// they may still claim and settle.
 	var err error
--- a/pkg/document/check.go
+++ b/pkg/document/check.go
@@ -74,7 +74,7 @@
 	for i, p := range r.IdempotentPaths {
 		c.path(fmt.Sprintf("requests.idempotentPaths[%d]", i), p)
 	}
-	c.oneOf("requests.key", r.Key, KeyRequired, KeyOptional)
+	c.oneOf("requests.key", r.Key, KeyRequired, KeyOptional, KeyNone)
 	c.oneOf("requests.whenPlatformAway", r.WhenPlatformAway, AwayRefuse, AwayRun)
 	c.between("requests.maxBodyBytes", r.MaxBodyBytes, 0, maxBodyBytes)
 }
@@ -101,6 +101,7 @@
 	}
 	c.duration("upstreams.probeInterval", u.ProbeInterval, 100*time.Millisecond, time.Hour)
 	c.duration("upstreams.warmUp", u.WarmUp, 0, time.Hour)
+	c.oneOf("upstreams.reuse", u.Reuse, ReuseIdempotent, ReuseAll)
 }
 
 func (c *checker) bounds(s *Service) {
@@ -119,5 +120,6 @@
 	c.between("limits.callerConcurrency", s.Limits.CallerConcurrency, 0, maxCallerRate)
 	c.between("limits.queue", s.Limits.Queue, 0, maxQueue)
 	c.require(s.Detection.Weight >= 0 && s.Detection.Weight <= 1, "detection.weight", "0 to 1")
+	c.oneOf("detection.eject", s.Detection.Eject, EjectAgreed, EjectNever)
 	c.between("homes.perDomain", s.Homes.PerDomain, 0, maxHomesDomain)
 }
--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -93,18 +93,25 @@
 		},
 		Upstreams: Upstreams{
 			Slots: 3, Connections: 330, HealthPath: "/health",
-			ProbeInterval: 5 * time.Second, WarmUp: 10 * time.Second,
+			ProbeInterval: 5 * time.Second, WarmUp: 10 * time.Second, Reuse: ReuseIdempotent,
 		},
 		Floor:     Floor{Share: 0.6, Count: 1},
 		Timeouts:  Timeouts{Request: 2 * time.Second, Connect: 250 * time.Millisecond},
 		Retries:   Retries{Budget: 0.1, Attempts: 2},
 		Limits:    Limits{Queue: 256},
-		Detection: Detection{Weight: 0.5},
+		Detection: Detection{Weight: 0.5, Eject: EjectAgreed},
 	}
 }
 
 // derive fills the fields whose default depends on another field.
 func (s *Service) derive(src *strictyaml.Source) {
+	s.deriveDefaults()
+	if s.Limits.CallerBurst == 0 && !src.Has("limits.callerBurst") {
+		s.Limits.CallerBurst = max(1, int(s.Limits.CallerRate))
+	}
+}
+
+func (s *Service) deriveDefaults() {
 	if s.Team == "" {
 		s.Team = s.Service
 	}
@@ -128,9 +135,6 @@
 	if s.Timeouts.Attempt == 0 {
 		s.Timeouts.Attempt = s.Timeouts.Request / 2
 	}
-	if s.Limits.CallerBurst == 0 && !src.Has("limits.callerBurst") {
-		s.Limits.CallerBurst = max(1, int(s.Limits.CallerRate))
-	}
 }
 
 // Idempotent reports whether a request may run more than once.
--- a/pkg/document/service.go
+++ b/pkg/document/service.go
@@ -50,9 +50,10 @@
 	// IdempotentPaths are path prefixes whose requests may be retried whatever
 	// their method, for example a search by POST. Default: none.
 	IdempotentPaths []string `yaml:"idempotentPaths"`
-	// Key says whether other requests need an Idempotency-Key: "required" or
-	// "optional". Without a key a request runs at most once each time that its
-	// caller sends it. Default: required.
+	// Key says whether other requests need an Idempotency-Key: "required",
+	// "optional", or "none" when the header has no meaning. Without a key a
+	// request runs at most once each time that its caller sends it. Default:
+	// required.
 	Key string `yaml:"key"`
 	// WhenPlatformAway says what happens to keyed requests while their claim
 	// cannot be stored: "refuse" (not run), or "run" without the guarantee
@@ -66,6 +67,7 @@
 const (
 	KeyRequired = "required"
 	KeyOptional = "optional"
+	KeyNone     = "none"
 	AwayRefuse  = "refuse"
 	AwayRun     = "run"
 )
@@ -91,8 +93,19 @@
 	// WarmUp is how long the share of a new or returned upstream grows.
 	// Default: 10s.
 	WarmUp time.Duration `yaml:"warmUp"`
+	// Reuse says which requests may use a kept connection: "idempotent", or
+	// "all". When a kept connection is closed by the upstream while a request
+	// is on its way, nothing tells whether the request was read. Default:
+	// idempotent.
+	Reuse string `yaml:"reuse"`
 }
 
+// Values of Upstreams.Reuse.
+const (
+	ReuseIdempotent = "idempotent"
+	ReuseAll        = "all"
+)
+
 // StaticUpstream is an upstream that the document itself lists.
 type StaticUpstream struct {
 	// ID is unique within the service. Default: the address.
@@ -160,8 +173,18 @@
 	// Weight runs from 0 (avoid false ejections) to 1 (detect fast).
 	// Default: 0.5.
 	Weight float64 `yaml:"weight"`
+	// Eject says whether sick upstreams are excluded by agreement through the
+	// platform: "agreed", or "never", when each home only prefers others.
+	// Default: agreed.
+	Eject string `yaml:"eject"`
 }
 
+// Values of Detection.Eject.
+const (
+	EjectAgreed = "agreed"
+	EjectNever  = "never"
+)
+
 // Homes is how many daemons serve the service.
 type Homes struct {
 	// PerDomain is the number of homes in each failure domain; 0 means that
--- a/pkg/peer/config.go
+++ b/pkg/peer/config.go
@@ -23,6 +23,8 @@
 	Listen string
 	// Credentials are the authorities and the key pair of this daemon.
 	Credentials Credentials
+	// Registered replaces Credentials unless it is nil.
+	Registered *Registered
 	// MaxConns bounds the outgoing connections. Beyond it the one that has
 	// been idle longest is closed; if none is idle, calls to further peers
 	// fail with ErrNotSent.
@@ -58,6 +60,13 @@
 	setDefault(&c.PeerHandlers, DefaultPeerHandlers)
 }
 
+func (c *Config) load() (*keys, error) {
+	if c.Registered != nil {
+		return c.Registered.keys(), nil
+	}
+	return c.Credentials.load()
+}
+
 func setDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -79,7 +79,7 @@
 // Listen opens the UDP socket and accepts peers until Close.
 func Listen(config Config) (*Node, error) {
 	config.setDefaults()
-	loaded, err := config.Credentials.load()
+	loaded, err := config.load()
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/platform/members.go
+++ b/pkg/platform/members.go
@@ -14,6 +14,10 @@
 // MembersPrefix is the prefix under which WithMembers shows the membership list.
 const MembersPrefix = "members/"
 
+// DaemonsPrefix is the prefix of the objects in which daemons enter themselves,
+// each a Member in JSON, where the platform keeps no list of them.
+const DaemonsPrefix = "daemons/"
+
 // emptyListPoll is the time between two looks at a membership list that has never
 // had a member.
 const emptyListPoll = time.Second
@@ -23,10 +27,13 @@
 // members. The value is the Member in JSON, the version the member's own. A
 // member that vanishes from the list becomes a tombstone whose version is the
 // revision of the list.
-func WithMembers(s Store) Store { return &memberStore{Store: s, known: map[string]uint64{}} }
+func WithMembers(s Store, r Roster) Store {
+	return &memberStore{Store: s, Roster: r, known: map[string]uint64{}}
+}
 
 type memberStore struct {
 	Store
+	Roster
 
 	mu    sync.Mutex
 	known map[string]uint64
--- a/pkg/platform/members_test.go
+++ b/pkg/platform/members_test.go
@@ -28,7 +28,7 @@
 	It("brings a watcher to the same members as the list", func() {
 		testkit.Check(GinkgoT(), func(t *rapid.T) {
 			behind := memstore.New()
-			s := platform.WithMembers(behind)
+			s := platform.WithMembers(behind, behind)
 			listed, after, err := s.List(ctx, platform.MembersPrefix)
 			if err != nil || len(listed) != 0 {
 				t.Fatalf("empty list: %v, %v", listed, err)
@@ -81,7 +81,7 @@
 	// host is registered: Members returns at once for revision 0.
 	It("waits while the membership list has never had a member", func() {
 		behind := memstore.New()
-		s := platform.WithMembers(behind)
+		s := platform.WithMembers(behind, behind)
 		ctx, cancel := context.WithCancel(ctx)
 		done := make(chan error, 1)
 		go func() {
@@ -97,7 +97,7 @@
 	// objects that are hidden by the wrapper.
 	It("leaves other prefixes and outages as they are", func() {
 		behind := memstore.New()
-		s := platform.WithMembers(behind)
+		s := platform.WithMembers(behind, behind)
 		behind.PutMember(platform.Member{ID: "d1"})
 		created, err := s.Create(ctx, "services/s", []byte("x"))
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/platform/memstore/store.go
+++ b/pkg/platform/memstore/store.go
@@ -32,7 +32,10 @@
 	counts        Counts
 }
 
-var _ platform.Store = (*Store)(nil)
+var (
+	_ platform.Store  = (*Store)(nil)
+	_ platform.Roster = (*Store)(nil)
+)
 
 // change is one entry of the log. It is superseded when the object has a
 // higher version.
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -1,8 +1,9 @@
 // Package platform is the interface to the object API and the membership list
 // that the operators' platform provides.
 //
-// Implementations: Client talks HTTP/JSON to the platform; memstore.Store keeps
-// everything in memory, injects faults and serves tests and the stand-in.
+// Implementations: Client talks HTTP/JSON to the stand-in; memstore.Store keeps
+// everything in memory, injects faults and serves tests and the stand-in; the
+// adapter of a concrete platform implements Store on a Caller.
 // Each call counts against the platform's limits, about several hundred writes
 // and two thousand reads a second; a waiting Watch or Members counts as one.
 package platform
@@ -25,6 +26,9 @@
 	ErrUnavailable = errors.New("platform: unavailable")
 	// ErrUnknownOutcome means that a write may have taken effect.
 	ErrUnknownOutcome = errors.New("platform: outcome of the write is unknown")
+	// ErrHistoryGone means that a watch cannot continue from its revision; list
+	// again.
+	ErrHistoryGone = errors.New("platform: history before the revision is gone")
 	// ErrTooLarge means that the value exceeds MaxValueBytes.
 	ErrTooLarge = errors.New("platform: value too large")
 )
@@ -74,13 +78,22 @@
 	// Domain is the failure domain.
 	Domain string `json:"domain"`
 	// Slots is how many requests an upstream runs at a time; 0 means unknown.
-	Slots   int         `json:"slots,omitempty"`
-	State   MemberState `json:"state"`
-	Version uint64      `json:"version"`
+	Slots int         `json:"slots,omitempty"`
+	State MemberState `json:"state"`
+	// Incarnation tells one start of the process from the next under the same
+	// ID; 0 means that the ID is new at each start.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	// WarmUpMs is how many milliseconds longer an upstream is slow after its
+	// start, at the time of the entry; 0 means unknown or none.
+	WarmUpMs int64 `json:"warmUpMs,omitempty"`
+	// PeerKey is the hash of the public key that a daemon shows to other
+	// daemons, in hexadecimal digits; empty where an authority vouches for it.
+	PeerKey string `json:"peerKey,omitempty"`
+	Version uint64 `json:"version"`
 }
 
-// Store is what the platform offers. All calls may return ErrUnavailable or
-// the context's error; writes may return ErrUnknownOutcome.
+// Store is the object API of the platform. All calls may return ErrUnavailable
+// or the context's error; writes may return ErrUnknownOutcome.
 type Store interface {
 	// Get returns the object, or ErrNotFound.
 	Get(ctx context.Context, key string) (Object, error)
@@ -96,7 +109,14 @@
 	// Watch waits for changes under prefix after the revision, for at most
 	// wait. It returns the latest state of each changed object, tombstones
 	// included, ordered by version, and the revision to continue from.
+	// ErrHistoryGone means that the platform no longer knows the changes after
+	// the revision.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Object, uint64, error)
+}
+
+// Roster is a membership list that the platform keeps beside its objects; a
+// platform may instead show its members as objects under MembersPrefix.
+type Roster interface {
 	// Members waits until the membership list is newer than the revision,
 	// for at most wait, and returns the whole list. With after 0 it returns at
 	// once. On time-out it returns a nil list and the same revision.
--- a/pkg/proxy/bench_test.go
+++ b/pkg/proxy/bench_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"shallotglade/pkg/blackboard"
+	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/platform/memstore"
 	"shallotglade/pkg/proxy"
 	"shallotglade/pkg/routing"
@@ -100,7 +101,7 @@
 func BenchmarkHTTP(b *testing.B) {
 	RegisterTestingT(b)
 	telemetry.CaptureHTTP(zerolog.Nop())
-	sender := upstream.NewClient()
+	sender := upstream.NewClient(dialect.Native())
 	defer sender.Close()
 	p := newProxy("home-1", orders, memstore.New(), sender, &directory{})
 	asHome(p, "home-1").SetUpstreams(time.Now(), []blackboard.Upstream{{ID: "w0", Address: rawUpstream(b), Domain: "fes", Slots: 3}})
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -23,6 +23,7 @@
 type exchange struct {
 	proxy       *Proxy
 	service     *blackboard.Service
+	rule        *document.Rule
 	document    *document.Service
 	in          *Incoming
 	fingerprint poison.Fingerprint
@@ -42,12 +43,12 @@
 }
 
 func (x *exchange) idempotent() bool {
-	return x.document.Idempotent(x.in.Method, x.in.Path)
+	return x.in.idempotent
 }
 
 // run claims the key if there is one, makes the attempts and settles the claim.
 func (x *exchange) run(ctx context.Context) *Answer {
-	if x.in.Key != "" && !x.idempotent() {
+	if x.in.Key != "" && x.document.Requests.Key != document.KeyNone && !x.idempotent() {
 		if answer := x.claim(ctx); answer != nil {
 			return answer
 		}
@@ -106,15 +107,24 @@
 	}
 }
 
-// send makes one attempt within its part of the time limit.
+// send makes one attempt within its part of the time limit. An attempt of a
+// request that is not idempotent goes on when its caller leaves, so that its
+// outcome becomes known.
 func (x *exchange) send(ctx context.Context, a *blackboard.Attempt) upstream.Result {
+	if !x.idempotent() {
+		deadline := deadlineOf(ctx)
+		var release context.CancelFunc
+		ctx, release = context.WithDeadline(context.WithoutCancel(ctx), deadline)
+		defer release()
+	}
 	ctx, cancel := context.WithTimeout(ctx, x.document.Timeouts.Attempt)
 	defer cancel()
 	return x.proxy.Sender.Do(ctx, upstream.Target{
-		Address: a.Upstream.Address, MaxConnections: x.document.Upstreams.Connections, ConnectTimeout: x.document.Timeouts.Connect,
+		ID: a.Upstream.ID, Address: a.Upstream.Address, MaxConnections: x.document.Upstreams.Connections, ConnectTimeout: x.document.Timeouts.Connect,
 	}, &upstream.Request{
 		ID: x.in.ID, Method: x.in.Method, URI: x.in.URI, Host: x.in.Host,
-		Headers: x.in.Headers, Body: x.in.Body, FreshConnection: !x.idempotent(),
+		Headers: x.in.Headers, Body: x.in.Body, HasBody: x.in.HasBody,
+		FreshConnection: !x.idempotent() && x.document.Upstreams.Reuse == document.ReuseIdempotent,
 	})
 }
 
@@ -179,10 +189,10 @@
 		return answered(r.Response, verdict.Ran, a.Upstream.ID)
 	}
 	if r.Kind == upstream.Canceled {
-		return refused(x.failure(r, 499))
+		return refused(x.failure(r, statusCallerGone))
 	}
 	d := x.service.DecideRetry(time.Now(), retry.Attempt{
-		Verdict: r.Verdict, Idempotent: x.idempotent(), Attempts: x.sent, NotSent: notSent(r.Kind),
+		Verdict: r.Verdict, Idempotent: x.idempotent(), Attempts: x.sent, MaxAttempts: x.rule.Attempts, NotSent: notSent(r.Kind),
 		EarlierMayHaveRun: x.sofar != verdict.NotRun, TimeLeft: time.Until(deadlineOf(ctx)),
 	}, x.fingerprint)
 	if x.proxy.LogDecisions {
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -46,7 +46,7 @@
 // as far as the retry budget allows; any other request may have run.
 func (p *Proxy) afterLostHome(ctx context.Context, service *blackboard.Service, in *Incoming, answer *Answer) (*Answer, bool) {
 	d := service.DecideRetry(time.Now(), retry.Attempt{
-		Verdict: verdict.MayHaveRun, Idempotent: service.Document().Idempotent(in.Method, in.Path),
+		Verdict: verdict.MayHaveRun, Idempotent: in.idempotent,
 		Attempts: 1, EarlierMayHaveRun: true, TimeLeft: time.Until(deadlineOf(ctx)),
 	}, in.fingerprint(service.Name))
 	return answer, !d.Retry
@@ -56,7 +56,7 @@
 func (p *Proxy) forwardSuspect(ctx context.Context, service *blackboard.Service, in *Incoming, home string) *Answer {
 	homes := p.Directory.Homes(service.Name)
 	i := slices.IndexFunc(homes, func(h Peer) bool { return h.ID == home })
-	if i >= 0 && in.Hops < maxHops {
+	if p.Forwarder != nil && i >= 0 && in.Hops < maxHops {
 		if answer, err := p.forward(ctx, service, in, homes[i]); !errors.Is(err, ErrNotSent) {
 			return answer
 		}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -10,6 +10,7 @@
 
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/claims"
+	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/document"
 	"shallotglade/pkg/limits"
 	"shallotglade/pkg/poison"
@@ -54,12 +55,15 @@
 	Probe(service *blackboard.Service, upstream blackboard.Upstream)
 }
 
-// Proxy is the request path of one daemon. All fields are required.
+// Proxy is the request path of one daemon. All fields but Forwarder are required.
 type Proxy struct {
+	// Dialect holds the header names of callers and upstreams.
+	Dialect   *dialect.Dialect
 	Board     *blackboard.Board
 	Sender    upstream.Sender
 	Ledger    claims.Ledger
 	Directory Directory
+	// Forwarder is nil where each daemon serves what it receives.
 	Forwarder Forwarder
 	Notifier  Notifier
 	Log       zerolog.Logger
@@ -76,33 +80,63 @@
 func (p *Proxy) Serve(ctx context.Context, in *Incoming) *Answer {
 	p.Metrics.InFlight.Inc()
 	defer p.Metrics.InFlight.Dec()
-	service, ok := p.Board.Route(in.Service, in.Host, in.Path)
+	route, service, ok := p.Board.Route(in.Service, in.Host, in.Path)
 	if !ok {
-		return p.finish(in, "", refused(verdict.Refuse(404, "unknown-service", "No service has this name or route.")))
+		return p.finish(in, "", refused(p.noRoute()))
 	}
 	d := service.Document()
+	in.idempotent = route.Idempotent(d, in.Method, in.Path)
 	if err := checkRequest(d, in); err != nil {
 		return p.finish(in, service.Name, refused(err))
 	}
-	ctx, cancel := requestContext(ctx, d, in)
+	ctx, cancel := requestContext(ctx, route.Rule, in)
 	defer cancel()
-	return p.finish(in, service.Name, p.route(ctx, service, in))
+	if err := p.awaitTurn(ctx, in); err != nil {
+		return p.finish(in, service.Name, refused(err))
+	}
+	return p.finish(in, service.Name, p.route(ctx, route.Rule, service, in))
 }
 
-// requestContext bounds a request by the document's time limit and its own
-// deadline. A request that is not idempotent goes on when its caller leaves, so
-// that its outcome becomes known and can be stored.
-func requestContext(ctx context.Context, d *document.Service, in *Incoming) (context.Context, context.CancelFunc) {
-	deadline := in.Arrived.Add(d.Timeouts.Request)
+// noRoute is the answer to a request that fits no route. A daemon that knows no
+// routes at all cannot say that the caller's is wrong.
+func (p *Proxy) noRoute() *verdict.Error {
+	if p.Board.Configured() {
+		return verdict.Refuse(404, "unknown-service", "No service has this name or route.")
+	}
+	e := verdict.Refuse(503, "no-configuration", "The daemon has not learned any route yet.")
+	e.RetryAfter = shedRetryAfter
+	return e
+}
+
+// requestContext bounds a request by the time limit of its route and its own
+// deadline.
+func requestContext(ctx context.Context, rule *document.Rule, in *Incoming) (context.Context, context.CancelFunc) {
+	deadline := in.Arrived.Add(rule.Timeout)
 	if !in.Deadline.IsZero() && in.Deadline.Before(deadline) {
 		deadline = in.Deadline
 	}
-	if !d.Idempotent(in.Method, in.Path) {
-		ctx = context.WithoutCancel(ctx)
-	}
 	return context.WithDeadline(ctx, deadline)
 }
 
+// awaitTurn holds a request that is not idempotent until the earlier ones of
+// its connection have been answered: if one of them ends the connection, the
+// caller takes those behind it for unread and sends them again.
+func (p *Proxy) awaitTurn(ctx context.Context, in *Incoming) *verdict.Error {
+	if in.idempotent || in.Turn == nil {
+		return nil
+	}
+	if err := in.Turn(ctx); err != nil {
+		e := verdict.Refuse(statusCallerGone, "connection-ended", "The connection ended before the turn of this request.")
+		e.Cause = err
+		return e
+	}
+	return nil
+}
+
+// statusCallerGone is the usual non-standard status of a request whose caller
+// left; it is logged and reaches nobody.
+const statusCallerGone = 499
+
 const (
 	maxKeyBytes    = 255
 	maxCallerBytes = 128
@@ -114,9 +148,10 @@
 		return verdict.Refuse(413, "body-too-large", fmt.Sprintf("The service takes bodies of at most %d bytes.", d.Requests.MaxBodyBytes))
 	case !isToken(in.Caller, maxCallerBytes):
 		return verdict.Refuse(400, "bad-caller", "Shallotglade-Caller must be 1 to 128 visible ASCII characters.")
+	case d.Requests.Key == document.KeyNone:
 	case in.Key != "" && !isToken(in.Key, maxKeyBytes):
 		return verdict.Refuse(400, "bad-key", "Idempotency-Key must be at most 255 visible ASCII characters.")
-	case in.Key == "" && d.Requests.Key == document.KeyRequired && !d.Idempotent(in.Method, in.Path):
+	case in.Key == "" && d.Requests.Key == document.KeyRequired && !in.idempotent:
 		return verdict.Refuse(400, "key-required", "This request needs an Idempotency-Key header.")
 	}
 	return nil
@@ -135,8 +170,8 @@
 }
 
 // route serves the request here or passes it to a home.
-func (p *Proxy) route(ctx context.Context, service *blackboard.Service, in *Incoming) *Answer {
-	if in.Hops == 0 && (!service.IsHome() || !service.Reachable()) {
+func (p *Proxy) route(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming) *Answer {
+	if p.Forwarder != nil && in.Hops == 0 && (!service.IsHome() || !service.Reachable()) {
 		if answer, sent := p.forwardToHome(ctx, service, in); sent {
 			return answer
 		}
@@ -155,7 +190,7 @@
 		return refused(asVerdict(err))
 	}
 	defer permit.Release()
-	x := &exchange{proxy: p, service: service, document: service.Document(), in: in, fingerprint: fp, alone: alone}
+	x := &exchange{proxy: p, service: service, rule: rule, document: service.Document(), in: in, fingerprint: fp, alone: alone}
 	answer = x.run(ctx)
 	answer.Waited += time.Since(start) - x.own
 	return answer
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -16,6 +16,7 @@
 	"shallotglade/internal/testkit"
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/claims"
+	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/document"
 	"shallotglade/pkg/platform/memstore"
 	"shallotglade/pkg/proxy"
@@ -107,7 +108,8 @@
 	ledger, err := claims.New(claims.Config{Store: store})
 	Expect(err).NotTo(HaveOccurred())
 	return &proxy.Proxy{
-		Board: board, Sender: sender, Ledger: ledger, Directory: d, Forwarder: d, Notifier: quiet{},
+		Dialect: dialect.Native(),
+		Board:   board, Sender: sender, Ledger: ledger, Directory: d, Forwarder: d, Notifier: quiet{},
 		Log: zerolog.Nop(), Metrics: telemetry.NewMetrics(),
 	}
 }
--- a/pkg/proxy/request.go
+++ b/pkg/proxy/request.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"shallotglade/pkg/poison"
@@ -13,7 +14,6 @@
 	HeaderService  = "Shallotglade-Service"
 	HeaderCaller   = "Shallotglade-Caller"
 	HeaderKey      = "Idempotency-Key"
-	HeaderUpstream = "Shallotglade-Upstream"
 	HeaderReplayed = "Shallotglade-Replayed"
 )
 
@@ -34,6 +34,11 @@
 	Query   string
 	Headers []upstream.Header
 	Body    []byte
+	// HasBody means that the request came with a body, which may be empty.
+	HasBody bool
+	// Turn waits until the earlier requests of the caller's connection have
+	// been answered; nil means that there are none.
+	Turn func(context.Context) error
 	// Key is the Idempotency-Key, or empty.
 	Key string
 	// Arrived is when the request had arrived, Deadline when its answer is
@@ -45,6 +50,9 @@
 	Poison []byte
 	// Hops is how many daemons have passed the request on.
 	Hops int
+
+	// idempotent is whether the request may run more than once, by its route.
+	idempotent bool
 }
 
 func (in *Incoming) fingerprint(service string) poison.Fingerprint {
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -13,93 +12,75 @@
 	"strings"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cockroachdb/errors"
 
-	"shallotglade/pkg/listener"
+	"shallotglade/pkg/dialect"
+	"shallotglade/pkg/document"
+	"shallotglade/pkg/ingress"
 	"shallotglade/pkg/settings"
 	"shallotglade/pkg/upstream"
 	"shallotglade/pkg/verdict"
 )
 
-// AddressesPath is where callers ask which addresses to use.
-const AddressesPath = "/.well-known/shallotglade/addresses"
-
-// AddressQuery is a caller's question which addresses to use.
-type AddressQuery struct {
-	Service string
-	Domain  string
-	Caller  string
-	Failed  []string
-}
-
-// AddressAnswer lists addresses, the best first.
-type AddressAnswer struct {
-	Service   string   `json:"service"`
-	Addresses []string `json:"addresses"`
-	// LifetimeMs is how long the caller may keep the answer.
-	LifetimeMs int64 `json:"lifetimeMs"`
-}
+// AddressBook answers callers' questions which addresses to use.
+type AddressBook func(dialect.AddressQuery) (dialect.AddressAnswer, *verdict.Error)
 
 // Server takes callers' requests over HTTP/1.1.
 type Server struct {
+	*ingress.Server
 	proxy     *Proxy
-	addresses func(AddressQuery) (AddressAnswer, *verdict.Error)
-	listener  *listener.Listener
-	http      *server.Hertz
+	addresses AddressBook
 }
 
 // NewServer returns a server on ln; Run serves it.
-func NewServer(ln net.Listener, c settings.Callers, p *Proxy, addresses func(AddressQuery) (AddressAnswer, *verdict.Error)) *Server {
+func NewServer(ln net.Listener, c settings.Callers, p *Proxy, addresses AddressBook) *Server {
 	s := &Server{proxy: p, addresses: addresses}
-	s.listener = listener.New(ln, listener.Limits{RequestArrival: c.RequestArrival, Connections: c.MaxConnections})
-	s.http = server.New(
-		server.WithListener(s.listener), server.WithTransport(standard.NewTransporter),
-		server.WithOnAccept(listener.ContextFor),
-		server.WithSenseClientDisconnection(true),
-		server.WithMaxRequestBodySize(c.MaxBodyBytes), server.WithMaxHeaderBytes(c.MaxHeaderBytes),
-		server.WithReadTimeout(c.RequestArrival), server.WithIdleTimeout(c.Idle),
-		server.WithDisableDefaultContentType(true), server.WithDisableDefaultDate(true),
-		server.WithDisablePreParseMultipartForm(true), server.WithDisablePrintRoute(true),
-		server.WithUseRawPath(true), server.WithRedirectTrailingSlash(false),
-	)
-	s.http.Name = "" // no Server header of our own
-	s.http.GET(AddressesPath, s.handleAddresses)
-	s.http.NoRoute(s.handle)
+	s.Server = ingress.New(ln, func() ingress.Limits { return limitsOf(c, p.Board.Connections()) }, s.handle, p.Log)
+	s.OnRefusal = func(resp *protocol.Response) {
+		if p.Dialect.Verdict != "" {
+			resp.Header.Set(p.Dialect.Verdict, verdict.NotRun.String())
+		}
+	}
 	return s
 }
 
-// Run serves until Shutdown.
-func (s *Server) Run() error { return s.http.Run() }
-
-// EndAfterAnswer makes each connection end after the answer to its next request.
-func (s *Server) EndAfterAnswer() { s.listener.EndAfterAnswer() }
-
-// Drain makes each connection end after its present request, and at once when
-// it has none.
-func (s *Server) Drain() { s.listener.Drain() }
-
-// OpenConnections returns the number of callers' connections.
-func (s *Server) OpenConnections() int { return s.listener.Open() }
-
-// Shutdown stops accepting and waits until the connections have ended.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// limitsOf returns the bounds of the settings, where the configuration in force
+// states no others.
+func limitsOf(c settings.Callers, stated document.Connections) ingress.Limits {
+	l := ingress.Limits{
+		Connections: c.MaxConnections, MaxHeaderBytes: c.MaxHeaderBytes, MaxBodyBytes: c.MaxBodyBytes,
+		RequestArrival: c.RequestArrival, Idle: c.Idle,
+	}
+	if stated.MaxHeaderBytes > 0 {
+		l.MaxHeaderBytes = stated.MaxHeaderBytes
+	}
+	if stated.MaxBodyBytes > 0 {
+		l.MaxBodyBytes = stated.MaxBodyBytes
+	}
+	if stated.RequestArrival > 0 {
+		l.RequestArrival = stated.RequestArrival
+	}
+	if stated.Idle > 0 {
+		l.Idle = stated.Idle
+	}
+	return l
+}
 
-func (s *Server) handle(ctx context.Context, c *app.RequestContext) {
-	listener.Begin(ctx)
-	in, problem := incoming(c)
+// handle answers one request of a connection.
+func (s *Server) handle(ctx context.Context, r *ingress.Request, resp *protocol.Response) {
+	if s.addresses != nil && isAddressQuery(s.proxy.Dialect, r) {
+		s.handleAddresses(r, resp)
+		return
+	}
+	in, problem := s.incoming(r)
 	var answer *Answer
 	if problem != nil {
 		answer = s.proxy.finish(in, "", refused(problem))
 	} else {
 		answer = s.serve(ctx, in)
 	}
-	write(c, in, answer)
-	if listener.Ending(ctx) {
-		c.SetConnectionClose()
-	}
+	s.write(resp, in, answer)
 }
 
 // serve contains a panic of the request path, whose request may have run.
@@ -115,20 +96,24 @@
 }
 
 // incoming copies the request out of the HTTP library's memory.
-func incoming(c *app.RequestContext) (*Incoming, *verdict.Error) {
-	h := &c.Request.Header
+func (s *Server) incoming(r *ingress.Request) (*Incoming, *verdict.Error) {
+	h, d := &r.Header, s.proxy.Dialect
 	in := &Incoming{
-		ID: newRequestID(), Arrived: time.Now(),
+		ID: string(h.Peek(d.RequestID)), Arrived: r.Arrived, Turn: r.Turn,
 		Caller:  string(h.Peek(HeaderCaller)),
 		Service: string(h.Peek(HeaderService)),
 		Key:     string(h.Peek(HeaderKey)),
 		Method:  string(h.Method()),
 		Host:    string(h.Host()),
 		URI:     string(h.RequestURI()),
-		Body:    append([]byte(nil), c.Request.Body()...),
+		Body:    append([]byte(nil), r.Body()...),
+		HasBody: h.ContentLength() > 0 || h.ContentLength() == chunked,
+	}
+	if !d.CallersID {
+		in.ID = newRequestID()
 	}
 	if in.Caller == "" {
-		host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+		host, _, _ := net.SplitHostPort(r.Remote)
 		in.Caller = "ip:" + host
 	}
 	in.Path, in.Query, _ = strings.Cut(in.URI, "?")
@@ -138,26 +123,54 @@
 	if !validHost(in.Host) {
 		return in, verdict.Refuse(400, "bad-host", "The Host header must be a host name or an IP number, with an optional port.")
 	}
-	if text := string(h.Peek(upstream.HeaderDeadlineMs)); text != "" {
+	if in.ID == "" {
+		return in, verdict.Refuse(400, "no-id", "The request has no "+d.RequestID+" header.")
+	}
+	if text := string(h.Peek(d.DeadlineMs)); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || ms < 1 || ms > math.MaxInt32 {
-			return in, verdict.Refuse(400, "bad-deadline", "Shallotglade-Deadline-Ms must be a whole number of milliseconds above 0.")
+			return in, verdict.Refuse(400, "bad-deadline", d.DeadlineMs+" must be a whole number of milliseconds above 0.")
 		}
 		in.Deadline = in.Arrived.Add(time.Duration(ms) * time.Millisecond)
 	}
-	in.Headers = make([]upstream.Header, 0, h.Len())
+	in.Headers = s.endToEnd(h)
+	return in, nil
+}
+
+// chunked is the content length that the HTTP library gives a chunked body.
+const chunked = -1
+
+// endToEnd copies the headers that go to the upstream.
+func (s *Server) endToEnd(h *protocol.RequestHeader) []upstream.Header {
+	hop := connectionOptions(string(h.Peek("Connection")))
+	out := make([]upstream.Header, 0, h.Len())
 	h.VisitAll(func(key, value []byte) {
-		if name := string(key); passesOn(name) {
-			in.Headers = append(in.Headers, upstream.Header{Name: name, Value: string(value)})
+		name := string(key)
+		if s.passesOn(name) && !hop[strings.ToLower(name)] {
+			out = append(out, upstream.Header{Name: name, Value: string(value)})
 		}
 	})
-	return in, nil
+	return out
+}
+
+// connectionOptions returns the lower-case names of the headers that a
+// Connection header confines to its connection.
+func connectionOptions(value string) map[string]bool {
+	if value == "" {
+		return nil
+	}
+	out := map[string]bool{}
+	for _, option := range strings.Split(value, ",") {
+		out[strings.ToLower(strings.TrimSpace(option))] = true
+	}
+	return out
 }
 
 // passesOn reports whether a header of the caller goes to the upstream.
-func passesOn(name string) bool {
+func (s *Server) passesOn(name string) bool {
+	d := s.proxy.Dialect
 	switch name {
-	case "Host", "Expect", upstream.HeaderRequestID, upstream.HeaderDeadlineMs, verdict.Header:
+	case "Host", "Expect", d.RequestID, d.DeadlineMs, d.Verdict, d.ExpectUpstream:
 		return false
 	}
 	return !upstream.IsHopHeader(name)
@@ -195,53 +208,78 @@
 	Request string `json:"request"`
 }
 
-func write(c *app.RequestContext, in *Incoming, a *Answer) {
-	c.Response.Reset()
-	c.Response.Header.SetNoDefaultContentType(true)
-	c.Response.Header.SetNoDefaultDate(true)
-	c.Response.SetStatusCode(a.Status)
-	body := a.Body
+func (s *Server) write(resp *protocol.Response, in *Incoming, a *Answer) {
+	d := s.proxy.Dialect
+	resp.SetStatusCode(a.Status)
 	for _, h := range a.Headers {
-		c.Response.Header.Add(h.Name, h.Value)
+		resp.Header.Add(h.Name, h.Value)
 	}
+	body := a.Body
 	if e := a.Refusal; e != nil {
-		body, _ = json.Marshal(problem{
-			Type: "urn:shallotglade:" + e.Reason, Title: e.Reason, Status: a.Status, Detail: e.Detail,
-			Verdict: a.Verdict.String(), Request: in.ID,
-		})
-		c.Response.Header.Set("Content-Type", "application/problem+json")
+		body = problemBody(in, a)
+		resp.Header.Set("Content-Type", "application/problem+json")
 		if e.RetryAfter > 0 {
-			c.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+			resp.Header.Set("Retry-After", d.RetryAfter(e.RetryAfter))
 		}
 	}
-	c.Response.Header.Set(verdict.Header, a.Verdict.String())
-	c.Response.Header.Set(upstream.HeaderRequestID, in.ID)
-	if a.Upstream != "" {
-		c.Response.Header.Set(HeaderUpstream, a.Upstream)
+	for _, h := range []upstream.Header{
+		{Name: d.Verdict, Value: a.Verdict.String()}, {Name: d.RequestID, Value: in.ID}, {Name: d.Upstream, Value: a.Upstream},
+	} {
+		if h.Name != "" && h.Value != "" {
+			resp.Header.Set(h.Name, h.Value)
+		}
 	}
 	if a.Replayed {
-		c.Response.Header.Set(HeaderReplayed, "true")
+		resp.Header.Set(HeaderReplayed, "true")
 	}
-	c.Response.SetBody(body)
+	resp.SetBodyRaw(body)
 }
 
-func (s *Server) handleAddresses(ctx context.Context, c *app.RequestContext) {
-	listener.Begin(ctx)
-	q := AddressQuery{Service: c.Query("service"), Domain: c.Query("domain"), Caller: string(c.GetHeader(HeaderCaller))}
+// problemBody returns the JSON body of a refusal.
+func problemBody(in *Incoming, a *Answer) []byte {
+	e := a.Refusal
+	// A struct of texts and numbers always has a JSON form.
+	body, _ := json.Marshal(problem{
+		Type: "urn:shallotglade:" + e.Reason, Title: e.Reason, Status: a.Status, Detail: e.Detail,
+		Verdict: a.Verdict.String(), Request: in.ID,
+	})
+	return body
+}
+
+func isAddressQuery(d *dialect.Dialect, r *ingress.Request) bool {
+	path, _, _ := strings.Cut(string(r.Header.RequestURI()), "?")
+	return path == d.Addresses.Path && string(r.Header.Method()) == "GET"
+}
+
+func (s *Server) handleAddresses(r *ingress.Request, resp *protocol.Response) {
+	AnswerAddresses(s.proxy.Dialect, s.addresses, r, resp)
+}
+
+// AnswerAddresses answers a caller's question which addresses to use.
+func AnswerAddresses(d *dialect.Dialect, book AddressBook, r *ingress.Request, resp *protocol.Response) {
+	args := r.URI().QueryArgs()
+	q := d.Addresses.Parse(func(name string) string { return string(args.Peek(name)) })
+	q.Caller = string(r.Header.Peek(HeaderCaller))
 	if q.Caller == "" {
-		q.Caller = c.RemoteAddr().String()
-	}
-	if failed := c.Query("failed"); failed != "" {
-		q.Failed = strings.Split(failed, ",")
+		q.Caller = r.Remote
 	}
-	answer, refusal := s.addresses(q)
+	answer, refusal := book(q)
 	if refusal != nil {
-		write(c, &Incoming{ID: newRequestID()}, refused(refusal))
-	} else {
-		c.JSON(200, answer)
-		c.Response.Header.Set("Cache-Control", fmt.Sprintf("max-age=%d", answer.LifetimeMs/1000))
+		in := &Incoming{ID: newRequestID()}
+		resp.SetStatusCode(refusal.Status)
+		resp.Header.Set("Content-Type", "application/problem+json")
+		if d.Verdict != "" {
+			resp.Header.Set(d.Verdict, refusal.Verdict.String())
+		}
+		resp.SetBodyRaw(problemBody(in, refused(refusal)))
+		return
 	}
-	if listener.Ending(ctx) {
-		c.SetConnectionClose()
+	body, err := d.Addresses.Encode(answer)
+	if err != nil {
+		resp.SetStatusCode(500)
+		return
 	}
+	resp.Header.Set("Content-Type", "application/json")
+	resp.Header.Set("Cache-Control", "max-age="+strconv.Itoa(int(answer.Lifetime.Seconds())))
+	resp.SetBodyRaw(body)
 }
--- a/pkg/proxy/server_test.go
+++ b/pkg/proxy/server_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/platform/memstore"
 	"shallotglade/pkg/proxy"
 	"shallotglade/pkg/settings"
@@ -45,8 +46,8 @@
 		p := newProxy("home-1", orders+"requests: {key: optional}\ntimeouts: {request: 200ms}\n", memstore.New(), sender, &directory{})
 		server = proxy.NewServer(ln, settings.Callers{
 			MaxConnections: 200, MaxHeaderBytes: 4096, MaxBodyBytes: 1000, RequestArrival: 200 * time.Millisecond, Idle: time.Second,
-		}, p, func(proxy.AddressQuery) (proxy.AddressAnswer, *verdict.Error) {
-			return proxy.AddressAnswer{Service: "orders", Addresses: []string{"127.0.0.1:1"}, LifetimeMs: 1000}, nil
+		}, p, func(dialect.AddressQuery) (dialect.AddressAnswer, *verdict.Error) {
+			return dialect.AddressAnswer{Service: "orders", Addresses: []string{"127.0.0.1:1"}, Lifetime: time.Second}, nil
 		})
 		go func() { _ = server.Run() }()
 		DeferCleanup(func() {
@@ -116,7 +117,7 @@
 					ctx, cancel := context.WithTimeout(context.Background(), time.Duration(5+i)*time.Millisecond)
 					r, _ := http.NewRequestWithContext(ctx, "POST", "http://"+address+"/x", strings.NewReader(body))
 					r.Header.Set(proxy.HeaderService, "orders")
-					r.Header.Set(upstream.HeaderDeadlineMs, fmt.Sprint(3+i))
+					r.Header.Set(dialect.HeaderDeadlineMs, fmt.Sprint(3+i))
 					answer, err := client.Do(r)
 					if err == nil {
 						got, err := io.ReadAll(answer.Body)
@@ -133,7 +134,7 @@
 	})
 
 	It("answers which addresses to use", func() {
-		r := raw("GET " + proxy.AddressesPath + "?service=orders HTTP/1.1\r\nHost: x\r\n\r\n")
+		r := raw("GET " + dialect.AddressesPath + "?service=orders HTTP/1.1\r\nHost: x\r\n\r\n")
 		body, _ := io.ReadAll(r.Body)
 		Expect(string(body)).To(MatchJSON(`{"service":"orders","addresses":["127.0.0.1:1"],"lifetimeMs":1000}`))
 	})
@@ -170,6 +171,6 @@
 		Expect(idle.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
 		_, err = idle.Read(make([]byte, 1))
 		Expect(err).To(MatchError(io.EOF))
-		Eventually(server.OpenConnections, 5*time.Second).Should(BeZero())
+		Eventually(server.Open, 5*time.Second).Should(BeZero())
 	})
 })
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"time"
 
 	"shallotglade/pkg/verdict"
@@ -48,6 +49,9 @@
 	Idempotent bool
 	// Attempts is how many were sent so far, this one included.
 	Attempts int
+	// MaxAttempts limits the attempts of the request, the first included; 0
+	// means that the policy does.
+	MaxAttempts int
 	// EarlierMayHaveRun is whether an earlier attempt may have run.
 	EarlierMayHaveRun bool
 	// TimeLeft is the time until the request's deadline.
@@ -139,7 +143,7 @@
 		return Decision{Reason: NoTime}
 	case a.NotSent:
 		return Decision{Retry: true, Reason: NotRun}
-	case a.Attempts >= b.policy.MaxAttempts:
+	case a.Attempts >= cmp.Or(a.MaxAttempts, b.policy.MaxAttempts):
 		return Decision{Reason: TooManyAttempts}
 	case b.tokens+rounding < 1:
 		return Decision{Reason: NoBudget}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -43,9 +43,13 @@
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.admin", s.Listen.Admin)
 	c.platform(s.Platform)
-	c.file("peers.ca", s.Peers.CA)
-	c.file("peers.certificate", s.Peers.Certificate)
-	c.file("peers.key", s.Peers.Key)
+	if s.Listen.Addresses != "" {
+		c.address("listen.addresses", s.Listen.Addresses)
+	}
+	if s.Listen.Readiness != "" {
+		c.address("listen.readiness", s.Listen.Readiness)
+	}
+	c.trust(s)
 	for i, seed := range s.Peers.Seeds {
 		field := fmt.Sprintf("peers.seeds[%d]", i)
 		c.address(field+".address", seed.Address)
@@ -63,10 +67,34 @@
 	c.duration("callers.idle", s.Callers.Idle)
 	c.duration("addresses.lifetime", s.Addresses.Lifetime)
 	c.duration("drain.requests", s.Drain.Requests)
+	c.require(s.Drain.Grace >= 0 && s.Drain.Grace <= maxDuration, "drain.grace", "0 to 1h")
+	c.require(s.Repeats.Ratio >= 0 && s.Repeats.Ratio <= 1, "repeats.ratio", "0 to 1")
+	c.duration("repeats.window", s.Repeats.Window)
+	c.require(s.Repeats.Allowance >= 0 && s.Repeats.Allowance <= maxCount, "repeats.allowance", "0 to 1000000")
 	c.require(slices.Contains(levels, s.Log.Level), "log.level", strings.Join(levels, ", "))
 }
 
+// trust checks the keys that the chosen way of trust needs.
+func (c *checker) trust(s *Settings) {
+	switch s.Peers.Trust {
+	case TrustRegistered:
+		c.name("host", s.Host)
+		for field, value := range map[string]string{
+			"peers.ca": s.Peers.CA, "peers.certificate": s.Peers.Certificate, "peers.key": s.Peers.Key,
+		} {
+			c.require(value == "", field, "nothing, since peers.trust is registered")
+		}
+	case TrustAuthority:
+		c.file("peers.ca", s.Peers.CA)
+		c.file("peers.certificate", s.Peers.Certificate)
+		c.file("peers.key", s.Peers.Key)
+	default:
+		c.require(false, "peers.trust", TrustAuthority+" or "+TrustRegistered)
+	}
+}
+
 func (c *checker) platform(p Platform) {
+	c.name("platform.adapter", p.Adapter)
 	c.require(len(p.Addresses) > 0, "platform.addresses", "at least one base URL")
 	for i, a := range p.Addresses {
 		u, err := url.Parse(a)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -16,6 +16,9 @@
 
 // Settings are the start-up settings of one daemon.
 type Settings struct {
+	// Host is the name of the host. Default: none; required with peers.trust
+	// "registered".
+	Host string `yaml:"host"`
 	// Region is the region of the host.
 	Region string `yaml:"region"`
 	// Domain is the failure domain of the host.
@@ -34,6 +37,8 @@
 	Addresses Addresses `yaml:"addresses"`
 	// Drain bounds the exit.
 	Drain Drain `yaml:"drain"`
+	// Repeats bounds the attempts that the whole fleet may repeat.
+	Repeats Repeats `yaml:"repeats"`
 	// Log is what is logged.
 	Log Log `yaml:"log"`
 }
@@ -46,10 +51,19 @@
 	Peers string `yaml:"peers"`
 	// Admin takes the administration API, metrics and probes, by TCP.
 	Admin string `yaml:"admin"`
+	// Addresses takes callers' questions which addresses to use, by TCP.
+	// Default: none; callers then ask at listen.callers.
+	Addresses string `yaml:"addresses"`
+	// Readiness answers whether this daemon takes callers, by TCP. Default:
+	// none; listen.admin answers too.
+	Readiness string `yaml:"readiness"`
 }
 
 // Platform is how the platform is reached.
 type Platform struct {
+	// Adapter names the adapter that speaks to the platform. Default: native,
+	// the API of the stand-in.
+	Adapter string `yaml:"adapter"`
 	// Addresses are base URLs such as http://10.0.0.1:6000, tried in order.
 	Addresses []string `yaml:"addresses"`
 	// Key is sent as a bearer key. Default: none.
@@ -60,6 +74,11 @@
 
 // Peers are the keys that daemons show each other, each a PEM file.
 type Peers struct {
+	// Trust says why a daemon trusts another: "authority", by certificates
+	// that an authority signed, or "registered", by keys that each daemon makes
+	// at its start and enters into the platform. With "registered" CA,
+	// Certificate and Key stay empty. Default: authority.
+	Trust string `yaml:"trust"`
 	// CA holds one or more certificates of authorities; two of them while keys
 	// are being changed.
 	CA string `yaml:"ca"`
@@ -80,6 +99,12 @@
 	Domain string `yaml:"domain"`
 }
 
+// Values of Peers.Trust.
+const (
+	TrustAuthority  = "authority"
+	TrustRegistered = "registered"
+)
+
 // Admin lists the keys of the administration API.
 type Admin struct {
 	Keys []AdminKey `yaml:"keys"`
@@ -118,6 +143,22 @@
 	// Requests is how long the last requests may take after the answers that
 	// name the daemon have run out. Default: 60s.
 	Requests time.Duration `yaml:"requests"`
+	// Grace is how long after SIGTERM the process is killed. The whole exit fits
+	// into it. Default: 0, no limit.
+	Grace time.Duration `yaml:"grace"`
+}
+
+// Repeats bounds the attempts beyond the first of each request, per service and
+// over all daemons, in every span of Window: Ratio times the requests, plus
+// Allowance.
+type Repeats struct {
+	// Ratio is a share of the requests. Default: 0, the documents' own budgets
+	// hold at each daemon.
+	Ratio float64 `yaml:"ratio"`
+	// Window is the span. Default: 10s.
+	Window time.Duration `yaml:"window"`
+	// Allowance is a number of attempts per span. Default: 0.
+	Allowance int `yaml:"allowance"`
 }
 
 // Log is what is logged, to standard error, one JSON object a line.
@@ -128,9 +169,14 @@
 	Decisions bool `yaml:"decisions"`
 }
 
+// AdapterNative is the adapter for the API of the stand-in.
+const AdapterNative = "native"
+
 func defaults() *Settings {
 	return &Settings{
-		Platform:  Platform{Timeout: 2 * time.Second},
+		Platform:  Platform{Adapter: AdapterNative, Timeout: 2 * time.Second},
+		Peers:     Peers{Trust: TrustAuthority},
+		Repeats:   Repeats{Window: 10 * time.Second},
 		Callers:   Callers{MaxConnections: 10_000, MaxHeaderBytes: 32 << 10, MaxBodyBytes: 16 << 20, RequestArrival: 10 * time.Second, Idle: 60 * time.Second},
 		Addresses: Addresses{Lifetime: 10 * time.Second},
 		Drain:     Drain{Requests: 60 * time.Second},
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -28,6 +28,10 @@
 	Ejections *prometheus.CounterVec
 	// DocumentVersion is the platform version of the document in force.
 	DocumentVersion *prometheus.GaugeVec
+	// ConfigurationVersion is the operators' number of the configuration in force.
+	ConfigurationVersion prometheus.Gauge
+	// ConfigurationsRefused counts configurations that could not be put in force.
+	ConfigurationsRefused prometheus.Counter
 	// PlatformUp is 1 if the platform answered the last call of this daemon.
 	PlatformUp prometheus.Gauge
 	// Peers counts other daemons by state.
@@ -48,10 +52,12 @@
 	m.Standings = gauge("upstreams", "Upstreams by standing.", "service", "standing")
 	m.Ejections = counter("standing_changes_total", "Changes of upstreams' standing.", "service", "change")
 	m.DocumentVersion = gauge("document_version", "Platform version of the document in force.", "service")
+	m.ConfigurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "configuration_version", Help: "Operators' number of the configuration in force."})
+	m.ConfigurationsRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "configurations_refused_total", Help: "Configurations that could not be put in force."})
 	m.PlatformUp = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "platform_up", Help: "Whether the platform answered the last call of this daemon."})
 	m.Peers = gauge("peers", "Other daemons by state.", "state")
 	m.Registry.MustRegister(m.Requests, m.RequestSeconds, m.AddedSeconds, m.Attempts, m.Refusals, m.Forwards, m.InFlight,
-		m.Standings, m.Ejections, m.DocumentVersion, m.PlatformUp, m.Peers,
+		m.Standings, m.Ejections, m.DocumentVersion, m.ConfigurationVersion, m.ConfigurationsRefused, m.PlatformUp, m.Peers,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -1,25 +1,26 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"io"
+	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cockroachdb/errors"
 
+	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/verdict"
 )
 
-// identityBody is the content length that the HTTP library gives an answer
-// that ends with the connection. Such an answer cannot be known to be whole.
-const identityBody = -2
-
 // Client is the Sender that speaks HTTP/1.1.
 type Client struct {
+	dialect *dialect.Dialect
+
 	mu    sync.Mutex
 	pools map[string]*pool
 	stop  chan struct{}
@@ -29,8 +30,8 @@
 var _ Sender = (*Client)(nil)
 
 // NewClient returns a client; Close releases it.
-func NewClient() *Client {
-	c := &Client{pools: map[string]*pool{}, stop: make(chan struct{}), done: make(chan struct{})}
+func NewClient(d *dialect.Dialect) *Client {
+	c := &Client{dialect: d, pools: map[string]*pool{}, stop: make(chan struct{}), done: make(chan struct{})}
 	go c.expireLoop()
 	return c
 }
@@ -58,11 +59,15 @@
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
-	fill(ctx, req, target, request)
-	result := conn.exchange(ctx, request, req, resp)
-	result.Latency = time.Since(start)
-	whole := result.Response != nil && !resp.ConnectionClose() && !request.FreshConnection
-	p.give(conn, whole, time.Now())
+	c.fill(ctx, req, target, request)
+	resp.SkipBody = request.Method == "HEAD"
+	stop := context.AfterFunc(ctx, conn.close)
+	reused := conn.used
+	whole, err := conn.exchange(req, resp, request.ID)
+	stop()
+	result := c.judge(ctx, request, resp, err)
+	result.Latency, result.Reused = time.Since(start), reused
+	p.give(conn, whole && err == nil && !request.FreshConnection, keepAlive(resp), time.Now())
 	return result
 }
 
@@ -71,7 +76,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.pools[address]
 	if !ok {
-		p = &pool{}
+		p = &pool{dialect: c.dialect}
 		c.pools[address] = p
 	}
 	return p
@@ -96,10 +101,10 @@
 }
 
 // fill builds the request on the wire. The URI is never parsed, so that the path
-// reaches the upstream byte for byte as the caller sent it. The body goes as a
-// stream, which spares a copy. When a kept connection closes, the HTTP library
-// would send the request again by itself; singleDialer refuses it the connection.
-func fill(ctx context.Context, req *protocol.Request, target Target, r *Request) {
+// reaches the upstream byte for byte as the caller sent it.
+func (c *Client) fill(ctx context.Context, req *protocol.Request, target Target, r *Request) {
+	req.Header.DisableNormalizing()
+	req.Header.SetNoDefaultContentType(true)
 	req.Header.SetMethod(r.Method)
 	req.Header.SetRequestURI(r.URI)
 	for _, h := range r.Headers {
@@ -110,101 +115,55 @@
 		host = target.Address
 	}
 	req.Header.SetHost(host)
-	req.Header.Set(HeaderRequestID, r.ID)
+	if r.ID != "" {
+		req.Header.Set(c.dialect.RequestID, r.ID)
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		left := max(time.Until(deadline), time.Millisecond)
-		req.Header.Set(HeaderDeadlineMs, strconv.FormatInt(left.Milliseconds(), 10))
+		req.Header.Set(c.dialect.DeadlineMs, strconv.FormatInt(left.Milliseconds(), 10))
+	}
+	if c.dialect.ExpectUpstream != "" && target.ID != "" {
+		req.Header.Set(c.dialect.ExpectUpstream, target.ID)
 	}
 	if r.FreshConnection {
 		req.SetConnectionClose()
 	}
-	req.SetBodyStream(bytes.NewReader(r.Body), len(r.Body))
+	if len(r.Body) > 0 || r.HasBody {
+		req.SetBodyRaw(r.Body)
+		req.Header.SetContentLength(len(r.Body))
+	}
 }
 
-// exchange sends the request, reads the whole answer and decides what the end
-// of the attempt says. Cancelling ctx closes the connection.
-func (c *conn) exchange(ctx context.Context, r *Request, req *protocol.Request, resp *protocol.Response) Result {
-	stop := context.AfterFunc(ctx, c.close)
-	defer stop()
-	if err := c.http.Do(context.WithoutCancel(ctx), req, resp); err != nil {
-		return judgeError(ctx, err, lostOrTruncated(err))
-	}
-	if resp.Header.ContentLength() == identityBody && r.Method != "HEAD" {
-		c.close()
-		return Result{Kind: Truncated, Verdict: verdict.MayHaveRun, Err: errors.New("the answer has no delimiter")}
-	}
-	body, err := readBody(resp)
+// judge says what the end of an attempt means.
+func (c *Client) judge(ctx context.Context, r *Request, resp *protocol.Response, err error) Result {
 	if err != nil {
-		c.close()
-		return judgeError(ctx, err, Truncated)
-	}
-	if id := string(resp.Header.Peek(HeaderRequestID)); id != "" && id != r.ID {
-		c.close()
-		return Result{Kind: Failure, Verdict: verdict.MayHaveRun, Err: errors.Newf("the answer belongs to request %q", id)}
+		return judgeError(ctx, err)
 	}
-	response := copyResponse(resp, body)
+	response := c.copyResponse(resp)
 	response.Closing = resp.ConnectionClose() && !r.FreshConnection
-	return judge(response, verdict.Parse(string(resp.Header.Peek(verdict.Header))))
-}
-
-// lostOrTruncated tells an answer of which a part arrived from none at all. The
-// library reads short bodies together with the head, and reports a plain end of
-// the stream only when not a single byte came.
-func lostOrTruncated(err error) Kind {
-	if errors.Is(err, io.ErrUnexpectedEOF) {
-		return Truncated
-	}
-	return Lost
-}
-
-// readBody reads the whole body and gives the connection back to its owner.
-func readBody(resp *protocol.Response) ([]byte, error) {
-	if !resp.IsBodyStream() {
-		return append([]byte(nil), resp.Body()...), nil
-	}
-	body, err := readStream(resp.BodyStream(), resp.Header.ContentLength())
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.Newf("the answer is larger than %d bytes", maxResponseBytes)
-	}
-	if cerr := resp.CloseBodyStream(); err == nil {
-		err = cerr
-	}
-	return body, err
-}
-
-// smallBody is up to which length a body gets a buffer of exactly its size
-// before it has arrived; an upstream may announce more than it sends.
-const smallBody = 64 << 10
-
-// readStream reads a body of which length bytes were announced; length is
-// negative when it is not known.
-func readStream(r io.Reader, length int) ([]byte, error) {
-	if length < 0 || length > smallBody {
-		return io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
-	}
-	body := make([]byte, length)
-	n, err := io.ReadFull(r, body)
-	return body[:n], err
-}
-
-func judge(r *Response, told verdict.Verdict) Result {
+	header := func(name string) string { return string(resp.Header.Peek(name)) }
 	switch {
-	case r.Status == 503 && told == verdict.NotRun:
-		return Result{Response: r, Kind: Shed, Verdict: verdict.NotRun}
-	case r.Status >= 500:
-		return Result{Response: r, Kind: Failure, Verdict: verdict.Ran}
+	case c.dialect.NotRun(response.Status, header):
+		return Result{Response: response, Kind: Shed, Verdict: verdict.NotRun}
+	case response.Status >= 500:
+		return Result{Response: response, Kind: Failure, Verdict: verdict.Ran}
 	default:
-		return Result{Response: r, Kind: Success, Verdict: verdict.Ran}
+		return Result{Response: response, Kind: Success, Verdict: verdict.Ran}
 	}
 }
 
-// judgeError decides what an error says; lost is the kind of an error that is
-// neither a time-out nor a cancellation.
-func judgeError(ctx context.Context, err error, lost Kind) Result {
-	r := Result{Kind: lost, Verdict: verdict.MayHaveRun, Err: err}
+// judgeError decides what an attempt without a usable answer says.
+func judgeError(ctx context.Context, err error) Result {
+	r := Result{Kind: Lost, Verdict: verdict.MayHaveRun, Err: err}
 	notSent := errors.Is(err, errNotSent)
-	if notSent {
+	switch {
+	case notSent:
 		r.Kind, r.Verdict = Unreachable, verdict.NotRun
+	case errors.Is(err, errCut):
+		r.Kind = Truncated
+	case errors.Is(err, errStray), !isLost(err):
+		// Bytes that are no answer in the protocol.
+		r.Kind = Failure
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
@@ -215,6 +174,27 @@
 	return r
 }
 
+// isLost reports whether the connection ended without a byte of an answer.
+func isLost(err error) bool {
+	var op *net.OpError
+	return errors.IsAny(err, io.EOF, net.ErrClosed, hertzerrors.ErrConnectionClosed) || errors.As(err, &op)
+}
+
+// keepAlive is how long the upstream says that it keeps the connection, 0 if it
+// does not say.
+func keepAlive(resp *protocol.Response) time.Duration {
+	_, after, found := strings.Cut(string(resp.Header.Peek("Keep-Alive")), "timeout=")
+	if !found {
+		return 0
+	}
+	digits, _, _ := strings.Cut(after, ",")
+	seconds, err := strconv.Atoi(strings.TrimSpace(digits))
+	if err != nil || seconds < 0 {
+		return 0 // not in the usual form; the pool's own limit applies
+	}
+	return time.Duration(seconds) * time.Second
+}
+
 // hopHeaders end at each connection and are never passed on.
 var hopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
@@ -225,9 +205,10 @@
 // canonical form.
 func IsHopHeader(name string) bool { return hopHeaders[name] }
 
-func copyResponse(resp *protocol.Response, body []byte) *Response {
-	r := &Response{Status: resp.StatusCode(), Body: body, Headers: make([]Header, 0, resp.Header.Len())}
-	r.Leaving = string(resp.Header.Peek(HeaderLeaving)) == "true"
+func (c *Client) copyResponse(resp *protocol.Response) *Response {
+	r := &Response{Status: resp.StatusCode(), Headers: make([]Header, 0, resp.Header.Len())}
+	r.Body = append([]byte(nil), resp.Body()...)
+	r.Leaving = c.dialect.Leaving != "" && string(resp.Header.Peek(c.dialect.Leaving)) == "true"
 	resp.Header.VisitAll(func(key, value []byte) {
 		if name := string(key); !IsHopHeader(name) {
 			r.Headers = append(r.Headers, Header{Name: name, Value: string(value)})
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"shallotglade/internal/testkit"
+	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/upstream"
 	"shallotglade/pkg/verdict"
 )
@@ -67,7 +68,7 @@
 var _ = Describe("Client", func() {
 	var client *upstream.Client
 	BeforeEach(func() {
-		client = upstream.NewClient()
+		client = upstream.NewClient(dialect.Native())
 		DeferCleanup(client.Close)
 	})
 	do := func(t upstream.Target, timeout time.Duration, change ...func(*upstream.Request)) upstream.Result {
@@ -82,7 +83,7 @@
 
 	It("passes path, query, headers and body on byte for byte", func() {
 		t := serve(func(_ int, r *http.Request) string {
-			return whole(fmt.Sprintf("%s %s %s %s %s", r.Method, r.RequestURI, r.Host, r.Header.Get("X-A"), r.Header.Get(upstream.HeaderRequestID)))
+			return whole(fmt.Sprintf("%s %s %s %s %s", r.Method, r.RequestURI, r.Host, r.Header.Get("X-A"), r.Header.Get(dialect.HeaderRequestID)))
 		})
 		got := do(t, time.Second, func(r *upstream.Request) {
 			r.Method, r.Body, r.Host = "POST", []byte("body"), "stones.example"
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -2,67 +2,64 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"net"
+	"io"
 	"sync"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/protocol/client"
-	"github.com/cloudwego/hertz/pkg/protocol/http1"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cockroachdb/errors"
-)
 
-// maxResponseBytes is the largest answer body. Answers are held whole before a
-// byte of them goes to the caller.
-const maxResponseBytes = 64 << 20
+	"shallotglade/internal/netconn"
+	"shallotglade/pkg/dialect"
+)
 
-// The HTTP library has a goroutine for each connection object that looks for
-// idle connections and, at the next look after the connection has closed, ends.
-// The looks are that far apart. With an hour between them each connection left
-// 2 KB and its buffers behind for an hour.
 const (
-	// keptIdle is longer than maxIdle, so that the pool and never the library
-	// closes a kept connection.
-	keptIdle = 2 * maxIdle
-	// freshIdle is for connections that carry one request and are never idle.
-	freshIdle = 100 * time.Millisecond
+	// maxResponseBytes is the largest answer body. Answers are held whole before
+	// a byte of them goes to the caller.
+	maxResponseBytes = 64 << 20
+	// unacknowledged is how long an upstream's host may leave sent bytes
+	// unacknowledged: some ten round trips with their resends between failure
+	// domains. A path that drops everything is found without waiting for the
+	// request's time limit.
+	unacknowledged = 2 * time.Second
+	// silence is after how long without a packet a connection is checked. It is
+	// longer than most requests take, so that only long ones cost such checks.
+	silence = 2 * time.Second
+	// maxStrayAnswers is how many answers to earlier requests are skipped on
+	// one connection before the answer to the present one.
+	maxStrayAnswers = 2
+	// inlineBody is up to which size a request is written before its answer is
+	// read. Larger ones are written meanwhile, since an upstream may answer
+	// before it has read the body.
+	inlineBody = 1 << 10
 )
 
-// errNotSent marks errors of attempts whose request certainly did not leave.
-var errNotSent = errors.New("the request was not sent")
+var (
+	// errNotSent marks errors of attempts whose request certainly did not leave.
+	errNotSent = errors.New("the request was not sent")
+	// errStray marks answers that belong to another request.
+	errStray = errors.New("the answer belongs to another request")
+	// errCut marks answers that ended early.
+	errCut = errors.New("the answer was cut short")
+)
 
-// conn is a single connection driven by the HTTP library. The library's own
-// pool would hide which connection carries which request and send some requests
-// again by itself, so each conn gives it exactly one connection.
+// conn is a single connection, which carries one request at a time.
 type conn struct {
-	http client.HostClient
+	dialect *dialect.Dialect
+	target  Target
+	// used means that a request was answered on it before.
+	used bool
+	// idleUntil is when the connection is to be closed if it is not used; the
+	// upstream may have stated an earlier time than the pool's.
+	idleUntil time.Time
 
 	mu       sync.Mutex
-	open     *socket
+	open     *netconn.Conn
 	canceled bool
 }
 
-func newConn(target Target, fresh bool) *conn {
-	c := &conn{}
-	idle := keptIdle
-	if fresh {
-		idle = freshIdle
-	}
-	c.http = http1.NewHostClient(&http1.ClientOptions{
-		Dialer:                        &singleDialer{conn: c, address: target.Address, timeout: target.ConnectTimeout},
-		MaxConns:                      1,
-		DialTimeout:                   target.ConnectTimeout,
-		MaxIdleConnDuration:           idle,
-		MaxResponseBodySize:           maxResponseBytes,
-		ResponseBodyStream:            true,
-		NoDefaultUserAgentHeader:      true,
-		DisableHeaderNamesNormalizing: false,
-	})
-	c.http.SetDynamicConfig(&client.DynamicConfig{Addr: target.Address})
-	return c
-}
-
 // close ends the connection; an exchange on it fails.
 func (c *conn) close() {
 	c.mu.Lock()
@@ -78,30 +75,26 @@
 func (c *conn) reusable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.canceled && c.open != nil && c.open.quiet()
+	return !c.canceled && c.open != nil && c.open.Quiet()
 }
 
-// singleDialer opens the one connection of a conn and refuses to open a second.
-type singleDialer struct {
-	conn    *conn
-	address string
-	timeout time.Duration
-	used    bool
-}
-
-// DialConnection implements network.Dialer.
-func (d *singleDialer) DialConnection(_, _ string, _ time.Duration, _ *tls.Config) (network.Conn, error) {
-	if d.used {
-		// Not marked as not sent: the library opens a second connection only
-		// after it has used the first.
-		return nil, errors.New("the kept connection was closed")
+// dial opens the connection unless it is open. Errors are marked errNotSent.
+func (c *conn) dial() (*netconn.Conn, error) {
+	c.mu.Lock()
+	nc, canceled := c.open, c.canceled
+	c.mu.Unlock()
+	if canceled {
+		return nil, errors.Mark(context.Canceled, errNotSent)
+	}
+	if nc != nil {
+		return nc, nil
 	}
-	d.used = true
-	nc, err := dialSocket(d.address, d.timeout)
+	nc, err := netconn.Dial(c.target.Address, netconn.DialConfig{
+		Timeout: c.target.ConnectTimeout, Unacknowledged: unacknowledged, Silence: silence,
+	})
 	if err != nil {
 		return nil, errors.Mark(err, errNotSent)
 	}
-	c := d.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.canceled {
@@ -112,12 +105,88 @@
 	return nc, nil
 }
 
-// DialTimeout implements network.Dialer; the library does not call it.
-func (d *singleDialer) DialTimeout(_, _ string, _ time.Duration, _ *tls.Config) (net.Conn, error) {
-	return nil, errors.Mark(errors.New("not supported"), errNotSent)
+// exchange sends the request and reads the answer to the request id. whole means
+// that the connection can carry another request.
+func (c *conn) exchange(rq *protocol.Request, rs *protocol.Response, id string) (whole bool, err error) {
+	nc, err := c.dial()
+	if err != nil {
+		return false, err
+	}
+	var writeErr error
+	written := make(chan struct{})
+	write := func() {
+		writeErr = c.write(nc, rq)
+		close(written)
+	}
+	if rq.Header.ContentLength() <= inlineBody {
+		write()
+	} else {
+		go write()
+	}
+	if err := c.read(nc, rs, id); err != nil {
+		// Closing ends a write that still waits for the upstream to read.
+		c.close()
+		<-written
+		return false, err
+	}
+	select {
+	case <-written:
+		return writeErr == nil && !rs.ConnectionClose() && nc.Len() == 0, nil
+	default:
+		// The upstream answered before it had read the request. What follows on
+		// this connection would be taken for the rest of the body.
+		c.close()
+		<-written
+		return false, nil
+	}
+}
+
+func (c *conn) write(nc *netconn.Conn, rq *protocol.Request) error {
+	if err := req.Write(rq, nc); err != nil {
+		return err
+	}
+	return nc.Flush()
 }
 
-// AddTLS implements network.Dialer; upstreams are reached without TLS.
-func (d *singleDialer) AddTLS(_ network.Conn, _ *tls.Config) (network.Conn, error) {
-	return nil, errors.Mark(errors.New("not supported"), errNotSent)
+// read reads the answer to the present request. Answers to earlier requests,
+// which can only come first on a connection that was used, are skipped.
+func (c *conn) read(nc *netconn.Conn, rs *protocol.Response, id string) error {
+	for stray := 0; ; stray++ {
+		if err := c.readOne(nc, rs); err != nil {
+			return err
+		}
+		got := string(rs.Header.Peek(c.dialect.RequestID))
+		switch {
+		case id == "" || got == id:
+			return nil
+		case got == "" && (!c.used || !c.dialect.Echoes):
+			return nil
+		case !c.used || stray == maxStrayAnswers:
+			return errors.Mark(errors.Newf("the answer belongs to request %q", got), errStray)
+		}
+	}
 }
+
+func (c *conn) readOne(nc *netconn.Conn, rs *protocol.Response) error {
+	if err := resp.ReadHeaders(rs, nc); err != nil {
+		if errors.Is(err, io.ErrUnexpectedEOF) {
+			return errors.Mark(err, errCut)
+		}
+		return err
+	}
+	unframed := rs.Header.ContentLength() == unframedBody && !rs.MustSkipBody()
+	if err := resp.ReadRespBody(rs, nc, maxResponseBytes); err != nil {
+		return errors.Mark(err, errCut)
+	}
+	if unframed {
+		rs.SetConnectionClose()
+		if !c.dialect.Unframed || !nc.CleanEnd() {
+			return errors.Mark(errors.New("the answer has no length and its connection gives no clean end"), errCut)
+		}
+	}
+	return nil
+}
+
+// unframedBody is the content length that the HTTP library gives an answer that
+// ends with the connection.
+const unframedBody = -2
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -1,10 +1,13 @@
 package upstream
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"shallotglade/pkg/dialect"
 )
 
 // maxIdle is how long a kept connection may wait for its next request. It is
@@ -16,16 +19,13 @@
 
 // pool keeps the connections to one address.
 type pool struct {
+	dialect *dialect.Dialect
+
 	mu   sync.Mutex
-	idle []idleConn
+	idle []*conn
 	open int
 }
 
-type idleConn struct {
-	conn  *conn
-	since time.Time
-}
-
 // take returns a kept connection, or a new one if there is none or if fresh is
 // set. It fails when the limit of open connections is reached.
 func (p *pool) take(target Target, fresh bool, now time.Time) (*conn, error) {
@@ -34,7 +34,7 @@
 	p.dropExpired(now)
 	for !fresh && len(p.idle) > 0 {
 		last := len(p.idle) - 1
-		c := p.idle[last].conn
+		c := p.idle[last]
 		p.idle = p.idle[:last]
 		if c.reusable() {
 			return c, nil
@@ -42,34 +42,46 @@
 		p.closeLocked(c)
 	}
 	if p.open >= target.MaxConnections && len(p.idle) > 0 {
-		p.closeLocked(p.idle[0].conn)
+		p.closeLocked(p.idle[0])
 		p.idle = p.idle[1:]
 	}
 	if p.open >= target.MaxConnections {
 		return nil, errTooManyConnections
 	}
 	p.open++
-	return newConn(target, fresh), nil
+	return &conn{dialect: p.dialect, target: target}, nil
 }
 
+// closingMargin is how long before the time that an upstream states a kept
+// connection is closed here, so that no request meets the upstream's close.
+const closingMargin = time.Second
+
 // give keeps a connection for the next request if it is whole, else closes it.
-func (p *pool) give(c *conn, whole bool, now time.Time) {
+// stated is how long the upstream says that it keeps the connection, 0 if it
+// does not say.
+func (p *pool) give(c *conn, whole bool, stated time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if whole && c.reusable() {
-		p.idle = append(p.idle, idleConn{conn: c, since: now})
+	keep := maxIdle
+	if stated > 0 {
+		keep = min(keep, stated-closingMargin)
+	}
+	if whole && keep > 0 && c.reusable() {
+		c.used, c.idleUntil = true, now.Add(keep)
+		p.idle = append(p.idle, c)
 		return
 	}
 	p.closeLocked(c)
 }
 
 func (p *pool) dropExpired(now time.Time) {
-	n := 0
-	for n < len(p.idle) && now.Sub(p.idle[n].since) > maxIdle {
-		p.closeLocked(p.idle[n].conn)
-		n++
-	}
-	p.idle = p.idle[n:]
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		expired := now.After(c.idleUntil)
+		if expired {
+			p.closeLocked(c)
+		}
+		return expired
+	})
 }
 
 func (p *pool) closeLocked(c *conn) {
@@ -89,8 +101,8 @@
 func (p *pool) closeIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, i := range p.idle {
-		p.closeLocked(i.conn)
+	for _, c := range p.idle {
+		p.closeLocked(c)
 	}
 	p.idle = nil
 }
--- a/pkg/upstream/types.go
+++ b/pkg/upstream/types.go
@@ -7,13 +7,6 @@
 	"shallotglade/pkg/verdict"
 )
 
-// Header names that daemons and upstreams exchange.
-const (
-	HeaderRequestID  = "Shallotglade-Request-Id"
-	HeaderDeadlineMs = "Shallotglade-Deadline-Ms"
-	HeaderLeaving    = "Shallotglade-Leaving"
-)
-
 // Header is one header line.
 type Header struct {
 	Name  string `cbor:"1,keyasint"`
@@ -31,9 +24,10 @@
 	// Headers are the end-to-end headers.
 	Headers []Header
 	Body    []byte
-	// FreshConnection asks for a new connection. A request that must not run
-	// twice uses one: on a kept connection that the upstream is just closing,
-	// nothing tells whether the request was read.
+	// HasBody means that the caller sent a body, which may be empty.
+	HasBody bool
+	// FreshConnection asks for a new connection: on a kept connection that the
+	// upstream is just closing, nothing tells whether the request was read.
 	FreshConnection bool
 }
 
@@ -94,12 +88,16 @@
 	Verdict  verdict.Verdict
 	// Latency runs from the start of the attempt to its end.
 	Latency time.Duration
+	// Reused means that the attempt used a kept connection.
+	Reused bool
 	// Err is the cause when there is no answer.
 	Err error
 }
 
 // Target is where an attempt goes.
 type Target struct {
+	// ID is the upstream that is expected at the address, or empty.
+	ID string
 	// Address is an IP number and port.
 	Address string
 	// MaxConnections bounds the connections that this daemon keeps to it.
