--- a/internal/bench/traffic/service.go
+++ b/internal/bench/traffic/service.go
@@ -178,11 +178,11 @@
 }
 
 func (s *serviceSim) refresh(h *simHome) {
-	h.inFlight.Refresh(s.loop.Now)
+	h.inFlight.Refresh(s.loop.Now, 0)
 	quotas := s.quotas(h)
 	for i := range h.candidates {
 		h.candidates[i].Quota = quotas[i]
-		h.candidates[i].Others = h.inFlight.Others(h.candidates[i].ID)
+		h.candidates[i].Others, _ = h.inFlight.Others(h.candidates[i].ID)
 	}
 	s.admitted(h, h.queue.SetCapacity(s.loop.Now, routing.Capacity(h.candidates)))
 }
@@ -267,7 +267,7 @@
 
 func (s *serviceSim) dispatch(r *simRequest) {
 	s.result.dispatched++
-	r.home.budget.Request()
+	r.home.budget.Request(s.loop.Now)
 	_ = s.result.wait.RecordValue(max(1, s.loop.Now.Sub(r.arrived).Microseconds()))
 	s.attempt(r)
 }
@@ -352,7 +352,7 @@
 	if s.cfg.unlimited {
 		return a.Attempts < retry.DefaultMaxAttempts && (a.Idempotent || a.Verdict == verdict.NotRun)
 	}
-	return h.budget.Decide(a).Retry
+	return h.budget.Decide(s.loop.Now, a).Retry
 }
 
 func (s *serviceSim) finish(r *simRequest, ok bool) {
--- a/pkg/blackboard/attempt.go
+++ b/pkg/blackboard/attempt.go
@@ -6,6 +6,7 @@
 
 	"shallotglade/pkg/detector"
 	"shallotglade/pkg/poison"
+	"shallotglade/pkg/reliability"
 	"shallotglade/pkg/retry"
 	"shallotglade/pkg/routing"
 	"shallotglade/pkg/upstream"
@@ -18,12 +19,17 @@
 	id          uint64
 	fingerprint poison.Fingerprint
 	started     time.Time
-	overdue     bool
+	// overdue and late mean that the detector and the estimator of reliability
+	// were told that the attempt takes long.
+	overdue, late bool
 }
 
 // AttemptRequest is what Begin needs to know of a request.
 type AttemptRequest struct {
 	Idempotent bool
+	// Repeatable means that the request can be sent again if the attempt fails,
+	// MayWait that there is time to wait for a better upstream.
+	Repeatable, MayWait bool
 	// First is set for the first attempt of a request.
 	First bool
 	// Tried lists the upstreams that earlier attempts used.
@@ -75,6 +81,7 @@
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		c.Own, c.PausedUntil = s.inFlight.Own(c.ID), s.pausedUntil[c.ID]
+		c.Failing = s.reliability.Failing(now, c.ID)
 	}
 	choice, ok := s.chooseLocked(now, r)
 	if !ok {
@@ -90,14 +97,17 @@
 	s.inFlight.Start(now, choice.ID)
 	s.poison.Start(now, choice.ID, r.Fingerprint)
 	if r.First {
-		s.budget.Request()
+		s.budget.Request(now)
 	}
 	return a, choice, true
 }
 
 func (s *Service) chooseLocked(now time.Time, r AttemptRequest) (routing.Choice, bool) {
 	if !r.Alone {
-		return routing.Choose(s.candidates, routing.Request{Now: now, Domain: s.domain, Idempotent: r.Idempotent, Tried: r.Tried}, s.rng)
+		return routing.Choose(s.candidates, routing.Request{
+			Now: now, Domain: s.domain, Idempotent: r.Idempotent,
+			Repeatable: r.Repeatable, MayWait: r.MayWait, Tried: r.Tried,
+		}, s.rng)
 	}
 	options := make([]poison.Option, 0, len(s.candidates))
 	for _, c := range s.candidates {
@@ -116,8 +126,15 @@
 	CheckDial bool
 	// Share asks for the report of this home to be sent to the others now.
 	Share bool
+	// Urgent means that the other homes should hear of the outcome at once.
+	Urgent bool
 }
 
+// shedPart is the part of the service's median latency for which an upstream
+// that has shed a request is left alone: in that time one of its few slots is
+// likely to become free.
+const shedPart = 4
+
 // End takes the result of an attempt.
 func (s *Service) End(now time.Time, a *Attempt, r upstream.Result) Ended {
 	s.mu.Lock()
@@ -125,7 +142,7 @@
 	delete(s.attempts, a.id)
 	s.inFlight.End(now, a.Upstream.ID)
 	if r.Kind == upstream.Shed {
-		s.pausedUntil[a.Upstream.ID] = now.Add(routing.ShedPause)
+		s.pausedUntil[a.Upstream.ID] = now.Add(max(routing.ShedPause, s.reliability.Median()/shedPart))
 	}
 	var ended Ended
 	blameless := false
@@ -145,8 +162,15 @@
 	default:
 		s.poison.Abandon(a.Upstream.ID, a.fingerprint)
 	}
-	if kind, ok := evidence[r.Kind]; ok {
-		ended.Assess = s.group.Observe(now, detector.Outcome{
+	if kind, ok := reliabilityOf[r.Kind]; ok && !blameless {
+		s.observeLocked(now, reliability.Outcome{Upstream: a.Upstream.ID, Kind: kind, Latency: now.Sub(a.started), WasOverdue: a.late})
+		ended.Urgent = kind != reliability.Success && kind != reliability.Shed
+		if ended.Urgent {
+			s.refreshLoadLocked(now)
+		}
+	}
+	if kind, ok := evidence[r.Kind]; ok && s.ejects() {
+		ended.Assess = s.judge.Observe(now, detector.Outcome{
 			Upstream: a.Upstream.ID, Kind: kind, Latency: r.Latency, BlameWithheld: blameless, WasOverdue: a.overdue,
 		})
 	}
@@ -165,7 +189,7 @@
 // forgiveLocked drops the evidence against upstreams that a request crashed.
 func (s *Service) forgiveLocked(now time.Time, ids []string) {
 	for _, id := range ids {
-		s.group.Restart(now, id)
+		s.judge.Restart(now, id)
 	}
 }
 
@@ -174,7 +198,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a.Suspect = s.poison.Suspected(now, fp)
-	return s.budget.Decide(a)
+	return s.budget.Decide(now, a)
+}
+
+// reliabilityOf maps ends of attempts that say how likely the next one fails.
+var reliabilityOf = map[upstream.Kind]reliability.Kind{
+	upstream.Success:     reliability.Success,
+	upstream.Failure:     reliability.Failure,
+	upstream.Truncated:   reliability.Failure,
+	upstream.Timeout:     reliability.Lost,
+	upstream.Lost:        reliability.Lost,
+	upstream.Unreachable: reliability.Unreachable,
+	upstream.Shed:        reliability.Shed,
 }
 
 // evidence maps ends of attempts that say something about an upstream.
--- a/pkg/blackboard/board.go
+++ b/pkg/blackboard/board.go
@@ -92,11 +92,12 @@
 	if version <= b.configured {
 		return false
 	}
-	stated := map[string]bool{}
+	stated, groups := map[string]bool{}, c.Groups()
 	for _, d := range c.Services {
 		stated[d.Service] = true
 		s := b.services.getOrCreate(d.Service, func() *Service { return newService(d, b.self, b.domain) })
 		s.setDocument(d, version, nil)
+		s.setGroup(groups[d.Service])
 	}
 	table := newRouteTable()
 	for i := range c.Routes {
--- a/pkg/blackboard/health.go
+++ b/pkg/blackboard/health.go
@@ -6,6 +6,7 @@
 
 	"shallotglade/pkg/detector"
 	"shallotglade/pkg/ejection"
+	"shallotglade/pkg/reliability"
 	"shallotglade/pkg/routing"
 )
 
@@ -24,8 +25,10 @@
 		before[a.Upstream] = a.Condition
 	}
 	s.reportOverdueLocked(now)
-	s.assessments = s.group.Assess(now)
-	s.inFlight.Refresh(now)
+	if s.ejects() {
+		s.assessments = s.judge.Assess(now)
+	}
+	s.inFlight.Refresh(now, s.reliability.Median())
 	view := s.viewLocked()
 	s.exclusion = ejection.Effective(view, s.record, s.policyLocked(), now)
 	clear(s.demotions)
@@ -34,7 +37,7 @@
 	}
 	s.rebuildCandidatesLocked()
 	s.dealSlotsLocked()
-	s.Gate.SetCapacity(routing.Capacity(s.candidates))
+	s.refreshLoadLocked(now)
 	var changed []detector.Assessment
 	for _, a := range s.assessments {
 		if a.Condition != before[a.Upstream] {
@@ -71,7 +74,7 @@
 	defer s.mu.Unlock()
 	var out []Redial
 	for _, u := range s.upstreams {
-		if after, wanted := s.group.Redial(u.ID); wanted {
+		if after, wanted := s.judge.Redial(u.ID); wanted {
 			out = append(out, Redial{Upstream: u, After: after})
 		}
 	}
@@ -88,10 +91,11 @@
 		d, demoted := s.demotions[u.ID]
 		c := routing.Candidate{
 			ID: u.ID, Domain: u.Domain, Slots: u.Slots,
-			Own: s.inFlight.Own(u.ID), Others: s.inFlight.Others(u.ID),
+			Own:     s.inFlight.Own(u.ID),
 			Demoted: demoted, Trial: standing.IdempotentOnly, Share: standing.Share,
 			Preference: routing.Preference(s.self, u.ID),
 		}
+		c.Others, c.OthersKnown = s.inFlight.Others(u.ID)
 		if demoted {
 			c.Share = min(c.Share, d.Share)
 		}
@@ -110,7 +114,7 @@
 	for _, e := range record.Entries {
 		old, had := s.record.Entry(e.Upstream)
 		if e.State == ejection.Trial && (!had || old.State != ejection.Trial) {
-			s.group.Restart(now, e.Upstream)
+			s.judge.Restart(now, e.Upstream)
 		}
 	}
 	s.record, s.recordVersion = record, version
@@ -133,24 +137,48 @@
 func (s *Service) Observe(now time.Time, o detector.Outcome) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.group.Observe(now, o)
+	return s.judge.Observe(now, o)
 }
 
-// reportOverdueLocked tells the detector about attempts that take longer than
-// any upstream of the service should need, before they end.
+// reportOverdueLocked takes attempts that take longer than any upstream of the
+// service should need as evidence before they end.
 func (s *Service) reportOverdueLocked(now time.Time) {
-	limit := s.group.OverdueAfter()
-	if limit <= 0 {
-		return
-	}
+	sick, late := s.judge.OverdueAfter(), s.reliability.OverdueAfter()
 	for _, a := range s.attempts {
-		if age := now.Sub(a.started); !a.overdue && age > limit {
+		age := now.Sub(a.started)
+		if !a.overdue && sick > 0 && age > sick {
 			a.overdue = true
-			s.group.Observe(now, detector.Outcome{Upstream: a.Upstream.ID, Kind: detector.Overdue, Latency: age})
+			s.judge.Observe(now, detector.Outcome{Upstream: a.Upstream.ID, Kind: detector.Overdue, Latency: age})
+		}
+		if !a.late && late > 0 && age > late {
+			a.late = true
+			s.observeLocked(now, reliability.Outcome{Upstream: a.Upstream.ID, Kind: reliability.Overdue, Latency: age})
 		}
 	}
 }
 
+// observeLocked takes an own outcome and keeps it for the other homes.
+func (s *Service) observeLocked(now time.Time, o reliability.Outcome) {
+	s.reliability.Observe(now, o)
+	if len(s.outcomes) < maxOutcomes {
+		s.outcomes = append(s.outcomes, OutcomeReport{Upstream: keyOf(o.Upstream), Kind: o.Kind, LatencyMs: uint32(o.Latency.Milliseconds())})
+	}
+}
+
+// MedianLatency is the median latency of answers, 0 while unknown.
+func (s *Service) MedianLatency() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reliability.Median()
+}
+
+// OverdueAfter is after which time a request in flight is late, 0 while unknown.
+func (s *Service) OverdueAfter() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reliability.OverdueAfter()
+}
+
 // Reachable reports whether this daemon can reach an upstream of the service,
 // as far as it knows. While it cannot, another home may.
 func (s *Service) Reachable() bool {
--- a/pkg/blackboard/report.go
+++ b/pkg/blackboard/report.go
@@ -1,13 +1,16 @@
 package blackboard
 
 import (
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	"shallotglade/pkg/detector"
 	"shallotglade/pkg/poison"
+	"shallotglade/pkg/reliability"
 	"shallotglade/pkg/routing"
 )
 
@@ -23,8 +26,27 @@
 	Leaving []string `cbor:"5,keyasint,omitempty"`
 	// Home is the id of the reporting daemon.
 	Home string `cbor:"6,keyasint"`
+	// Outcomes are the home's own since its last report.
+	Outcomes []OutcomeReport `cbor:"7,keyasint,omitempty"`
 }
 
+// OutcomeReport is the outcome of one attempt at an upstream.
+type OutcomeReport struct {
+	_ struct{} `cbor:",toarray"`
+	// Upstream is a hash of the upstream's id, which keeps reports small.
+	Upstream  uint32
+	Kind      reliability.Kind
+	LatencyMs uint32
+}
+
+// maxOutcomes bounds the outcomes of a report.
+const maxOutcomes = 256
+
+// keyOf returns the short form of an upstream's id. Of 1,000 upstreams of one
+// service two share a form with a probability of about 1e-4; then both are
+// doubted for the failures of one.
+func keyOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 // maxReportItems bounds each list of a report.
 const maxReportItems = 4096
 
@@ -64,7 +86,11 @@
 func (s *Service) Report(now time.Time) (Report, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := Report{Service: s.Name, Evidence: s.group.Summary(now), Load: s.inFlight.Report(now, s.Gate.Stats().Waiting)}
+	r := Report{Service: s.Name, Load: s.inFlight.Report(now, s.Gate.Stats().Waiting), Outcomes: s.outcomes}
+	s.outcomes = nil
+	if s.ejects() {
+		r.Evidence = s.judge.Summary(now)
+	}
 	if summary := s.poison.Summary(now); len(summary.Events) > 0 {
 		if b, err := summary.Encode(); err == nil {
 			r.Poison = b
@@ -73,10 +99,17 @@
 	for id := range s.left {
 		r.Leaving = append(r.Leaving, id)
 	}
-	said := len(r.Evidence.Reports) > 0 || len(r.Load.Loads) > 0 || r.Load.Demand > 0 || len(r.Poison) > 0 || len(r.Leaving) > 0
+	said := len(r.Evidence.Reports) > 0 || len(r.Load.Loads) > 0 || r.Load.Demand > 0 || len(r.Poison) > 0 || len(r.Leaving) > 0 || len(r.Outcomes) > 0
 	return r, said
 }
 
+// Busy reports whether attempts are in flight.
+func (s *Service) Busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.attempts) > 0
+}
+
 // Merge takes the report of another home.
 func (s *Service) Merge(now time.Time, home string, r Report) {
 	for _, id := range r.Leaving {
@@ -84,9 +117,38 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.group.Merge(now, home, r.Evidence)
+	if s.ejects() {
+		s.judge.Merge(now, home, r.Evidence)
+	}
 	s.inFlight.Merge(now, home, r.Load)
+	s.mergeOutcomesLocked(now, r.Outcomes)
 	if summary, err := poison.DecodeSummary(r.Poison); err == nil {
 		s.forgiveLocked(now, s.poison.Merge(now, summary).Forgiven)
 	}
 }
+
+// mergeOutcomesLocked takes outcomes of another home, and renews what requests
+// choose from.
+func (s *Service) mergeOutcomesLocked(now time.Time, outcomes []OutcomeReport) {
+	for _, o := range outcomes[:min(len(outcomes), maxOutcomes)] {
+		i := slices.IndexFunc(s.upstreams, func(u Upstream) bool { return keyOf(u.ID) == o.Upstream })
+		if i < 0 {
+			continue
+		}
+		s.reliability.Observe(now, reliability.Outcome{
+			Upstream: s.upstreams[i].ID, Kind: o.Kind, Latency: time.Duration(o.LatencyMs) * time.Millisecond, Remote: true,
+		})
+	}
+	s.refreshLoadLocked(now)
+}
+
+// refreshLoadLocked renews the load of the candidates after a report.
+func (s *Service) refreshLoadLocked(now time.Time) {
+	s.inFlight.Refresh(now, s.reliability.Median())
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		c.Others, c.OthersKnown = s.inFlight.Others(c.ID)
+		c.Own, c.Failing = s.inFlight.Own(c.ID), s.reliability.Failing(now, c.ID)
+	}
+	s.Gate.SetCapacity(routing.Capacity(s.candidates))
+}
--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -14,6 +14,7 @@
 	"shallotglade/pkg/ejection"
 	"shallotglade/pkg/limits"
 	"shallotglade/pkg/poison"
+	"shallotglade/pkg/reliability"
 	"shallotglade/pkg/retry"
 	"shallotglade/pkg/routing"
 )
@@ -33,8 +34,12 @@
 	// ID; 0 means that the ID is new at each start.
 	Incarnation uint64
 	// WarmUp is how long the upstream was to be slow after its start when it
-	// was listed; 0 means that the document's time applies.
-	WarmUp time.Duration
+	// was listed, ColdUntil the end of that time. An upstream without an
+	// Incarnation has the document's time, from Joined.
+	WarmUp    time.Duration
+	ColdUntil time.Time
+	// Listed is when it was first seen here.
+	Listed time.Time
 }
 
 // Service is what this daemon knows of one service. It is safe for concurrent
@@ -48,6 +53,7 @@
 	domain string
 
 	mu        sync.Mutex
+	group     string
 	document  *document.Service
 	version   uint64
 	unknown   []string
@@ -56,7 +62,10 @@
 	// left remembers upstreams that announced themselves that they leave.
 	left map[string]bool
 
-	group         *detector.Group
+	reliability *reliability.Estimator
+	// outcomes are those that the other homes have not been told yet.
+	outcomes      []OutcomeReport
+	judge         *detector.Group
 	assessments   []detector.Assessment
 	record        ejection.Record
 	recordVersion uint64
@@ -77,21 +86,36 @@
 
 func newService(d *document.Service, self, domain string) *Service {
 	s := &Service{
-		Name: d.Service, self: self, domain: domain, document: d,
+		Name: d.Service, self: self, domain: domain, group: d.Service, document: d,
 		left: map[string]bool{}, pausedUntil: map[string]time.Time{},
-		group:     detector.NewGroup(detector.TuningFor(d.Detection.Weight)),
-		record:    ejection.Record{Service: d.Service},
-		demotions: map[string]ejection.Demotion{},
-		inFlight:  routing.NewInFlight(),
-		attempts:  map[uint64]*Attempt{},
-		budget:    retry.NewBudget(retry.DefaultPolicy()),
-		poison:    poison.NewTracker(self, []string{self}),
-		rng:       rand.New(rand.NewPCG(xxhash.Sum64String(self), xxhash.Sum64String(d.Service))),
+		reliability: reliability.New(reliability.DefaultModel()),
+		judge:       detector.NewGroup(detector.TuningFor(d.Detection.Weight)),
+		record:      ejection.Record{Service: d.Service},
+		demotions:   map[string]ejection.Demotion{},
+		inFlight:    routing.NewInFlight(),
+		attempts:    map[uint64]*Attempt{},
+		budget:      retry.NewBudget(retry.DefaultPolicy()),
+		poison:      poison.NewTracker(self, []string{self}),
+		rng:         rand.New(rand.NewPCG(xxhash.Sum64String(self), xxhash.Sum64String(d.Service))),
 	}
 	s.Gate = limits.NewGate(gatePolicy(d), 1, time.Now)
 	return s
 }
 
+// Group returns the name by which homes are placed: services of one group have
+// the same homes.
+func (s *Service) Group() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group
+}
+
+func (s *Service) setGroup(group string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.group = group
+}
+
 // Document returns the document in force. It must not be changed.
 func (s *Service) Document() *document.Service {
 	s.mu.Lock()
@@ -114,8 +138,8 @@
 		return false
 	}
 	s.document, s.version, s.unknown = d, version, unknown
-	s.group.SetTuning(detector.TuningFor(d.Detection.Weight))
-	s.budget.SetPolicy(retryPolicy(d))
+	s.judge.SetTuning(detector.TuningFor(d.Detection.Weight))
+	s.budget.SetPolicy(s.retryPolicyLocked())
 	s.Gate.SetPolicy(gatePolicy(d))
 	if static := d.Upstreams.Static; len(static) > 0 {
 		s.setUpstreamsLocked(time.Now(), staticUpstreams(static))
@@ -136,9 +160,21 @@
 	return p
 }
 
-func retryPolicy(d *document.Service) retry.Policy {
-	p := retry.DefaultPolicy()
-	p.Ratio, p.MaxAttempts = float64(d.Retries.Budget), d.Retries.Attempts
+// Parts of a fleet's allowance of retries. Homes that change leave two sets of
+// homes for a moment, which may spend their parts in one span; daemons that are
+// no homes serve the few requests that reach them.
+const (
+	homesAllowance = 0.6
+	otherAllowance = 0.02
+)
+
+func (s *Service) retryPolicyLocked() retry.Policy {
+	p, d := retry.DefaultPolicy(), s.document.Retries
+	p.Ratio, p.MaxAttempts, p.Window = float64(d.Budget), d.Attempts, d.Window
+	p.Allowance = otherAllowance * float64(d.Allowance)
+	if s.isHomeLocked() {
+		p.Allowance = homesAllowance * float64(d.Allowance) / float64(len(s.homes))
+	}
 	return p
 }
 
@@ -156,6 +192,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.homes = homes
+	s.budget.SetPolicy(s.retryPolicyLocked())
 	s.poison.SetHomes(s.homeIDsLocked())
 }
 
@@ -198,14 +235,18 @@
 	next := make([]Upstream, 0, len(list))
 	left := map[string]bool{}
 	for _, u := range list {
+		u.Listed = now
 		old, ok := known[u.ID]
 		restarted := ok && old.Incarnation != u.Incarnation
 		switch {
 		case ok && !restarted:
-			u.Joined = old.Joined
+			u.Joined, u.ColdUntil, u.Listed = old.Joined, old.ColdUntil, old.Listed
+		case u.Incarnation != 0:
+			// The list tells how long an upstream is slow after its start.
+			u.ColdUntil = now.Add(u.WarmUp)
 		case !first:
 			u.Joined = now
-			s.group.SetWarmUp(now, u.ID, now.Add(s.document.Upstreams.WarmUp))
+			s.judge.SetWarmUp(now, u.ID, now.Add(s.document.Upstreams.WarmUp))
 		}
 		if restarted {
 			s.forgetUpstreamLocked(now, u.ID)
@@ -229,14 +270,16 @@
 	for i, u := range next {
 		ids[i] = u.ID
 	}
-	s.group.Retain(now, ids)
+	s.judge.Retain(now, ids)
+	s.reliability.Retain(ids)
 }
 
 // forgetUpstreamLocked drops what is known of an upstream that started again
 // under its id.
 func (s *Service) forgetUpstreamLocked(now time.Time, id string) {
 	s.poison.Forget(id)
-	s.group.Restart(now, id)
+	s.judge.Restart(now, id)
+	s.reliability.Forget(id)
 	delete(s.pausedUntil, id)
 	delete(s.left, id)
 }
@@ -280,6 +323,18 @@
 	return n
 }
 
+// ejects reports whether sick upstreams are ejected by agreement, for which the
+// sequential test of package detector is kept. Otherwise homes only prefer
+// upstreams by what package reliability says.
+func (s *Service) ejects() bool { return s.document.Detection.Eject == document.EjectAgreed }
+
+// Ejects reports whether sick upstreams are ejected by agreement.
+func (s *Service) Ejects() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ejects()
+}
+
 // floorLocked is the floor in upstreams; leaving ones are no capacity.
 func (s *Service) floorLocked() int {
 	live := 0
--- a/pkg/blackboard/status.go
+++ b/pkg/blackboard/status.go
@@ -56,7 +56,7 @@
 	st := Status{
 		Service: s.Name, Version: s.version, UnknownFields: s.unknown, RecordVersion: s.recordVersion,
 		Home: s.isHomeLocked(), Homes: s.homeIDsLocked(), Floor: s.floorLocked(), Usable: len(s.exclusion.Usable),
-		Running: gate.Running, Waiting: gate.Waiting, RetriesLeft: s.budget.Available(),
+		Running: gate.Running, Waiting: gate.Waiting, RetriesLeft: s.budget.Available(time.Now()),
 	}
 	assessed := map[string]detector.Assessment{}
 	for _, a := range s.assessments {
--- a/pkg/daemon/adapter.go
+++ b/pkg/daemon/adapter.go
@@ -20,11 +20,24 @@
 	// Registers means that the platform keeps no list of daemons, so that each
 	// daemon enters itself.
 	Registers bool
-	// Forwards means that a daemon that is no home of a service passes requests
-	// to one. Otherwise it serves them.
-	Forwards bool
+	// Forward says to which homes a daemon that is no home of a service passes
+	// requests.
+	Forward Forward
 }
 
+// Forward says to which homes requests are passed on. A daemon that finds none
+// serves the request itself.
+type Forward uint8
+
+// Ways of forwarding.
+const (
+	// ForwardAnywhere prefers homes of the own failure domain.
+	ForwardAnywhere Forward = iota
+	// ForwardWithinDomain leaves out homes elsewhere, where bytes between
+	// failure domains are dear.
+	ForwardWithinDomain
+)
+
 // AdapterFactory makes an adapter on a caller of the platform.
 type AdapterFactory func(s *settings.Settings, caller *platform.Caller, log zerolog.Logger) Adapter
 
@@ -32,6 +45,6 @@
 func native(_ *settings.Settings, caller *platform.Caller, _ zerolog.Logger) Adapter {
 	client := platform.NewClient(caller)
 	return Adapter{
-		Store: platform.WithMembers(client, client), Prefixes: catalog.Prefixes(), Dialect: dialect.Native(), Forwards: true,
+		Store: platform.WithMembers(client, client), Prefixes: catalog.Prefixes(), Dialect: dialect.Native(),
 	}
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -214,15 +214,18 @@
 	if err := d.health.Provision(); err != nil {
 		return errors.Wrap(err, "health")
 	}
+	forward := &forwarder{node: d.node, observe: d.roster.members.Observe}
 	d.proxy = &proxy.Proxy{
-		Dialect: d.adapter.Dialect, Board: d.board, Sender: d.sender, Ledger: d.ledger, Directory: d.roster,
+		Forwarder: forward,
+		Dialect:   d.adapter.Dialect, Board: d.board, Sender: d.sender, Ledger: d.ledger, Directory: d.roster,
 		Notifier: d.health, Log: d.log, Metrics: d.metrics, LogDecisions: d.settings.Log.Decisions,
 	}
-	if d.adapter.Forwards {
-		d.proxy.Forwarder = &forwarder{node: d.node, observe: d.roster.members.Observe}
-	}
 	d.node.Handle(proxy.ForwardKind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
-		return d.proxy.HandleForward(ctx, body)
+		reply, err := d.proxy.HandleForward(ctx, body)
+		if errors.Is(err, proxy.ErrUnknownHere) {
+			err = errors.Mark(err, peer.ErrRefused)
+		}
+		return reply, err
 	})
 	d.node.HandleMessage(kindSummary, func(_ context.Context, from peer.Identity, body []byte) {
 		d.health.Receive(body, from.Owns)
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -109,7 +109,7 @@
 	r.mu.Unlock()
 	homes := map[string][]placement.Host{}
 	for _, s := range r.d.board.Services() {
-		homes[s.Name] = placement.Homes(s.Name, hosts, homesPerDomain(s))
+		homes[s.Name] = placement.Homes(s.Group(), hosts, homesPerDomain(s))
 	}
 	r.mu.Lock()
 	for name, placed := range r.homes {
@@ -133,7 +133,7 @@
 // sees.
 func (r *roster) place(s *blackboard.Service) {
 	r.mu.Lock()
-	homes := placement.Homes(s.Name, r.hosts, homesPerDomain(s))
+	homes := placement.Homes(s.Group(), r.hosts, homesPerDomain(s))
 	r.homes[s.Name] = homes
 	r.mu.Unlock()
 	r.setHomes(s, homes)
@@ -226,6 +226,11 @@
 // failure domain.
 func (r *roster) Homes(service string) []proxy.Peer {
 	hosts := r.others(service)
+	if r.d.adapter.Forward == ForwardWithinDomain {
+		hosts = slices.DeleteFunc(hosts, func(h placement.Host) bool {
+			return h.Domain != r.d.settings.Domain || h.Condition != placement.Usable
+		})
+	}
 	slices.SortStableFunc(hosts, func(a, b placement.Host) int { return r.cost(a) - r.cost(b) })
 	out := make([]proxy.Peer, len(hosts))
 	for i, h := range hosts {
@@ -317,7 +322,7 @@
 	hosts := d.roster.hosts
 	d.roster.mu.Unlock()
 	a := placement.Addresses(placement.Query{
-		Service: q.Service, Domain: q.Domain, Caller: q.Caller, Failed: q.Failed, Now: time.Now(),
+		Service: s.Group(), Domain: q.Domain, Caller: q.Caller, Failed: q.Failed, Now: time.Now(),
 	}, hosts, homesPerDomain(s))
 	lifetime := scaledLifetime(a.Lifetime, d.settings.Addresses.Lifetime)
 	if d.settings.Log.Decisions {
--- a/pkg/document/check.go
+++ b/pkg/document/check.go
@@ -114,6 +114,8 @@
 	c.duration("timeouts.attempt", s.Timeouts.Attempt, minTimeout/2, s.Timeouts.Request)
 	c.duration("timeouts.connect", s.Timeouts.Connect, minTimeout, maxTimeout)
 	share("retries.budget", s.Retries.Budget)
+	c.duration("retries.window", s.Retries.Window, 0, time.Hour)
+	c.between("retries.allowance", s.Retries.Allowance, 0, maxQueue)
 	c.between("retries.attempts", s.Retries.Attempts, 1, maxAttempts)
 	c.require(s.Limits.CallerRate >= 0 && s.Limits.CallerRate <= maxCallerRate, "limits.callerRate", "0 to 1000000 requests a second")
 	c.between("limits.callerBurst", s.Limits.CallerBurst, 1, maxCallerRate)
--- a/pkg/document/configuration.go
+++ b/pkg/document/configuration.go
@@ -112,6 +112,38 @@
 	return s.Idempotent(method, path)
 }
 
+// Groups returns for each service the name of its group: services behind the
+// routes of one host belong together, since callers ask for the addresses of a
+// host and not of a service. The name is that of the group's first service in
+// alphabetical order.
+func (c *Configuration) Groups() map[string]string {
+	group := map[string]string{}
+	for _, s := range c.Services {
+		group[s.Service] = s.Service
+	}
+	root := func(name string) string {
+		for group[name] != name {
+			name = group[name]
+		}
+		return name
+	}
+	first := map[string]string{} // a service of each host
+	for _, r := range c.Routes {
+		for _, b := range r.Backends {
+			other, known := first[r.Host]
+			if !known {
+				first[r.Host], other = b.Service, b.Service
+			}
+			x, y := root(b.Service), root(other)
+			group[max(x, y)] = min(x, y)
+		}
+	}
+	for name := range group {
+		group[name] = root(name)
+	}
+	return group
+}
+
 // Encode returns the value to distribute.
 func (c *Configuration) Encode() ([]byte, error) { return json.Marshal(c) }
 
--- a/pkg/document/service.go
+++ b/pkg/document/service.go
@@ -150,6 +150,12 @@
 	Budget strictyaml.Share `yaml:"budget"`
 	// Attempts is the most attempts of one request. Default: 2.
 	Attempts int `yaml:"attempts"`
+	// Window makes the budget hold in every span of this length over all homes
+	// of the service. Default: 0, each home saves up retries for itself.
+	Window time.Duration `yaml:"window"`
+	// Allowance is how many attempts a span allows besides the budget, over all
+	// homes. Default: 0.
+	Allowance int `yaml:"allowance"`
 }
 
 // Limits bound what one caller may use of the service at one home.
--- a/pkg/health/controller.go
+++ b/pkg/health/controller.go
@@ -58,6 +58,57 @@
 	mu       sync.Mutex
 	writing  map[string]bool
 	lastSeen map[string]time.Time
+	// due holds the services whose report is about to be sent, told when the
+	// last report was sent.
+	due  map[string]bool
+	told map[string]time.Time
+}
+
+// reportDelay is how long a report of an attempt that began or ended waits for
+// more of them. It is below the time that requests take, so that the numbers in
+// flight at the other homes are those of a moment ago.
+const reportDelay = 80 * time.Millisecond
+
+// Changed implements the request path's notification. The first change after a
+// pause is reported at once.
+func (c *Controller) Changed(s *blackboard.Service) {
+	if !s.IsHome() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.due[s.Name] {
+		return
+	}
+	c.due[s.Name] = true
+	wait := max(reportDelay-time.Since(c.told[s.Name]), 0)
+	time.AfterFunc(wait, func() {
+		select {
+		case c.share <- s:
+		default:
+			// The next round reports every service.
+			c.sent(s.Name)
+		}
+	})
+}
+
+// sent notes that the report of a service was sent, or left to the next round.
+func (c *Controller) sent(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.due, service)
+	c.told[service] = time.Now()
+}
+
+// quietInterval is the longest time between two reports while requests are in
+// flight. It is below the time after which a report fades.
+const quietInterval = 400 * time.Millisecond
+
+// stale reports whether the other homes should hear of the service again.
+func (c *Controller) stale(s *blackboard.Service) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return s.Ejects() || time.Since(c.told[s.Name]) > quietInterval && s.Busy()
 }
 
 // Provision prepares the controller; Cleanup releases it.
@@ -71,6 +122,7 @@
 	c.share = make(chan *blackboard.Service, poolSize)
 	c.writing = map[string]bool{}
 	c.lastSeen = map[string]time.Time{}
+	c.due, c.told = map[string]bool{}, map[string]time.Time{}
 	return nil
 }
 
@@ -156,7 +208,9 @@
 	for _, s := range c.Board.Services() {
 		if s.IsHome() {
 			c.refresh(ctx, s, round%proposeRounds == 0)
-			c.report(ctx, s)
+			if c.stale(s) {
+				c.report(ctx, s)
+			}
 			c.probe(ctx, s)
 			c.redial(ctx, s)
 		} else if round%idleRounds == 0 {
@@ -200,6 +254,7 @@
 
 // report sends this home's report to the service's other homes.
 func (c *Controller) report(ctx context.Context, s *blackboard.Service) {
+	c.sent(s.Name)
 	homes := c.Homes(s.Name)
 	if len(homes) == 0 {
 		return
--- a/pkg/health/propose.go
+++ b/pkg/health/propose.go
@@ -15,7 +15,7 @@
 // propose writes the record that this home wants, if it differs from the one in
 // force. At most one write for a service is under way.
 func (c *Controller) propose(ctx context.Context, s *blackboard.Service) {
-	if !s.IsHome() {
+	if !s.IsHome() || !s.Ejects() {
 		return
 	}
 	next, version, decisions := s.Propose(time.Now())
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"shallotglade/pkg/blackboard"
+	"shallotglade/pkg/document"
 	"shallotglade/pkg/retry"
 	"shallotglade/pkg/upstream"
 	"shallotglade/pkg/verdict"
@@ -27,10 +29,10 @@
 
 // forwardToHome passes the request to a home. sent is false if no home could
 // be reached, so that this daemon serves the request itself.
-func (p *Proxy) forwardToHome(ctx context.Context, service *blackboard.Service, in *Incoming) (answer *Answer, sent bool) {
+func (p *Proxy) forwardToHome(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming) (answer *Answer, sent bool) {
 	homes := p.Directory.Homes(service.Name)
 	for _, home := range homes[:min(len(homes), forwardTries)] {
-		answer, err := p.forward(ctx, service, in, home)
+		answer, err := p.forward(ctx, rule, service, in, home)
 		if err == nil {
 			return answer, true
 		}
@@ -53,11 +55,11 @@
 }
 
 // forwardSuspect passes a suspect to the one home that may run it.
-func (p *Proxy) forwardSuspect(ctx context.Context, service *blackboard.Service, in *Incoming, home string) *Answer {
+func (p *Proxy) forwardSuspect(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming, home string) *Answer {
 	homes := p.Directory.Homes(service.Name)
 	i := slices.IndexFunc(homes, func(h Peer) bool { return h.ID == home })
-	if p.Forwarder != nil && i >= 0 && in.Hops < maxHops {
-		if answer, err := p.forward(ctx, service, in, homes[i]); !errors.Is(err, ErrNotSent) {
+	if i >= 0 && in.Hops < maxHops {
+		if answer, err := p.forward(ctx, rule, service, in, homes[i]); !errors.Is(err, ErrNotSent) {
 			return answer
 		}
 	}
@@ -68,9 +70,9 @@
 
 // forward passes the request to one home. An error of ErrNotSent means that it
 // certainly did not arrive.
-func (p *Proxy) forward(ctx context.Context, service *blackboard.Service, in *Incoming, home Peer) (*Answer, error) {
+func (p *Proxy) forward(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming, home Peer) (*Answer, error) {
 	passed := *in
-	passed.Service, passed.Hops = service.Name, in.Hops+1
+	passed.Service, passed.Hops, passed.rule = service.Name, in.Hops+1, rule
 	passed.Poison = service.AboutPoison(time.Now(), in.fingerprint(service.Name))
 	answer, err := p.Forwarder.Forward(ctx, home, &passed, time.Until(deadlineOf(ctx))-forwardMargin)
 	result := "answered"
@@ -111,6 +113,21 @@
 	Hops   int   `cbor:"13,keyasint"`
 	// Poison is an encoded poison.Summary.
 	Poison []byte `cbor:"14,keyasint,omitempty"`
+	// Rule is how the daemon that took the request treats it. The home follows
+	// it, so that a request is treated by one configuration on its whole way.
+	Rule forwardRule `cbor:"15,keyasint"`
+	// HasBody means that the request came with a body, which may be empty.
+	HasBody bool `cbor:"16,keyasint,omitempty"`
+}
+
+// forwardRule is the part of a rule that a home follows.
+type forwardRule struct {
+	Name       string `cbor:"1,keyasint"`
+	Idempotent bool   `cbor:"2,keyasint,omitempty"`
+	Attempts   int    `cbor:"3,keyasint"`
+	Priority   int    `cbor:"4,keyasint,omitempty"`
+	// TargetMS is the time left to the target latency; it may be negative.
+	TargetMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
 type forwardAnswer struct {
@@ -137,10 +154,18 @@
 
 // EncodeForward returns the body of a forward message.
 func EncodeForward(in *Incoming, left time.Duration) ([]byte, error) {
-	return cbor.Marshal(forwardRequest{
+	m := forwardRequest{
 		ID: in.ID, Caller: in.Caller, Service: in.Service, Method: in.Method, Host: in.Host, URI: in.URI, Path: in.Path,
 		Query: in.Query, Headers: in.Headers, Body: in.Body, Key: in.Key, LeftMS: left.Milliseconds(), Hops: in.Hops, Poison: in.Poison,
-	})
+		HasBody: in.HasBody,
+	}
+	if r := in.rule; r != nil {
+		m.Rule = forwardRule{Name: r.Name, Idempotent: in.idempotent, Attempts: r.Attempts, Priority: r.Priority}
+		if r.Target > 0 {
+			m.Rule.TargetMS = (r.Target - time.Since(in.Arrived)).Milliseconds()
+		}
+	}
+	return cbor.Marshal(m)
 }
 
 // DecodeForward reads the body of a forward message that arrived at a time.
@@ -149,13 +174,18 @@
 	if err := forwardDecoder.Unmarshal(b, &m); err != nil {
 		return nil, errors.Wrap(err, "proxy: decode forwarded request")
 	}
-	if m.Hops < 1 || m.Hops > maxHops || m.LeftMS < 0 {
+	if m.Hops < 1 || m.Hops > maxHops || m.LeftMS < 0 || m.LeftMS > math.MaxInt32 || m.Rule.Attempts < 0 {
 		return nil, errors.New("proxy: forwarded request out of range")
 	}
+	left := time.Duration(m.LeftMS) * time.Millisecond
 	return &Incoming{
 		ID: m.ID, Caller: m.Caller, Service: m.Service, Method: m.Method, Host: m.Host, URI: m.URI, Path: m.Path,
 		Query: m.Query, Headers: m.Headers, Body: m.Body, Key: m.Key, Hops: m.Hops, Poison: m.Poison,
-		Arrived: arrived, Deadline: arrived.Add(time.Duration(m.LeftMS) * time.Millisecond),
+		Arrived: arrived, Deadline: arrived.Add(left), HasBody: m.HasBody, idempotent: m.Rule.Idempotent,
+		rule: &document.Rule{
+			Name: m.Rule.Name, Timeout: left, Target: time.Duration(m.Rule.TargetMS) * time.Millisecond,
+			Attempts: m.Rule.Attempts, Priority: m.Rule.Priority,
+		},
 	}, nil
 }
 
@@ -196,5 +226,13 @@
 	if err != nil {
 		return EncodeForwardAnswer(refused(verdict.Refuse(400, "bad-forward", "The forwarded request could not be read.")))
 	}
-	return EncodeForwardAnswer(p.Serve(ctx, in))
+	service, ok := p.Board.Service(in.Service)
+	if !ok {
+		return nil, errors.Wrapf(ErrUnknownHere, "service %.64q", in.Service)
+	}
+	return EncodeForwardAnswer(p.serve(ctx, in.rule, service, in))
 }
+
+// ErrUnknownHere means that a request that was passed on certainly did not run,
+// since this daemon does not know its service.
+var ErrUnknownHere = errors.New("proxy: the service is not known here")
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -46,6 +46,9 @@
 type Notifier interface {
 	// Assess asks for a new assessment of the service's upstreams.
 	Assess(service *blackboard.Service)
+	// Changed tells that an attempt began or ended; the other homes are told
+	// within a short time.
+	Changed(service *blackboard.Service)
 	// Share asks for this home's report to be sent to the other homes.
 	Share(service *blackboard.Service)
 	// ShareNow sends the report and waits until the other homes have it, for a
@@ -55,7 +58,7 @@
 	Probe(service *blackboard.Service, upstream blackboard.Upstream)
 }
 
-// Proxy is the request path of one daemon. All fields but Forwarder are required.
+// Proxy is the request path of one daemon. All fields are required.
 type Proxy struct {
 	// Dialect holds the header names of callers and upstreams.
 	Dialect   *dialect.Dialect
@@ -63,7 +66,6 @@
 	Sender    upstream.Sender
 	Ledger    claims.Ledger
 	Directory Directory
-	// Forwarder is nil where each daemon serves what it receives.
 	Forwarder Forwarder
 	Notifier  Notifier
 	Log       zerolog.Logger
@@ -78,23 +80,28 @@
 
 // Serve brings back the answer to a request. It never returns nil.
 func (p *Proxy) Serve(ctx context.Context, in *Incoming) *Answer {
-	p.Metrics.InFlight.Inc()
-	defer p.Metrics.InFlight.Dec()
 	route, service, ok := p.Board.Route(in.Service, in.Host, in.Path)
 	if !ok {
 		return p.finish(in, "", refused(p.noRoute()))
 	}
+	in.idempotent = route.Idempotent(service.Document(), in.Method, in.Path)
+	return p.serve(ctx, route.Rule, service, in)
+}
+
+// serve brings back the answer to a request of a rule.
+func (p *Proxy) serve(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming) *Answer {
+	p.Metrics.InFlight.Inc()
+	defer p.Metrics.InFlight.Dec()
 	d := service.Document()
-	in.idempotent = route.Idempotent(d, in.Method, in.Path)
 	if err := checkRequest(d, in); err != nil {
 		return p.finish(in, service.Name, refused(err))
 	}
-	ctx, cancel := requestContext(ctx, route.Rule, in)
+	ctx, cancel := requestContext(ctx, rule, in)
 	defer cancel()
 	if err := p.awaitTurn(ctx, in); err != nil {
 		return p.finish(in, service.Name, refused(err))
 	}
-	return p.finish(in, service.Name, p.route(ctx, route.Rule, service, in))
+	return p.finish(in, service.Name, p.route(ctx, rule, service, in))
 }
 
 // noRoute is the answer to a request that fits no route. A daemon that knows no
@@ -171,8 +178,8 @@
 
 // route serves the request here or passes it to a home.
 func (p *Proxy) route(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming) *Answer {
-	if p.Forwarder != nil && in.Hops == 0 && (!service.IsHome() || !service.Reachable()) {
-		if answer, sent := p.forwardToHome(ctx, service, in); sent {
+	if in.Hops == 0 && (!service.IsHome() || !service.Reachable()) {
+		if answer, sent := p.forwardToHome(ctx, rule, service, in); sent {
 			return answer
 		}
 	}
@@ -180,7 +187,7 @@
 	if len(in.Poison) > 0 {
 		service.MergePoison(time.Now(), in.Poison)
 	}
-	alone, answer := p.screen(ctx, service, in, fp)
+	alone, answer := p.screen(ctx, rule, service, in, fp)
 	if answer != nil {
 		return answer
 	}
@@ -201,7 +208,7 @@
 
 // screen holds back requests that are suspected of crashing upstreams. It
 // returns an answer if the request does not run here.
-func (p *Proxy) screen(ctx context.Context, service *blackboard.Service, in *Incoming, fp poison.Fingerprint) (bool, *Answer) {
+func (p *Proxy) screen(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming, fp poison.Fingerprint) (bool, *Answer) {
 	for {
 		d := service.CheckPoison(time.Now(), fp)
 		switch d.Action {
@@ -210,7 +217,7 @@
 		case poison.RunAlone:
 			return true, nil
 		case poison.Forward:
-			return false, p.forwardSuspect(ctx, service, in, d.Home)
+			return false, p.forwardSuspect(ctx, rule, service, in, d.Home)
 		case poison.Refuse:
 			err := verdict.Refuse(d.Status, d.Reason, "Upstreams crashed while this request ran.")
 			err.RetryAfter = d.RetryAfter
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -87,8 +87,9 @@
 
 type quiet struct{}
 
-func (quiet) Assess(*blackboard.Service) {}
-func (quiet) Share(*blackboard.Service)  {}
+func (quiet) Assess(*blackboard.Service)  {}
+func (quiet) Share(*blackboard.Service)   {}
+func (quiet) Changed(*blackboard.Service) {}
 
 func (quiet) ShareNow(context.Context, *blackboard.Service)  {}
 func (quiet) Probe(*blackboard.Service, blackboard.Upstream) {}
--- a/pkg/proxy/request.go
+++ b/pkg/proxy/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"shallotglade/pkg/document"
 	"shallotglade/pkg/poison"
 	"shallotglade/pkg/upstream"
 	"shallotglade/pkg/verdict"
@@ -51,6 +52,8 @@
 	// Hops is how many daemons have passed the request on.
 	Hops int
 
+	// rule is the rule of the daemon that passed the request on.
+	rule *document.Rule
 	// idempotent is whether the request may run more than once, by its route.
 	idempotent bool
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -26,6 +26,12 @@
 	Ratio float64
 	// Burst is the most retries that may be saved up.
 	Burst float64
+	// Window makes the budget one of a sliding span instead of saved-up
+	// retries: in every span of this length at most Ratio times its requests
+	// plus Allowance are retries. 0 means saved-up retries.
+	Window time.Duration
+	// Allowance is this home's part of the retries that a span allows besides.
+	Allowance float64
 	// MaxAttempts limits the attempts of one request, the first included.
 	MaxAttempts int
 	// MinTimeLeft is the least time before the deadline for another attempt.
@@ -108,31 +114,53 @@
 type Budget struct {
 	policy Policy
 	tokens float64
+	window window
 }
 
 // NewBudget returns an empty budget: an initial credit would allow more than
 // Ratio at a home that has just started, when many homes start at once.
-func NewBudget(p Policy) *Budget { return &Budget{policy: p} }
+func NewBudget(p Policy) *Budget { return &Budget{policy: p, window: window{span: p.Window}} }
 
 // SetPolicy changes the limits; what was saved stays up to the new burst.
 func (b *Budget) SetPolicy(p Policy) {
 	b.policy = p
 	b.tokens = min(b.tokens, p.Burst)
+	if b.window.span != p.Window {
+		b.window = window{span: p.Window}
+	}
 }
 
 // Request counts the first dispatch of a request.
-func (b *Budget) Request() {
+func (b *Budget) Request(now time.Time) {
+	if b.policy.Window > 0 {
+		b.window.addRequest(now)
+		return
+	}
 	b.tokens = min(b.policy.Burst, b.tokens+b.policy.Ratio)
 }
 
 // Available is the number of retries that may be made now.
-func (b *Budget) Available() int { return int(b.tokens + rounding) }
+func (b *Budget) Available(now time.Time) int {
+	if b.policy.Window > 0 {
+		return max(b.window.left(now, b.policy), 0)
+	}
+	return int(b.tokens + rounding)
+}
+
+// pay counts a retry.
+func (b *Budget) pay(now time.Time) {
+	if b.policy.Window > 0 {
+		b.window.addRepeat(now)
+		return
+	}
+	b.tokens = max(0, b.tokens-1)
+}
 
 // rounding absorbs the error of adding a tenth ten times.
 const rounding = 1e-9
 
 // Decide says whether the request is sent again; a retry is paid for at once.
-func (b *Budget) Decide(a Attempt) Decision {
+func (b *Budget) Decide(now time.Time, a Attempt) Decision {
 	notRun := a.Verdict == verdict.NotRun && !a.EarlierMayHaveRun
 	switch {
 	case a.Suspect:
@@ -145,10 +173,10 @@
 		return Decision{Retry: true, Reason: NotRun}
 	case a.Attempts >= cmp.Or(a.MaxAttempts, b.policy.MaxAttempts):
 		return Decision{Reason: TooManyAttempts}
-	case b.tokens+rounding < 1:
+	case b.Available(now) < 1:
 		return Decision{Reason: NoBudget}
 	}
-	b.tokens = max(0, b.tokens-1)
+	b.pay(now)
 	if notRun {
 		return Decision{Retry: true, Reason: NotRun}
 	}
--- a/pkg/retry/doc.go
+++ b/pkg/retry/doc.go
@@ -4,11 +4,13 @@
 // Request once for each request that is dispatched for the first time, and
 // Decide after each attempt that did not bring a usable response:
 //
-//	budget.Request()
+//	budget.Request(now)
 //	...
-//	if d := budget.Decide(retry.Attempt{...}); d.Retry { /* another upstream, at once */ }
+//	if d := budget.Decide(now, retry.Attempt{...}); d.Retry { /* another upstream, at once */ }
 //
 // All attempts beyond the first of a request are paid from the budget,
 // including those after an upstream has shed the request, so that attempts
-// never exceed (1 + Ratio) times the requests since the start of the budget.
+// never exceed (1 + Ratio) times the requests since the start of the budget. With
+// Policy.Window set, the bound holds in every span of that length instead; each
+// home of a service then has its part of the fleet's Allowance.
 package retry
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -14,13 +14,15 @@
 	"shallotglade/pkg/verdict"
 )
 
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
 func TestRetry(t *testing.T) { testkit.RunSpecs(t, "retry") }
 
 var _ = Describe("Budget", func() {
 	full := func() *retry.Budget {
 		b := retry.NewBudget(retry.DefaultPolicy())
 		for range 100 {
-			b.Request()
+			b.Request(epoch)
 		}
 		return b
 	}
@@ -29,7 +31,7 @@
 	DescribeTable("decides", func(change func(*retry.Attempt), reason retry.Reason, again bool) {
 		a := retry.Attempt{Verdict: verdict.MayHaveRun, Idempotent: true, Attempts: 1, TimeLeft: time.Second}
 		change(&a)
-		Expect(full().Decide(a)).To(Equal(retry.Decision{Retry: again, Reason: reason}))
+		Expect(full().Decide(epoch, a)).To(Equal(retry.Decision{Retry: again, Reason: reason}))
 	},
 		Entry("idempotent", func(*retry.Attempt) {}, retry.Idempotent, true),
 		Entry("may have run", func(a *retry.Attempt) { a.Idempotent = false }, retry.MayHaveRun, false),
@@ -43,26 +45,26 @@
 	)
 
 	It("is empty at first and saves no more than the burst", func() {
-		Expect(retry.NewBudget(retry.DefaultPolicy()).Available()).To(BeZero())
+		Expect(retry.NewBudget(retry.DefaultPolicy()).Available(epoch)).To(BeZero())
 		b := full()
 		for range 1000 {
-			b.Request()
+			b.Request(epoch)
 		}
-		Expect(b.Available()).To(Equal(retry.DefaultBurst))
+		Expect(b.Available(epoch)).To(Equal(retry.DefaultBurst))
 	})
 })
 
 // decider is a Budget or a naive stand-in.
 type decider interface {
-	Request()
-	Decide(retry.Attempt) retry.Decision
+	Request(time.Time)
+	Decide(time.Time, retry.Attempt) retry.Decision
 }
 
 // unlimited retries everything that may be retried, up to three attempts.
 type unlimited struct{}
 
-func (unlimited) Request() {}
-func (unlimited) Decide(a retry.Attempt) retry.Decision {
+func (unlimited) Request(time.Time) {}
+func (unlimited) Decide(_ time.Time, a retry.Attempt) retry.Decision {
 	return retry.Decision{Retry: a.Attempts < 3 && (a.Idempotent || a.Verdict == verdict.NotRun)}
 }
 
@@ -72,7 +74,7 @@
 		failing := float64(rapid.IntRange(0, 100).Draw(t, "failing")) / 100
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		for i := range requests {
-			d.Request()
+			d.Request(epoch)
 			idempotent, mayHaveRun := rng.IntN(2) == 0, false
 			for n := 1; ; n++ {
 				attempts++
@@ -82,7 +84,7 @@
 				v := verdict.Verdict(rng.IntN(3))
 				a := retry.Attempt{Verdict: v, Idempotent: idempotent, Attempts: n, EarlierMayHaveRun: mayHaveRun, TimeLeft: time.Second}
 				mayHaveRun = mayHaveRun || v != verdict.NotRun
-				if !d.Decide(a).Retry {
+				if !d.Decide(epoch, a).Retry {
 					break
 				}
 				twice = twice || (mayHaveRun && !idempotent)
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -28,6 +28,12 @@
 	// Others is the expected number of requests that other homes have in
 	// flight there, see InFlight.Others.
 	Others float64
+	// OthersKnown means that Others is the number in flight a moment ago, so
+	// that a slot beyond it is free. Otherwise Others is a mean, and quotas keep
+	// homes from meeting at a slot.
+	OthersKnown bool
+	// Failing is the probability that an attempt fails, see pkg/reliability.
+	Failing float64
 	// Demoted marks an upstream that this home judges unhealthy.
 	Demoted bool
 	// Trial marks an ejected upstream that is on trial: it receives idempotent
@@ -52,10 +58,31 @@
 	// Idempotent requests may be sent to upstreams on trial and to demoted
 	// ones, so that their recovery is seen.
 	Idempotent bool
+	// Repeatable means that the request can be sent again if the attempt fails.
+	Repeatable bool
+	// MayWait means that the request has time to wait for a slot at an upstream
+	// that is less likely to fail.
+	MayWait bool
 	// Tried lists the upstreams that earlier attempts of this request used.
 	Tried []string
 }
 
+// Doubt is the probability of failing from which an upstream is used only when
+// no better one has a free slot.
+const Doubt = 0.5
+
+// repeatLoss is what a failed attempt of a request that can be sent again costs:
+// some time, and the chance that the next one fails too.
+const repeatLoss = 0.15
+
+// loss is what a failed attempt costs, in lost answers.
+func (r *Request) loss() float64 {
+	if r.Repeatable {
+		return repeatLoss
+	}
+	return 1
+}
+
 // Preference is the tie-breaking value of an upstream at a home. It differs
 // between homes, so that they don't all choose the same idle upstream.
 func Preference(home, upstream string) uint64 {
@@ -70,18 +97,27 @@
 // Capacity is how many requests this home may have in flight at once: its own
 // slots and those it may borrow. It is at least one while there is a healthy
 // upstream, because a home that never starts a request would stay starved.
-// Upstreams in ramp count only while no normal one exists.
+// Upstreams in ramp count only while no normal one exists, and upstreams that
+// probably fail only while there is no better one: a request that waits for a
+// good slot is served, and one that gets a bad slot may be lost.
 func Capacity(candidates []Candidate) int {
 	full := hasFull(candidates, nil)
-	total, healthy := 0, false
+	total, doubtful, healthy := 0, 0, false
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.normal(full) {
 			continue
 		}
 		healthy = healthy || !c.Demoted
+		if c.Failing > Doubt {
+			doubtful += c.limit()
+			continue
+		}
 		total += c.limit()
 	}
+	if total == 0 {
+		total = doubtful
+	}
 	if healthy {
 		total = max(1, total)
 	}
@@ -90,6 +126,9 @@
 
 // limit is how many requests of this home the upstream may have in flight.
 func (c *Candidate) limit() int {
+	if c.OthersKnown {
+		return max(c.slots()-int(c.Others+0.5), 0)
+	}
 	n := c.Quota
 	for c.mayBorrow(n) {
 		n++
@@ -110,7 +149,7 @@
 	return (float64(c.Own) + c.Others) / float64(c.slots())
 }
 
-func (c *Candidate) free() bool { return c.Own < c.Quota || c.mayBorrow(c.Own) }
+func (c *Candidate) free() bool { return c.mine() || c.mayBorrow(c.Own) }
 
 // excludes reports whether the request must not be sent to the candidate now.
 func (r *Request) excludes(c *Candidate) bool {
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -18,6 +18,8 @@
 	OtherDomain
 	// Borrowed is an upstream with a slot that another home seems not to use.
 	Borrowed
+	// Doubtful is an upstream that probably fails; no better one has a free slot.
+	Doubtful
 	// DemotedFree is a demoted upstream; no healthy one has a free slot.
 	DemotedFree
 	// Contended is an upstream whose slots other homes seem to hold; this home
@@ -38,7 +40,7 @@
 )
 
 var reasonNames = [...]string{
-	OwnDomain: "own-domain", OtherDomain: "other-domain", Borrowed: "borrowed", DemotedFree: "demoted-free",
+	OwnDomain: "own-domain", OtherDomain: "other-domain", Borrowed: "borrowed", Doubtful: "doubtful", DemotedFree: "demoted-free",
 	Contended: "contended", Ramp: "ramp", Trial: "trial", Recovery: "recovery",
 	NoUpstream: "no-upstream", AllTried: "all-tried", AllBusy: "all-busy",
 }
@@ -58,36 +60,109 @@
 	// ID and Domain are those of the chosen candidate.
 	ID, Domain string
 	Reason     Reason
+	// Failing is the candidate's probability of failing.
+	Failing float64
 	// Load is the expected part of the slots in use before this attempt.
 	Load float64
 }
 
-// Choose returns the upstream for one attempt, or false with the reason.
+// What a choice costs beyond its probability of failing, in lost answers. The
+// order of the classes is fixed: an own slot, one elsewhere, a borrowed one, a
+// demoted upstream, a contended one.
+const (
+	// farCost makes a request leave its failure domain when that saves about
+	// one answer in twenty-five: the bytes between domains are paid for.
+	farCost = 0.04
+	// loadCost spreads requests over upstreams that are equally good; it is
+	// below farCost at any load.
+	loadCost      = 0.03
+	borrowedCost  = 0.5
+	demotedCost   = 1.5
+	contendedCost = 10
+)
+
+// hopelessMargin is how much better an upstream must be for a request to wait
+// for a slot there instead of using a free one that probably fails it.
+const hopelessMargin = 0.3
+
+// Choose returns the upstream for one attempt, or false with the reason: of
+// those with a free slot, the one with the least cost.
 func Choose(candidates []Candidate, req Request, rng *rand.Rand) (Choice, bool) {
 	full := hasFull(candidates, &req)
 	if choice, ok := draw(candidates, &req, full, rng); ok {
 		return choice, true
 	}
-	best, bestClass, own := -1, AllBusy, 0
+	best, bestCost, own, surest := -1, 0.0, 0, 1.0
 	for i := range candidates {
 		c := &candidates[i]
 		own += c.Own
-		if !c.normal(full) {
+		if !c.normal(full) || req.excludes(c) {
 			continue
 		}
-		class, ok := c.class(&req, bestClass)
-		if !ok || class > bestClass || (best >= 0 && class == bestClass && !better(c, &candidates[best])) {
-			continue
-		}
-		// Last, as it compares strings.
-		if !req.excludes(c) {
-			best, bestClass = i, class
+		surest = min(surest, c.Failing)
+		cost := c.cost(&req)
+		if best < 0 || cost < bestCost || (cost == bestCost && c.Preference > candidates[best].Preference) {
+			best, bestCost = i, cost
 		}
 	}
-	if best < 0 || (bestClass == Contended && own > 0) {
+	if best < 0 || (bestCost >= contendedCost && own > 0) {
 		return Choice{Index: -1, Reason: failure(candidates, &req, full)}, false
 	}
-	return choose(candidates, best, bestClass), true
+	c := &candidates[best]
+	if req.MayWait && c.Failing > Doubt && surest < c.Failing-hopelessMargin {
+		return Choice{Index: -1, Reason: AllBusy}, false
+	}
+	return choose(candidates, best, c.reason(&req, bestCost)), true
+}
+
+// cost is what an attempt at the candidate costs, in lost answers.
+func (c *Candidate) cost(req *Request) float64 {
+	load := c.load()
+	cost := c.Failing * req.loss()
+	switch {
+	case c.mine():
+	case c.mayBorrow(c.Own):
+		cost += borrowedCost
+	default:
+		// The request waits at the upstream for as long as the load there says.
+		return contendedCost + cost + load
+	}
+	cost += loadCost * load / (1 + load)
+	if !c.near(req) {
+		cost += farCost
+	}
+	if c.Demoted {
+		cost += demotedCost
+	}
+	return cost
+}
+
+// reason says which class the candidate was chosen from.
+func (c *Candidate) reason(req *Request, cost float64) Reason {
+	switch {
+	case cost >= contendedCost:
+		return Contended
+	case c.Demoted:
+		return DemotedFree
+	case c.Failing > Doubt:
+		return Doubtful
+	case !c.mine():
+		return Borrowed
+	case c.near(req):
+		return OwnDomain
+	default:
+		return OtherDomain
+	}
+}
+
+func (c *Candidate) near(req *Request) bool { return c.Domain == req.Domain || req.Domain == "" }
+
+// mine reports whether a slot is free for this home without borrowing.
+func (c *Candidate) mine() bool {
+	if c.OthersKnown {
+		return float64(c.Own)+c.Others < float64(c.slots())
+	}
+	return c.Own < c.Quota
 }
 
 // failure says why no upstream was chosen.
@@ -106,36 +181,6 @@
 	return reason
 }
 
-// class ranks a normal candidate; false when it must not be used now, or when
-// it ranks below the class found already.
-func (c *Candidate) class(req *Request, found Reason) (Reason, bool) {
-	near := c.Domain == req.Domain || req.Domain == ""
-	switch mine := c.Own < c.Quota; {
-	case mine && !c.Demoted && near:
-		return OwnDomain, true
-	case mine && !c.Demoted:
-		return OtherDomain, true
-	case found < Borrowed:
-		return AllBusy, false // spares the computation of mayBorrow
-	case mine || c.mayBorrow(c.Own):
-		if c.Demoted {
-			return DemotedFree, true
-		}
-		return Borrowed, true
-	default:
-		return Contended, !c.Demoted
-	}
-}
-
-// better compares two candidates of one class.
-func better(a, b *Candidate) bool {
-	la, lb := a.load(), b.load()
-	if la != lb {
-		return la < lb
-	}
-	return a.Preference > b.Preference
-}
-
 // draw gives each upstream with a limited share its part of the attempts: one
 // of n candidates with share s is drawn with probability s/n. Without this
 // lottery an idle service would send every request to the preferred upstream,
@@ -198,5 +243,5 @@
 
 func choose(candidates []Candidate, i int, reason Reason) Choice {
 	c := &candidates[i]
-	return Choice{Index: i, ID: c.ID, Domain: c.Domain, Reason: reason, Load: c.load()}
+	return Choice{Index: i, ID: c.ID, Domain: c.Domain, Reason: reason, Load: c.load(), Failing: c.Failing}
 }
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -9,11 +9,11 @@
 // InFlight.Report to the other homes; then, and whenever a report arrives
 // (Merge), call Refresh and renew Quota and Others of the candidates:
 //
-//	inFlight.Refresh(now)
+//	inFlight.Refresh(now, presentFor)
 //	inFlight.Homes(self, homes) // fills in Demand
 //	for i, quota := range routing.Quotas(self, homes, candidates) {
 //		candidates[i].Quota = quota
-//		candidates[i].Others = inFlight.Others(candidates[i].ID)
+//		candidates[i].Others, candidates[i].OthersKnown = inFlight.Others(candidates[i].ID)
 //	}
 //	queue.SetCapacity(now, routing.Capacity(candidates))
 //
--- a/pkg/routing/inflight.go
+++ b/pkg/routing/inflight.go
@@ -41,6 +41,8 @@
 type Load struct {
 	Upstream string  `cbor:"1,keyasint"`
 	Mean     float64 `cbor:"2,keyasint"`
+	// Now is the number at the time of the report.
+	Now int `cbor:"3,keyasint,omitempty"`
 }
 
 // InFlight counts this home's requests in flight at each upstream and holds the
@@ -49,6 +51,10 @@
 	own    map[string]*area
 	homes  map[string]received
 	totals map[string]float64
+	// present holds the sums of the numbers at the time of the reports; known
+	// means that all these reports are young.
+	present map[string]float64
+	known   bool
 	// demand is the smoothed demand of this home, told the last value reported.
 	demand, told float64
 	reports      int // since the demand was zero
@@ -69,7 +75,7 @@
 
 // NewInFlight returns an empty count.
 func NewInFlight() *InFlight {
-	return &InFlight{own: map[string]*area{}, homes: map[string]received{}, totals: map[string]float64{}}
+	return &InFlight{own: map[string]*area{}, homes: map[string]received{}, totals: map[string]float64{}, present: map[string]float64{}}
 }
 
 // Start counts a request sent to the upstream.
@@ -106,8 +112,8 @@
 	demand := float64(waiting)
 	for _, id := range slices.Sorted(maps.Keys(f.own)) {
 		a := f.own[id]
-		if mean := a.reset(now); mean > 0 {
-			loads = append(loads, Load{Upstream: id, Mean: mean})
+		if mean := a.reset(now); mean > 0 || a.count > 0 {
+			loads = append(loads, Load{Upstream: id, Mean: mean, Now: a.count})
 			demand += mean
 		} else if a.count == 0 {
 			delete(f.own, id)
@@ -146,9 +152,14 @@
 }
 
 // Refresh recomputes what Others returns; call it after Merge and four times a
-// second, so that the reports of silent homes fade.
-func (f *InFlight) Refresh(now time.Time) {
+// second, so that the reports of silent homes fade. presentFor is how long the
+// numbers of a report stand for the present ones: less than a request takes, or 0
+// for never. A home reports the first request after a pause at once, so that a report without
+// requests stands until the next.
+func (f *InFlight) Refresh(now time.Time, presentFor time.Duration) {
 	clear(f.totals)
+	clear(f.present)
+	f.known = presentFor > 0
 	// A fixed order keeps the sums, and with them the choices, the same in
 	// every run.
 	for _, home := range slices.Sorted(maps.Keys(f.homes)) {
@@ -158,10 +169,18 @@
 			delete(f.homes, home)
 			continue
 		}
+		busy := false
 		for _, l := range r.report.Loads {
 			if l.Mean > 0 && l.Mean < maxMean {
 				f.totals[l.Upstream] += weight * l.Mean
 			}
+			if l.Now > 0 && l.Now < maxMean {
+				busy = true
+				f.present[l.Upstream] += float64(l.Now)
+			}
+		}
+		if busy && now.Sub(r.at) > presentFor {
+			f.known = false
 		}
 	}
 }
@@ -169,9 +188,14 @@
 // maxMean is far above the slots of any upstream; larger values are errors.
 const maxMean = 1e6
 
-// Others is the expected number of requests that other homes have in flight at
-// the upstream, as of the last Refresh.
-func (f *InFlight) Others(upstream string) float64 { return f.totals[upstream] }
+// Others is the number of requests that other homes have in flight at the
+// upstream, as of the last Refresh: the present one if known, else a mean.
+func (f *InFlight) Others(upstream string) (n float64, known bool) {
+	if f.known {
+		return f.present[upstream], true
+	}
+	return f.totals[upstream], false
+}
 
 // Fade is the weight of a report of that age.
 func Fade(age time.Duration) float64 {
--- a/pkg/routing/quota.go
+++ b/pkg/routing/quota.go
@@ -125,7 +125,7 @@
 // number that others have in flight is taken as binomial with mean Others.
 func (c *Candidate) mayBorrow(own int) bool {
 	slots := c.slots()
-	if own >= slots {
+	if own >= slots || c.OthersKnown {
 		return false
 	}
 	p := min(1, c.Others/float64(slots))
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -67,6 +67,11 @@
 	)
 
 	It("measures the mean in flight and fades reports", func() {
+		mean := func(f *routing.InFlight) float64 {
+			n, known := f.Others("u")
+			Expect(known).To(BeFalse())
+			return n
+		}
 		f := routing.NewInFlight()
 		f.Start(epoch, "u")
 		f.Start(epoch, "u")
@@ -74,15 +79,15 @@
 		at := epoch.Add(250 * time.Millisecond)
 		Expect(f.Own("u")).To(Equal(1))
 		report := f.Report(at, 3)
-		Expect(report.Loads).To(Equal([]routing.Load{{Upstream: "u", Mean: 1.5}}))
+		Expect(report.Loads).To(Equal([]routing.Load{{Upstream: "u", Mean: 1.5, Now: 1}}))
 		Expect(report.Demand).To(BeNumerically("~", 4.5, 1e-9))
 		g := routing.NewInFlight()
 		g.Merge(at, "h1", report)
 		for age, want := range map[time.Duration]float64{0: 1.5, routing.ReportFresh: 1.5, time.Second: 0.75} {
-			g.Refresh(at.Add(age))
-			Expect(g.Others("u")).To(BeNumerically("~", want, 1e-9))
+			g.Refresh(at.Add(age), 0)
+			Expect(mean(g)).To(BeNumerically("~", want, 1e-9))
 		}
-		g.Refresh(at.Add(routing.ReportStale))
-		Expect(g.Others("u")).To(BeZero())
+		g.Refresh(at.Add(routing.ReportStale), 0)
+		Expect(mean(g)).To(BeZero())
 	})
 })
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -16,6 +16,8 @@
 	AddedSeconds *prometheus.HistogramVec
 	// Attempts counts attempts at upstreams by service and kind of end.
 	Attempts *prometheus.CounterVec
+	// Hedges counts second attempts beside a slow first one, by service.
+	Hedges *prometheus.CounterVec
 	// Refusals counts refused requests by service and reason.
 	Refusals *prometheus.CounterVec
 	// Forwards counts requests passed to a home by result.
@@ -46,6 +48,7 @@
 	m.RequestSeconds = histogram("request_duration_seconds", "Time from a request's arrival to its answer.", seconds, "service")
 	m.AddedSeconds = histogram("added_duration_seconds", "Time of a request not spent at upstreams or waiting for a slot.", seconds, "service")
 	m.Attempts = counter("upstream_attempts_total", "Attempts at upstreams.", "service", "kind")
+	m.Hedges = counter("hedges_total", "Second attempts beside a slow first one.", "service")
 	m.Refusals = counter("refusals_total", "Refused requests.", "service", "reason")
 	m.Forwards = counter("forwards_total", "Requests passed to a home.", "result")
 	m.InFlight = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "requests_in_flight", Help: "Requests being handled."})
@@ -56,7 +59,7 @@
 	m.ConfigurationsRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "configurations_refused_total", Help: "Configurations that could not be put in force."})
 	m.PlatformUp = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "platform_up", Help: "Whether the platform answered the last call of this daemon."})
 	m.Peers = gauge("peers", "Other daemons by state.", "state")
-	m.Registry.MustRegister(m.Requests, m.RequestSeconds, m.AddedSeconds, m.Attempts, m.Refusals, m.Forwards, m.InFlight,
+	m.Registry.MustRegister(m.Requests, m.RequestSeconds, m.AddedSeconds, m.Attempts, m.Hedges, m.Refusals, m.Forwards, m.InFlight,
 		m.Standings, m.Ejections, m.DocumentVersion, m.ConfigurationVersion, m.ConfigurationsRefused, m.PlatformUp, m.Peers,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
