--- a/pkg/blackboard/attempt.go
+++ b/pkg/blackboard/attempt.go
@@ -19,6 +19,7 @@
 	id          uint64
 	fingerprint poison.Fingerprint
 	started     time.Time
+	route       string
 	// overdue and late mean that the detector and the estimator of reliability
 	// were told that the attempt takes long.
 	overdue, late bool
@@ -27,6 +28,8 @@
 // AttemptRequest is what Begin needs to know of a request.
 type AttemptRequest struct {
 	Idempotent bool
+	// Route names the route of the request.
+	Route string
 	// Repeatable means that the request can be sent again if the attempt fails,
 	// MayWait that there is time to wait for a better upstream.
 	Repeatable, MayWait bool
@@ -92,7 +95,7 @@
 		return nil, choice, false
 	}
 	s.nextID++
-	a := &Attempt{Upstream: s.upstreams[i], id: s.nextID, fingerprint: r.Fingerprint, started: now}
+	a := &Attempt{Upstream: s.upstreams[i], id: s.nextID, fingerprint: r.Fingerprint, started: now, route: r.Route}
 	s.attempts[a.id] = a
 	s.inFlight.Start(now, choice.ID)
 	s.poison.Start(now, choice.ID, r.Fingerprint)
@@ -130,7 +133,7 @@
 	Urgent bool
 }
 
-// shedPart is the part of the service's median latency for which an upstream
+// shedPart is the part of the service's mean latency for which an upstream
 // that has shed a request is left alone: in that time one of its few slots is
 // likely to become free.
 const shedPart = 4
@@ -142,7 +145,7 @@
 	delete(s.attempts, a.id)
 	s.inFlight.End(now, a.Upstream.ID)
 	if r.Kind == upstream.Shed {
-		s.pausedUntil[a.Upstream.ID] = now.Add(max(routing.ShedPause, s.reliability.Median()/shedPart))
+		s.pausedUntil[a.Upstream.ID] = now.Add(max(routing.ShedPause, s.reliability.Mean()/shedPart))
 	}
 	var ended Ended
 	blameless := false
@@ -163,7 +166,7 @@
 		s.poison.Abandon(a.Upstream.ID, a.fingerprint)
 	}
 	if kind, ok := reliabilityOf[r.Kind]; ok && !blameless {
-		s.observeLocked(now, reliability.Outcome{Upstream: a.Upstream.ID, Kind: kind, Latency: now.Sub(a.started), WasOverdue: a.late})
+		s.observeLocked(now, reliability.Outcome{Upstream: a.Upstream.ID, Kind: kind, Latency: now.Sub(a.started), Route: a.route, WasOverdue: a.late})
 		ended.Urgent = kind != reliability.Success && kind != reliability.Shed
 		if ended.Urgent {
 			s.refreshLoadLocked(now)
--- a/pkg/blackboard/health.go
+++ b/pkg/blackboard/health.go
@@ -28,7 +28,7 @@
 	if s.ejects() {
 		s.assessments = s.judge.Assess(now)
 	}
-	s.inFlight.Refresh(now, s.reliability.Median())
+	s.inFlight.Refresh(now, s.reliability.Mean())
 	view := s.viewLocked()
 	s.exclusion = ejection.Effective(view, s.record, s.policyLocked(), now)
 	clear(s.demotions)
@@ -143,40 +143,34 @@
 // reportOverdueLocked takes attempts that take longer than any upstream of the
 // service should need as evidence before they end.
 func (s *Service) reportOverdueLocked(now time.Time) {
-	sick, late := s.judge.OverdueAfter(), s.reliability.OverdueAfter()
+	sick := s.judge.OverdueAfter()
 	for _, a := range s.attempts {
 		age := now.Sub(a.started)
 		if !a.overdue && sick > 0 && age > sick {
 			a.overdue = true
 			s.judge.Observe(now, detector.Outcome{Upstream: a.Upstream.ID, Kind: detector.Overdue, Latency: age})
 		}
-		if !a.late && late > 0 && age > late {
+		if late := s.reliability.OverdueAfter(a.route); !a.late && late > 0 && age > late {
 			a.late = true
-			s.observeLocked(now, reliability.Outcome{Upstream: a.Upstream.ID, Kind: reliability.Overdue, Latency: age})
+			s.observeLocked(now, reliability.Outcome{Upstream: a.Upstream.ID, Kind: reliability.Overdue, Latency: age, Route: a.route})
 		}
 	}
 }
 
 // observeLocked takes an own outcome and keeps it for the other homes.
 func (s *Service) observeLocked(now time.Time, o reliability.Outcome) {
-	s.reliability.Observe(now, o)
+	finding := s.reliability.Observe(now, o)
 	if len(s.outcomes) < maxOutcomes {
-		s.outcomes = append(s.outcomes, OutcomeReport{Upstream: keyOf(o.Upstream), Kind: o.Kind, LatencyMs: uint32(o.Latency.Milliseconds())})
+		s.outcomes = append(s.outcomes, reportOf(o.Upstream, finding))
 	}
 }
 
-// MedianLatency is the median latency of answers, 0 while unknown.
-func (s *Service) MedianLatency() time.Duration {
+// Latency returns the median latency of a route's answers and after which time a
+// request in flight on it is late; both are 0 while unknown.
+func (s *Service) Latency(route string) (median, late time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reliability.Median()
-}
-
-// OverdueAfter is after which time a request in flight is late, 0 while unknown.
-func (s *Service) OverdueAfter() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.reliability.OverdueAfter()
+	return s.reliability.Median(route), s.reliability.OverdueAfter(route)
 }
 
 // Reachable reports whether this daemon can reach an upstream of the service,
--- a/pkg/blackboard/report.go
+++ b/pkg/blackboard/report.go
@@ -34,9 +34,19 @@
 type OutcomeReport struct {
 	_ struct{} `cbor:",toarray"`
 	// Upstream is a hash of the upstream's id, which keeps reports small.
-	Upstream  uint32
-	Kind      reliability.Kind
-	LatencyMs uint32
+	Upstream uint32
+	Kind     reliability.Kind
+	Early    bool
+	Slow     bool
+	AgeMs    uint32
+}
+
+func reportOf(id string, f reliability.Finding) OutcomeReport {
+	return OutcomeReport{Upstream: keyOf(id), Kind: f.Kind, Early: f.Early, Slow: f.Slow, AgeMs: uint32(f.Age.Milliseconds())}
+}
+
+func (o OutcomeReport) finding() reliability.Finding {
+	return reliability.Finding{Kind: o.Kind, Early: o.Early, Slow: o.Slow, Age: time.Duration(o.AgeMs) * time.Millisecond}
 }
 
 // maxOutcomes bounds the outcomes of a report.
@@ -135,16 +145,14 @@
 		if i < 0 {
 			continue
 		}
-		s.reliability.Observe(now, reliability.Outcome{
-			Upstream: s.upstreams[i].ID, Kind: o.Kind, Latency: time.Duration(o.LatencyMs) * time.Millisecond, Remote: true,
-		})
+		s.reliability.Merge(now, s.upstreams[i].ID, o.finding())
 	}
 	s.refreshLoadLocked(now)
 }
 
 // refreshLoadLocked renews the load of the candidates after a report.
 func (s *Service) refreshLoadLocked(now time.Time) {
-	s.inFlight.Refresh(now, s.reliability.Median())
+	s.inFlight.Refresh(now, s.reliability.Mean())
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		c.Others, c.OthersKnown = s.inFlight.Others(c.ID)
--- a/pkg/proxy/attempts.go
+++ b/pkg/proxy/attempts.go
@@ -69,7 +69,7 @@
 // hedgeTimer returns a channel that fires when a second attempt is due, and a
 // function that releases it.
 func (x *exchange) hedgeTimer(ctx context.Context, running int) (<-chan time.Time, func()) {
-	after := x.service.OverdueAfter()
+	_, after := x.service.Latency(x.rule.Name)
 	if !x.idempotent() || x.alone || x.hedged || running != 1 || after == 0 || x.rule.Attempts < 2 {
 		return nil, func() {}
 	}
@@ -108,7 +108,7 @@
 	tried := x.tried
 	for {
 		attempt, choice, ok := x.service.Begin(now, blackboard.AttemptRequest{
-			Idempotent: x.idempotent(), Repeatable: x.repeatable(), MayWait: x.mayWait(now),
+			Route: x.rule.Name, Idempotent: x.idempotent(), Repeatable: x.repeatable(), MayWait: x.mayWait(now),
 			First: len(x.tried) == 0, Tried: tried, Fingerprint: x.fingerprint, Alone: x.alone,
 		})
 		hopeless := choice.Reason == routing.NoUpstream || choice.Reason == routing.AllTried && x.launched == 0
@@ -138,7 +138,8 @@
 	if x.repeatable() {
 		return false
 	}
-	patience := x.rule.Target - x.service.MedianLatency()
+	median, _ := x.service.Latency(x.rule.Name)
+	patience := x.rule.Target - median
 	if x.rule.Target == 0 {
 		patience = time.Duration(waitShare * float64(x.rule.Timeout))
 	}
--- a/pkg/reliability/estimator.go
+++ b/pkg/reliability/estimator.go
@@ -21,6 +21,13 @@
 	// certain bounds the probabilities, so that any upstream can recover by a few
 	// outcomes.
 	certain = 0.995
+	// lostWeight is what a lost connection weighs as evidence about the upstream:
+	// the path may be at fault as well.
+	lostWeight = 0.5
+	// meanWeight is the part of the smoothed latency that one answer makes up.
+	meanWeight = 0.05
+	// maxRoutes bounds the routes whose latencies are kept.
+	maxRoutes = 1024
 	// pathShare is the share of attempts that fail on a bad path, and
 	// pathErrorShare that on a good one.
 	pathShare, pathErrorShare = 0.8, 0.005
@@ -30,7 +37,9 @@
 type Estimator struct {
 	model     Model
 	upstreams map[string]*upstream
-	latency   latencies
+	routes    map[string]*latencies
+	// mean is the smoothed latency of all answers.
+	mean time.Duration
 }
 
 // upstream is what is known of one upstream.
@@ -51,7 +60,7 @@
 
 // New returns an Estimator without upstreams.
 func New(m Model) *Estimator {
-	return &Estimator{model: m, upstreams: map[string]*upstream{}}
+	return &Estimator{model: m, upstreams: map[string]*upstream{}, routes: map[string]*latencies{}}
 }
 
 // Retain makes ids the upstreams of the service; what is known of others is
@@ -93,89 +102,125 @@
 	return now.Sub(u.seenAt), true
 }
 
-// Median returns the median latency of the service's successes, 0 while unknown.
-func (e *Estimator) Median() time.Duration { return e.latency.median() }
+// Mean returns the smoothed latency of the service's answers, 0 while unknown.
+func (e *Estimator) Mean() time.Duration { return e.mean }
 
-// OverdueAfter returns after which time a request in flight is to be observed as
-// Overdue, or 0 while that is unknown.
-func (e *Estimator) OverdueAfter() time.Duration {
-	median := e.latency.median()
+// Median returns the median latency of a route's answers, 0 while unknown.
+func (e *Estimator) Median(route string) time.Duration {
+	if l := e.routes[route]; l != nil {
+		return l.median()
+	}
+	return 0
+}
+
+// OverdueAfter returns after which time a request in flight on a route is to be
+// observed as Overdue, or 0 while that is unknown.
+func (e *Estimator) OverdueAfter(route string) time.Duration {
+	median := e.Median(route)
 	if median == 0 {
 		return 0
 	}
 	return max(slowPart*median, leastOverdue)
 }
 
-// Observe takes an outcome.
-func (e *Estimator) Observe(now time.Time, o Outcome) {
-	u := e.upstreams[o.Upstream]
+// Observe takes an outcome of this home and returns the finding for the others.
+func (e *Estimator) Observe(now time.Time, o Outcome) Finding {
+	f := Finding{Kind: o.Kind, Age: o.Latency}
+	median := e.Median(o.Route)
+	switch o.Kind {
+	case Success:
+		limit := e.OverdueAfter(o.Route)
+		f.Slow = limit > 0 && o.Latency > limit && !o.WasOverdue
+		e.measure(o)
+	case Failure:
+		f.Early = median > 0 && float64(o.Latency) < earlyPart*float64(median)
+	}
+	u := e.upstream(now, o.Upstream)
+	e.take(now, u, f, 1)
+	e.takePath(u, o.Kind)
+	return f
+}
+
+// Merge takes a finding of another home, whose path to the upstream differs.
+func (e *Estimator) Merge(now time.Time, id string, f Finding) {
+	e.take(now, e.upstream(now, id), f, remoteWeight)
+}
+
+// upstream returns the state of an upstream up to now.
+func (e *Estimator) upstream(now time.Time, id string) *upstream {
+	u := e.upstreams[id]
 	if u == nil {
 		u = &upstream{work: belief{e.model.Start, now}, path: belief{0, now}}
-		e.upstreams[o.Upstream] = u
+		e.upstreams[id] = u
 	}
 	u.seenAt = now
 	u.work = belief{e.drift(u.work, now, e.model.failing()), now}
 	u.path = belief{e.drift(u.path, now, 0), now}
-	weight := 1.0
-	if o.Remote {
-		weight = remoteWeight
-	}
-	switch o.Kind {
+	return u
+}
+
+// take changes what is believed of the upstream's work.
+func (e *Estimator) take(now time.Time, u *upstream, f Finding, weight float64) {
+	switch f.Kind {
 	case Success:
-		e.success(now, u, o, weight)
+		e.success(now, u, f, weight)
 	case Failure:
-		early := e.isEarly(o.Latency)
 		bad, good := e.model.FailingShare*(1-e.model.EarlyShare), e.model.ErrorShare*(1-e.model.EarlyErrorShare)
-		if early {
+		if f.Early {
 			bad, good = e.model.FailingShare*e.model.EarlyShare, e.model.ErrorShare*e.model.EarlyErrorShare
 		}
 		u.work.update(bad, good, weight)
 		u.failedAt = now
-		e.reached(u, o)
 	case Lost, Unreachable:
-		if !o.Remote {
-			u.path.p = max(u.path.p, pathErrorShare)
-			u.path.update(pathShare, pathErrorShare, 1)
-		}
-		u.work.update(e.model.FailingShare, max(e.model.ErrorShare, pathErrorShare), weight/2)
+		u.work.update(e.model.FailingShare, max(e.model.ErrorShare, pathErrorShare), weight*lostWeight)
 		u.failedAt = now
 	case Overdue:
 		u.work.update(e.model.SlowShare, e.model.SlowErrorShare, weight)
-	case Shed:
-		e.reached(u, o)
 	}
 }
 
 // success takes a whole answer. It shows that the upstream worked when the
 // request came to it; a failure seen since then counts for more.
-func (e *Estimator) success(now time.Time, u *upstream, o Outcome, weight float64) {
-	e.reached(u, o)
-	if !o.Remote {
-		e.latency.add(o.Latency)
-	}
-	if u.failedAt.After(now.Add(-o.Latency)) {
+func (e *Estimator) success(now time.Time, u *upstream, f Finding, weight float64) {
+	began := now.Add(-f.Age)
+	if u.failedAt.After(began) {
 		return
 	}
 	bad, good := 1-e.model.FailingShare, 1-e.model.ErrorShare
-	if limit := e.OverdueAfter(); limit > 0 && o.Latency > limit && !o.WasOverdue {
+	if f.Slow {
 		bad, good = bad*e.model.SlowShare, good*e.model.SlowErrorShare
 	}
 	u.work.update(bad, good, weight)
 	// The state may have changed since the request began.
-	age := belief{u.work.p, now.Add(-o.Latency)}
-	u.work.p = max(u.work.p, min(e.drift(age, now, e.model.failing()), e.model.failing()))
+	u.work.p = max(u.work.p, e.drift(belief{min(u.work.p, e.model.failing()), began}, now, e.model.failing()))
 }
 
-// reached notes that this home's path to the upstream works.
-func (e *Estimator) reached(u *upstream, o Outcome) {
-	if !o.Remote {
+// takePath changes what is believed of this home's path to the upstream.
+func (e *Estimator) takePath(u *upstream, kind Kind) {
+	switch kind {
+	case Lost, Unreachable:
+		u.path.p = max(u.path.p, pathErrorShare)
+		u.path.update(pathShare, pathErrorShare, 1)
+	case Success, Failure, Shed:
 		u.path.update(1-pathShare, 1-pathErrorShare, 1)
 	}
 }
 
-func (e *Estimator) isEarly(latency time.Duration) bool {
-	median := e.latency.median()
-	return median > 0 && float64(latency) < earlyPart*float64(median)
+// measure takes the latency of an answer.
+func (e *Estimator) measure(o Outcome) {
+	if e.mean == 0 {
+		e.mean = o.Latency
+	}
+	e.mean += time.Duration(meanWeight * float64(o.Latency-e.mean))
+	l := e.routes[o.Route]
+	if l == nil {
+		if len(e.routes) >= maxRoutes {
+			return
+		}
+		l = &latencies{}
+		e.routes[o.Route] = l
+	}
+	l.add(o.Latency)
 }
 
 // drift moves a probability towards its long-run value as time passes.
--- a/pkg/reliability/outcome.go
+++ b/pkg/reliability/outcome.go
@@ -38,8 +38,21 @@
 	Kind     Kind
 	// Latency is the time from dispatch to the end.
 	Latency time.Duration
-	// Remote means that another home saw it. Its path to the upstream differs.
-	Remote bool
+	// Route names the route of the request. Routes of one service take
+	// different times.
+	Route string
 	// WasOverdue means that the attempt was reported as Overdue before.
 	WasOverdue bool
 }
+
+// Finding is what an outcome says about an upstream, in the form that homes
+// tell each other.
+type Finding struct {
+	Kind Kind
+	// Early means that a failure came long before an answer would.
+	Early bool
+	// Slow means that a success took several times as long as usual.
+	Slow bool
+	// Age is how long before the finding the request came to the upstream.
+	Age time.Duration
+}
