--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -88,6 +88,9 @@
 type Syncer struct {
 	config Config
 	pool   *ants.Pool
+	// tasks are the pushes in the pool. The pool's own way of waiting for them
+	// spins, and on one processor never lets them end.
+	tasks sync.WaitGroup
 	// background ends when the Syncer is closed; pushes run under it.
 	background context.Context
 	stop       context.CancelFunc
@@ -119,7 +122,17 @@
 			return nil, errors.Wrap(err, "confsync: pool")
 		}
 		s.pool = pool
-		s.config.Spawn = func(task func()) bool { return pool.Submit(task) == nil }
+		s.config.Spawn = func(task func()) bool {
+			s.tasks.Add(1)
+			err := pool.Submit(func() {
+				defer s.tasks.Done()
+				task()
+			})
+			if err != nil {
+				s.tasks.Done()
+			}
+			return err == nil
+		}
 	}
 	s.background, s.stop = context.WithCancel(context.Background())
 	s.boot = newBootState(c.Now(), c.Prefixes)
@@ -141,8 +154,18 @@
 	if s.pool == nil {
 		return
 	}
-	if err := s.pool.ReleaseTimeout(s.config.CallTimeout); err != nil {
-		s.config.Log.Debug().Err(err).Msg("confsync: pushes still in progress at the end")
+	s.pool.Release()
+	ended := make(chan struct{})
+	go func() {
+		s.tasks.Wait()
+		close(ended)
+	}()
+	timer := time.NewTimer(s.config.CallTimeout)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+		s.config.Log.Debug().Msg("confsync: pushes still in progress at the end")
 	}
 }
 
