Order waiting requests by when they are due; measure latencies with their spread

Besides, a request counted as overdue after three medians, which one in twelve healthy ones takes where latencies spread widely, and upstreams were doubted for it. Change: tickets carry target, usual duration and priority; what is due first runs first, what has missed its target after it unless nobody loses by it; the expected wait counts all that run before; a route's overdue time follows from the spread of its latencies.

--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -164,8 +164,8 @@
 // homes for a moment, which may spend their parts in one span; daemons that are
 // no homes serve the few requests that reach them.
 const (
-	homesAllowance = 0.6
-	otherAllowance = 0.02
+	homesAllowance = 0.8
+	otherAllowance = 0.005
 )
 
 func (s *Service) retryPolicyLocked() retry.Policy {
--- a/pkg/limits/caller.go
+++ b/pkg/limits/caller.go
@@ -22,7 +22,6 @@
 	pace    time.Duration
 	ranAt   time.Time
 	waiting list.List // of *waiter, oldest first
-	turn    int       // position in the turns heap, -1 when absent
 	used    *list.Element
 }
 
@@ -30,9 +29,11 @@
 type waiter struct {
 	ticket Ticket
 	owner  *caller
-	latest time.Time
-	place  *list.Element
-	expiry int // position in the expiry heap
+	// due is when the ticket must start to meet its target, or zero; latest is
+	// when it must start to end before its deadline.
+	due, latest time.Time
+	place       *list.Element
+	expiry      int // position in the expiry heap
 }
 
 // take uses one token, or says how long until there is one.
@@ -82,35 +83,6 @@
 
 func (c *caller) head() *waiter { return c.waiting.Front().Value.(*waiter) }
 
-// turns is a heap of eligible callers by the virtual start of their oldest ticket.
-type turns []*caller
-
-func (t turns) Len() int { return len(t) }
-func (t turns) Less(i, j int) bool {
-	if t[i].next != t[j].next {
-		return t[i].next < t[j].next
-	}
-	return t[i].head().ticket.ID < t[j].head().ticket.ID
-}
-func (t turns) Swap(i, j int) { t[i], t[j] = t[j], t[i]; t[i].turn, t[j].turn = i, j }
-
-// Push implements heap.Interface.
-func (t *turns) Push(x any) {
-	c := x.(*caller)
-	c.turn = len(*t)
-	*t = append(*t, c)
-}
-
-// Pop implements heap.Interface.
-func (t *turns) Pop() any {
-	n := len(*t) - 1
-	c := (*t)[n]
-	(*t)[n] = nil
-	*t = (*t)[:n]
-	c.turn = -1
-	return c
-}
-
 // expiries is a heap of waiters by their latest start.
 type expiries []*waiter
 
--- a/pkg/limits/gate.go
+++ b/pkg/limits/gate.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"shallotglade/pkg/verdict"
 )
 
@@ -15,6 +17,12 @@
 	Caller string
 	// Deadline is when the response is due; zero means none.
 	Deadline time.Time
+	// Target is when the response earns most; zero means none.
+	Target time.Time
+	// Takes is how long a request of its kind usually runs; zero means unknown.
+	Takes time.Duration
+	// Priority ranks kinds of requests, 0 first.
+	Priority int
 }
 
 // Gate is a Queue for the request path: Acquire blocks until the request may
@@ -47,7 +55,9 @@
 	g.mu.Lock()
 	now := g.clock()
 	g.next++
-	ticket := Ticket{ID: g.next, Caller: r.Caller, Deadline: r.Deadline}
+	ticket := Ticket{
+		ID: g.next, Caller: r.Caller, Deadline: r.Deadline, Target: r.Target, Takes: r.Takes, Priority: r.Priority,
+	}
 	d := g.queue.Offer(now, ticket)
 	g.notify(nil, g.queue.Expire(now))
 	var granted chan bool
@@ -56,12 +66,13 @@
 		g.waits[ticket.ID] = granted
 	}
 	latest := g.queue.latestStart(now, ticket)
+	inputs := g.queue.inputs(d, latest.Sub(now))
 	g.mu.Unlock()
 	switch d.Action {
 	case Run:
 		return &Permit{gate: g, ticket: ticket}, nil
 	case Refuse:
-		return nil, refusal(d.Reason, d.RetryAfter)
+		return nil, refusal(d.Reason, d.RetryAfter, inputs)
 	}
 	return g.wait(ctx, ticket, granted, now, latest)
 }
@@ -132,7 +143,7 @@
 		e.Cause = cause
 		return nil, e
 	}
-	return nil, refusal(TooLate, g.Stats().ServiceTime)
+	return nil, refusal(TooLate, g.Stats().ServiceTime, errors.Newf("waited %v", g.clock().Sub(since)))
 }
 
 // withdraw takes a ticket out of the queue; true when it was granted already.
@@ -161,7 +172,9 @@
 // statusCallerGone is the usual non-standard status for a caller that left.
 const statusCallerGone = 499
 
-func refusal(r Reason, after time.Duration) *verdict.Error {
+// refusal returns the error of a refused request; inputs is what decided it, for
+// the log.
+func refusal(r Reason, after time.Duration, inputs error) *verdict.Error {
 	status, detail := http.StatusServiceUnavailable, "The request cannot start before its deadline."
 	switch r {
 	case RateLimit:
@@ -172,6 +185,6 @@
 		detail = "The service has no usable upstream."
 	}
 	e := verdict.Refuse(status, r.String(), detail)
-	e.RetryAfter = after
+	e.RetryAfter, e.Cause = after, inputs
 	return e
 }
--- a/pkg/limits/policy.go
+++ b/pkg/limits/policy.go
@@ -76,6 +76,14 @@
 	Caller string
 	// Deadline is when the response is due; zero means none.
 	Deadline time.Time
+	// Target is when the response earns most; zero means that only Deadline
+	// counts.
+	Target time.Time
+	// Takes is how long a request of its kind usually runs; zero means unknown,
+	// and the measured service time counts.
+	Takes time.Duration
+	// Priority ranks kinds of requests, 0 first.
+	Priority int
 }
 
 // Action is what happens to an offered request.
--- a/pkg/limits/queue.go
+++ b/pkg/limits/queue.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"container/list"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -35,7 +37,8 @@
 	capacity int
 	callers  map[string]*caller
 	used     list.List // of *caller, most recently used first
-	turns    turns
+	// queued are the callers with waiting tickets.
+	queued   map[*caller]struct{}
 	expiries expiries
 	waiting  map[uint64]*waiter
 	running  map[uint64]run
@@ -44,7 +47,6 @@
 	// lastNext is the highest next of any caller. Once nobody waits, the
 	// virtual time moves there, which makes all shares even again.
 	lastNext  float64
-	weights   float64       // sum of the weights of callers that wait
 	service   time.Duration // mean from start to Done
 	deviation time.Duration // mean distance from that mean
 }
@@ -59,7 +61,7 @@
 func NewQueue(p Policy, capacity int) *Queue {
 	return &Queue{
 		policy: p.withDefaults(), capacity: capacity, service: DefaultServiceTime,
-		callers: map[string]*caller{}, waiting: map[uint64]*waiter{}, running: map[uint64]run{},
+		callers: map[string]*caller{}, queued: map[*caller]struct{}{}, waiting: map[uint64]*waiter{}, running: map[uint64]run{},
 	}
 }
 
@@ -74,7 +76,7 @@
 	if q.capacity <= 0 {
 		return Decision{Reason: NoCapacity, RetryAfter: q.policy.MaxWait}
 	}
-	wait := q.expectedWait(c)
+	wait := q.expectedWait(now, c, t)
 	latest := q.latestStart(now, t)
 	if wait > 0 {
 		if late := wait - time.Duration(admitShare*float64(latest.Sub(now))); late > 0 {
@@ -94,10 +96,19 @@
 		q.start(now, t.ID, c)
 		return Decision{Action: Run}
 	}
-	q.enqueue(&waiter{ticket: t, owner: c, latest: latest})
+	q.enqueue(&waiter{ticket: t, owner: c, due: q.due(t), latest: latest})
 	return Decision{Action: Wait, ExpectedWait: wait}
 }
 
+// inputs states what a decision followed from, or nil for a request that runs.
+func (q *Queue) inputs(d Decision, left time.Duration) error {
+	if d.Action == Run {
+		return nil
+	}
+	return errors.Newf("expected wait %v, latest start in %v, %d running of %d, %d waiting, service time %v",
+		d.ExpectedWait, left, len(q.running), q.capacity, len(q.waiting), q.service)
+}
+
 // Done ends a running ticket and returns the tickets that may run now.
 func (q *Queue) Done(now time.Time, t Ticket) []Ticket {
 	r, ok := q.running[t.ID]
@@ -107,7 +118,6 @@
 	delete(q.running, t.ID)
 	r.owner.running--
 	q.measure(now.Sub(r.started))
-	q.settleTurn(r.owner)
 	return q.dispatch(now)
 }
 
@@ -121,15 +131,10 @@
 // SetPolicy changes the limits; waiting and running requests are kept.
 func (q *Queue) SetPolicy(now time.Time, p Policy) []Ticket {
 	q.policy = p.withDefaults()
-	q.weights = 0
 	for _, c := range q.callers {
 		c.refill(now)
 		c.policy = p.of(c.name)
 		c.tokens = min(c.tokens, c.policy.Burst)
-		if c.waiting.Len() > 0 {
-			q.weights += c.policy.Weight
-		}
-		q.settleTurn(c)
 	}
 	return q.dispatch(now)
 }
@@ -165,22 +170,25 @@
 func (q *Queue) ServiceTime() time.Duration { return q.service }
 
 // expectedWait estimates the time until a new ticket of the caller runs; zero
-// means at once. Until the virtual time of its start each waiting caller runs
-// its weight's worth of tickets, but no more than there are. Callers that seldom
-// wait but take slots show in the caller's own pace only.
-func (q *Queue) expectedWait(c *caller) time.Duration {
+// means at once. The tickets count that would run before it.
+func (q *Queue) expectedWait(now time.Time, c *caller, t Ticket) time.Duration {
 	blocked := c.policy.Concurrency > 0 && c.running >= c.policy.Concurrency
-	if !blocked && c.waiting.Len() == 0 && len(q.turns) == 0 && len(q.running) < q.capacity {
+	if !blocked && c.waiting.Len() == 0 && !q.anyEligible() && len(q.running) < q.capacity {
 		return 0
 	}
-	weights := q.weights
-	if c.waiting.Len() == 0 {
-		weights += c.policy.Weight
-	}
 	own := float64(c.waiting.Len())
-	start := max(0, c.next-q.virtual) + own/c.policy.Weight
-	ahead := min(float64(len(q.waiting)), max(start*weights, own))
-	wait := (ahead + 1) / float64(q.capacity)
+	mine := rank{
+		priority: t.Priority, tag: max(q.virtual, c.next) + own/c.policy.Weight,
+		due: q.due(t), id: t.ID,
+	}
+	mine.late = mine.isLate(now)
+	ahead := 0.0
+	for _, w := range q.waiting {
+		if w.owner != c && w.rank(now).before(mine) {
+			ahead++
+		}
+	}
+	wait := (ahead + own + 1) / float64(q.capacity)
 	if c.policy.Concurrency > 0 {
 		wait = max(wait, (own+1)/float64(c.policy.Concurrency))
 	}
@@ -188,18 +196,39 @@
 }
 
 // latestStart is when the request must start for its response to be in time.
-// It allows for twice the mean deviation: under overload every request that
-// waits starts close to this time, and by the mean alone half would end late.
+// Where it is not known how long a request of the kind takes, it allows for the
+// mean and twice the mean deviation: under overload every request that waits
+// starts close to this time, and by the mean alone half would end late.
 func (q *Queue) latestStart(now time.Time, t Ticket) time.Time {
 	latest := now.Add(q.policy.MaxWait)
 	if !t.Deadline.IsZero() {
-		if d := t.Deadline.Add(-q.service - 2*q.deviation); d.Before(latest) {
+		margin := q.service + 2*q.deviation
+		if t.Takes > 0 {
+			margin = t.Takes
+		}
+		if d := t.Deadline.Add(-margin); d.Before(latest) {
 			latest = d
 		}
 	}
 	return latest
 }
 
+// due is when the request must start to meet its target, and its deadline if
+// that is earlier; zero without a target.
+func (q *Queue) due(t Ticket) time.Time {
+	if t.Target.IsZero() {
+		return time.Time{}
+	}
+	if !t.Deadline.IsZero() && t.Deadline.Before(t.Target) {
+		t.Target = t.Deadline
+	}
+	takes := t.Takes
+	if takes == 0 {
+		takes = q.service
+	}
+	return t.Target.Add(-takes)
+}
+
 func (q *Queue) measure(took time.Duration) {
 	off := took - q.service
 	q.service += time.Duration(serviceTimeWeight * float64(off))
@@ -210,16 +239,18 @@
 func (q *Queue) dispatch(now time.Time) []Ticket {
 	q.expire(now)
 	var out []Ticket
-	for len(q.running) < q.capacity && len(q.turns) > 0 {
-		c := q.turns[0]
-		w := c.head()
+	for len(q.running) < q.capacity {
+		w := q.next(now)
+		if w == nil {
+			break
+		}
+		c := w.owner
 		q.virtual = max(q.virtual, c.next)
 		c.next += 1 / c.policy.Weight
 		c.ran(now)
 		q.lastNext = max(q.lastNext, c.next)
 		q.remove(w)
 		q.start(now, w.ticket.ID, c)
-		q.settleTurn(c)
 		out = append(out, w.ticket)
 	}
 	return out
@@ -234,46 +265,27 @@
 	c := w.owner
 	if c.waiting.Len() == 0 {
 		c.next = max(q.virtual, c.next)
-		q.weights += c.policy.Weight
+		q.queued[c] = struct{}{}
 	}
 	w.place = c.waiting.PushBack(w)
 	q.waiting[w.ticket.ID] = w
 	heap.Push(&q.expiries, w)
-	q.settleTurn(c)
 }
 
 func (q *Queue) remove(w *waiter) {
 	c := w.owner
-	if c.turn >= 0 {
-		heap.Remove(&q.turns, c.turn)
-	}
 	c.waiting.Remove(w.place)
 	delete(q.waiting, w.ticket.ID)
 	if w.expiry >= 0 {
 		heap.Remove(&q.expiries, w.expiry)
 	}
 	if c.waiting.Len() == 0 {
-		q.weights -= c.policy.Weight
+		delete(q.queued, c)
 		c.pace, c.ranAt = 0, time.Time{}
 	}
 	if len(q.waiting) == 0 {
-		q.weights = 0 // drops the rounding error of repeated sums
 		q.virtual = max(q.virtual, q.lastNext)
 	}
-	q.settleTurn(c)
-}
-
-// settleTurn puts the caller into the turns heap if its oldest ticket may run,
-// and takes it out otherwise.
-func (q *Queue) settleTurn(c *caller) {
-	switch eligible := c.eligible(); {
-	case eligible && c.turn < 0:
-		heap.Push(&q.turns, c)
-	case eligible:
-		heap.Fix(&q.turns, c.turn)
-	case c.turn >= 0:
-		heap.Remove(&q.turns, c.turn)
-	}
 }
 
 func (q *Queue) expire(now time.Time) {
@@ -287,7 +299,7 @@
 func (q *Queue) caller(now time.Time, name string) *caller {
 	c := q.callers[name]
 	if c == nil {
-		c = &caller{name: name, policy: q.policy.of(name), filled: now, seen: now, turn: -1}
+		c = &caller{name: name, policy: q.policy.of(name), filled: now, seen: now}
 		c.tokens = c.policy.Burst
 		c.used = q.used.PushFront(c)
 		q.callers[name] = c
--- a/pkg/proxy/finish.go
+++ b/pkg/proxy/finish.go
@@ -18,6 +18,7 @@
 		return a
 	}
 	line := p.Log.Info().Str("request", in.ID).Str("caller", in.Caller).Str("service", service).
+		Str("route", in.route).Uint64("configuration", in.configuration).
 		Int("status", a.Status).Stringer("verdict", a.Verdict).Dur("ms", total)
 	if a.Refusal != nil {
 		line.Str("reason", a.Refusal.Reason).AnErr("cause", a.Refusal.Cause).Int("hops", in.Hops)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -85,6 +85,7 @@
 		return p.finish(in, "", refused(p.noRoute()))
 	}
 	in.idempotent = route.Idempotent(service.Document(), in.Method, in.Path)
+	in.configuration = route.Version
 	return p.serve(ctx, route.Rule, service, in)
 }
 
@@ -93,6 +94,7 @@
 	p.Metrics.InFlight.Inc()
 	defer p.Metrics.InFlight.Dec()
 	d := service.Document()
+	in.route = rule.Name
 	if err := checkRequest(d, in); err != nil {
 		return p.finish(in, service.Name, refused(err))
 	}
@@ -192,7 +194,13 @@
 		return answer
 	}
 	start := time.Now()
-	permit, err := service.Gate.Acquire(ctx, limits.Request{Caller: in.Caller, Deadline: deadlineOf(ctx)})
+	takes, _ := service.Latency(rule.Name)
+	if takes == 0 {
+		takes = unknownTakes(service, time.Until(deadlineOf(ctx)))
+	}
+	permit, err := service.Gate.Acquire(ctx, limits.Request{
+		Caller: in.Caller, Deadline: deadlineOf(ctx), Target: targetOf(rule, in), Takes: takes, Priority: rule.Priority,
+	})
 	if err != nil {
 		return refused(asVerdict(err))
 	}
@@ -203,6 +211,21 @@
 	return answer
 }
 
+// unknownTakes is how long a request of a route without answers so far is
+// expected to take: as long as others of the service, but no more than half of
+// its time, or a new route with a short time limit would never be tried.
+func unknownTakes(service *blackboard.Service, left time.Duration) time.Duration {
+	return max(min(service.Gate.Stats().ServiceTime, left/2), 1)
+}
+
+// targetOf is when the answer to a request earns most, zero without a target.
+func targetOf(rule *document.Rule, in *Incoming) time.Time {
+	if rule.Target == 0 {
+		return time.Time{}
+	}
+	return in.Arrived.Add(rule.Target)
+}
+
 // suspectPoll is how often a suspect checks whether the copy before it ended.
 const suspectPoll = 10 * time.Millisecond
 
--- a/pkg/reliability/estimator.go
+++ b/pkg/reliability/estimator.go
@@ -12,12 +12,6 @@
 	// earlyPart is the part of the median latency before which a failure counts
 	// as early: no answer comes that soon, so the upstream did not work on it.
 	earlyPart = 0.2
-	// slowPart is the multiple of the median latency from which a success
-	// counts as slow, and a request in flight as overdue.
-	slowPart = 3
-	// leastOverdue keeps a service with very short requests from reporting
-	// stalls of the host as overdue requests.
-	leastOverdue = 100 * time.Millisecond
 	// certain bounds the probabilities, so that any upstream can recover by a few
 	// outcomes.
 	certain = 0.995
@@ -108,7 +102,7 @@
 // Median returns the median latency of a route's answers, 0 while unknown.
 func (e *Estimator) Median(route string) time.Duration {
 	if l := e.routes[route]; l != nil {
-		return l.median()
+		return l.median
 	}
 	return 0
 }
@@ -116,11 +110,10 @@
 // OverdueAfter returns after which time a request in flight on a route is to be
 // observed as Overdue, or 0 while that is unknown.
 func (e *Estimator) OverdueAfter(route string) time.Duration {
-	median := e.Median(route)
-	if median == 0 {
-		return 0
+	if l := e.routes[route]; l != nil {
+		return l.overdue
 	}
-	return max(slowPart*median, leastOverdue)
+	return 0
 }
 
 // Observe takes an outcome of this home and returns the finding for the others.
--- a/pkg/reliability/model.go
+++ b/pkg/reliability/model.go
@@ -15,8 +15,8 @@
 	// EarlyShare is the share of a failing upstream's failures that come long
 	// before an answer would, and EarlyErrorShare that of a working upstream's.
 	EarlyShare, EarlyErrorShare float64
-	// SlowShare is the share of requests that take several times the service's
-	// median at a failing upstream, and SlowErrorShare that at a working one.
+	// SlowShare is the share of requests that are overdue at a failing upstream,
+	// and SlowErrorShare that at a working one.
 	SlowShare, SlowErrorShare float64
 	// Start is the probability for an upstream of which nothing is known.
 	Start float64
@@ -30,7 +30,7 @@
 		Works: 20 * time.Second, Fails: 8 * time.Second,
 		FailingShare: 0.75, ErrorShare: 0.015,
 		EarlyShare: 0.6, EarlyErrorShare: 0.1,
-		SlowShare: 0.5, SlowErrorShare: 0.04,
+		SlowShare: 0.4, SlowErrorShare: 0.02,
 		Start: 0.25,
 	}
 }
