Save calls to the platform, bytes between domains and connections to upstreams

Change: a daemon enters itself, then reads the list of daemons from a stale copy, and only then takes roles; one relay a domain; relays collect changes for 250 ms and offer them to other domains; two daemons of each domain probe others; the other homes of a service are probed in turn.

--- a/pkg/confsync/boot.go
+++ b/pkg/confsync/boot.go
@@ -36,16 +36,19 @@
 	tried map[string]int
 	// lastList is when the daemon last listed the platform for itself.
 	lastList time.Time
+	// rostered means that the daemon knows the others, so that it can tell
+	// whether it is a relay.
+	rostered bool
 }
 
-func newBootState(now time.Time, prefixes []string) *bootState {
+func newBootState(now time.Time, prefixes []string, rostered bool) *bootState {
 	unlisted := map[string]bool{}
 	for _, p := range prefixes {
 		unlisted[p] = true
 	}
 	return &bootState{
 		started: now, readyC: make(chan struct{}),
-		peers: map[string]string{}, unlisted: unlisted, tried: map[string]int{},
+		peers: map[string]string{}, unlisted: unlisted, tried: map[string]int{}, rostered: rostered,
 	}
 }
 
@@ -127,7 +130,7 @@
 		covered[domain] = true
 	}
 	compared := len(s.boot.peers)
-	enough := compared > 0 && compared >= min(bootPeers, peers) && len(covered) >= min(bootDomains, domains)
+	enough := compared > 0 && compared >= min(s.config.BootPeers, peers) && len(covered) >= min(s.config.BootDomains, domains)
 	if s.boot.ready || len(s.boot.unlisted) > 0 && !enough && (patient || compared == 0) {
 		return
 	}
@@ -136,6 +139,47 @@
 	s.config.Log.Info().Int("peers", compared).Bool("listed", len(s.boot.unlisted) == 0).Msg("confsync: ready")
 }
 
+// rosterSettling is how long the roles of daemons take to follow a new list of
+// daemons. A role taken before would be that of a daemon that is alone.
+const rosterSettling = 150 * time.Millisecond
+
+// readRoster lists the daemons until it has succeeded once. While the platform is
+// away, the peers that the settings name have to do.
+func (s *Syncer) readRoster(ctx context.Context) {
+	if !sleep(ctx, s.config.RosterDelay) {
+		return
+	}
+	for failures := 0; ctx.Err() == nil; failures++ {
+		objects, revision, err := s.config.Store.ListStale(ctx, s.config.Roster)
+		if err == nil {
+			s.config.Replica.Listed(s.config.Roster, objects, revision)
+			if sleep(ctx, rosterSettling) {
+				s.boot.setRostered()
+			}
+			return
+		}
+		s.platformErrors.Add(1)
+		if failures == 0 {
+			s.config.Log.Warn().Err(err).Msg("confsync: list of daemons not read, will retry")
+		}
+		if !sleep(ctx, backoff(failures+1, s.float())) {
+			return
+		}
+	}
+}
+
+func (b *bootState) setRostered() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rostered = true
+}
+
+func (b *bootState) isRostered() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rostered
+}
+
 func (b *bootState) compared() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -41,13 +42,23 @@
 // so that near peers that form a group of their own cannot stay behind.
 const randomShare = 1.0 / 8
 
+// ownDomainPatience is how long a thrifty daemon that starts compares within its
+// own domain only.
+const ownDomainPatience = 3 * time.Second
+
 // choosePeer returns a random peer, mostly one to which a connection is open,
 // else mostly one of the own domain.
 func (s *Syncer) choosePeer() (Peer, bool) {
 	own, other := s.others()
 	if !s.Ready() {
+		if s.config.Thrifty && len(own) > 0 && s.config.Now().Sub(s.boot.started) < ownDomainPatience {
+			other = nil
+		}
 		return s.chooseBootPeer(append(own, other...))
 	}
+	if !s.config.Cross() {
+		other = nil
+	}
 	if s.config.Near != nil && s.float() >= randomShare {
 		if near := s.config.Near(); len(near) > 0 {
 			return near[int(s.float()*float64(len(near)))], true
--- a/pkg/confsync/message.go
+++ b/pkg/confsync/message.go
@@ -15,6 +15,8 @@
 	KindObjects = "objects"
 	// KindDigest asks whether two replicas hold the same.
 	KindDigest = "digest"
+	// KindOffer asks a relay of another domain which changed objects it lacks.
+	KindOffer = "offer"
 	// KindVersions exchanges the versions in differing buckets.
 	KindVersions = "versions"
 )
@@ -80,6 +82,17 @@
 	Versions []Version `cbor:"2,keyasint,omitempty"`
 }
 
+// offerMessage is the body of KindOffer.
+type offerMessage struct {
+	Versions []Version `cbor:"1,keyasint"`
+}
+
+// offerReply answers KindOffer.
+type offerReply struct {
+	// Wanted are the keys that are newer at the offering daemon.
+	Wanted []string `cbor:"1,keyasint,omitempty"`
+}
+
 // versionsReply answers KindVersions.
 type versionsReply struct {
 	// Objects are newer at the replying daemon.
--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"shallotglade/pkg/document"
 	"shallotglade/pkg/platform"
 )
 
@@ -20,6 +21,15 @@
 	maxBackoff = 2 * time.Second
 	// relayCheck is how often a daemon checks whether it is a relay.
 	relayCheck = time.Second
+	// relayCheckAtStart is the same until the daemon is ready.
+	relayCheckAtStart = 100 * time.Millisecond
+	// collectPause is how long a thrifty relay waits after changes before it asks
+	// for more: a small part of the two seconds within which an upstream's leaving
+	// must be known.
+	collectPause = 250 * time.Millisecond
+	// collectRosterPause is the same for the list of daemons. A daemon's leaving
+	// is known by its own messages too.
+	collectRosterPause = 500 * time.Millisecond
 	// relistInterval is the time between lists of a relay. They repair what a
 	// watch may have left out, at little cost.
 	relistInterval = time.Hour
@@ -46,7 +56,11 @@
 			stop()
 			stop = nil
 		}
-		if !sleep(ctx, s.jitter(relayCheck)) {
+		pause := relayCheck
+		if !s.Ready() {
+			pause = relayCheckAtStart
+		}
+		if !sleep(ctx, s.jitter(pause)) {
 			break
 		}
 	}
@@ -56,6 +70,9 @@
 }
 
 func (s *Syncer) isRelay() bool {
+	if !s.boot.isRostered() {
+		return false
+	}
 	for _, r := range s.config.Relays(s.config.Self.Domain) {
 		if r.Address == s.config.Self.Address {
 			return true
@@ -96,6 +113,7 @@
 	s.pushAll(learned)
 	if err == nil {
 		p.failures = 0
+		p.collect(ctx, learned)
 		return nil
 	}
 	if ctx.Err() != nil {
@@ -109,6 +127,19 @@
 	return err
 }
 
+// collect pauses after changes, so that those that come close together are read
+// by one call. Changes of configurations are rare and not held up.
+func (p *poller) collect(ctx context.Context, learned []platform.Object) {
+	if !p.syncer.config.Thrifty || len(learned) == 0 || p.prefix == document.ConfigurationsPrefix {
+		return
+	}
+	pause := collectPause
+	if p.prefix == p.syncer.config.Roster {
+		pause = collectRosterPause
+	}
+	sleep(ctx, pause)
+}
+
 // list takes over all objects under the prefix and marks the missing ones as
 // deleted. It returns what was new.
 func (p *poller) list(ctx context.Context) ([]platform.Object, error) {
@@ -158,7 +189,9 @@
 }
 
 // backoff doubles with each failure and takes a random half of the result.
-func (p *poller) backoff() time.Duration {
-	d := min(minBackoff<<min(p.failures, 10), maxBackoff)
-	return d/2 + time.Duration(p.syncer.float()*float64(d/2))
+func (p *poller) backoff() time.Duration { return backoff(p.failures, p.syncer.float()) }
+
+func backoff(failures int, random float64) time.Duration {
+	d := min(minBackoff<<min(failures, 10), maxBackoff)
+	return d/2 + time.Duration(random*float64(d/2))
 }
--- a/pkg/confsync/push.go
+++ b/pkg/confsync/push.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -104,14 +105,78 @@
 func (s *Syncer) pushRelay(domain string, peers []Peer, objects []platform.Object) {
 	candidates := append(slices.Clone(s.config.Relays(domain)), peers[:min(relayStandIns, len(peers))]...)
 	s.spawn(func() {
+		if s.config.Thrifty && !sleep(s.background, offerDelay) {
+			return
+		}
 		for _, p := range candidates {
-			if s.send(p.Address, objects, spreadDomain, nil) {
+			wanted := objects
+			if s.config.Thrifty {
+				var err error
+				if wanted, err = s.offer(p.Address, objects); err != nil {
+					s.pushFailed(p.Address, err)
+					continue
+				}
+			}
+			if len(wanted) == 0 || s.send(p.Address, wanted, spreadDomain, nil) {
 				return
 			}
 		}
 	})
 }
 
+// offerDelay is how long a thrifty relay waits before it offers changes to
+// another domain, whose own relay mostly learns of them at the same moment.
+const offerDelay = 300 * time.Millisecond
+
+// offer asks a daemon which of the objects it lacks, and returns those.
+func (s *Syncer) offer(to string, objects []platform.Object) ([]platform.Object, error) {
+	var wanted []platform.Object
+	for len(objects) > 0 {
+		part := objects[:min(len(objects), versionsPerMessage)]
+		objects = objects[len(part):]
+		var m offerMessage
+		for _, o := range part {
+			m.Versions = append(m.Versions, Version{Key: o.Key, Version: o.Version})
+		}
+		body, err := s.call(s.background, to, KindOffer, m)
+		if err != nil {
+			return nil, err
+		}
+		var reply offerReply
+		if err := decode(body, &reply); err != nil {
+			return nil, err
+		}
+		for _, o := range part {
+			if slices.Contains(reply.Wanted, o.Key) {
+				wanted = append(wanted, o)
+			}
+		}
+	}
+	return wanted, nil
+}
+
+func (s *Syncer) handleOffer(body []byte) ([]byte, error) {
+	var m offerMessage
+	if err := decode(body, &m); err != nil {
+		return nil, err
+	}
+	var reply offerReply
+	for _, v := range m.Versions {
+		if !validKey(v.Key, s.config.Prefixes) {
+			return nil, errors.Wrapf(errMessage, "key %.64q", v.Key)
+		}
+		if held, _ := s.config.Replica.held(v.Key); held.Version < v.Version {
+			reply.Wanted = append(reply.Wanted, v.Key)
+		}
+	}
+	return encode(reply)
+}
+
+func (s *Syncer) pushFailed(to string, err error) {
+	s.pushErrors.Add(1)
+	s.config.Log.Debug().Err(err).Str("peer", to).Msg("confsync: push failed")
+}
+
 // gossip sends objects to a few random daemons of the own domain.
 func (s *Syncer) gossip(objects []platform.Object) {
 	if len(objects) == 0 || len(objects) > gossipObjects || !s.Ready() {
@@ -144,8 +209,7 @@
 	for _, batch := range batches(objects) {
 		m := objectsMessage{Objects: batch, Spread: how, Forward: forward}
 		if _, err := s.call(s.background, to, KindObjects, m); err != nil {
-			s.pushErrors.Add(1)
-			s.config.Log.Debug().Err(err).Str("peer", to).Msg("confsync: push failed")
+			s.pushFailed(to, err)
 			return false
 		}
 	}
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -58,6 +58,22 @@
 	// go to them, since a new connection costs a handshake on both sides; nil
 	// means none.
 	Near func() []Peer
+	// Thrifty saves calls to the platform and bytes between domains at the cost
+	// of some hundred milliseconds: changes are offered to other domains before
+	// they are sent, and relays collect changes for a moment.
+	Thrifty bool
+	// Roster is the prefix of the objects that name the daemons, for a daemon
+	// that knows nobody at its start. It lists them, after RosterDelay, in which
+	// daemons that start with it can enter themselves. Empty means that Peers and
+	// Relays know the daemons without it.
+	Roster      string
+	RosterDelay time.Duration
+	// Cross says whether this daemon compares with other domains; nil means that
+	// it does.
+	Cross func() bool
+	// BootPeers and BootDomains are how many ready peers, from how many domains,
+	// a starting daemon compares with; 0 means the defaults.
+	BootPeers, BootDomains int
 	// Relays returns the relays of a domain, the preferred first.
 	Relays func(domain string) []Peer
 	// Rand chooses peers and jitter; the Syncer guards it by a lock.
@@ -115,6 +131,15 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Cross == nil {
+		c.Cross = func() bool { return true }
+	}
+	if c.BootPeers <= 0 {
+		c.BootPeers = bootPeers
+	}
+	if c.BootDomains <= 0 {
+		c.BootDomains = bootDomains
+	}
 	s := &Syncer{config: c}
 	if c.Spawn == nil {
 		pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true))
@@ -135,7 +160,7 @@
 		}
 	}
 	s.background, s.stop = context.WithCancel(context.Background())
-	s.boot = newBootState(c.Now(), c.Prefixes)
+	s.boot = newBootState(c.Now(), c.Prefixes, c.Roster == "")
 	return s, nil
 }
 
@@ -144,6 +169,9 @@
 	defer s.Close()
 	var loops sync.WaitGroup
 	loops.Go(func() { s.runDigests(ctx) })
+	if s.config.Roster != "" {
+		loops.Go(func() { s.readRoster(ctx) })
+	}
 	loops.Go(func() { s.runRelay(ctx) })
 	loops.Wait()
 }
@@ -187,6 +215,8 @@
 		return s.handleDigest(body)
 	case KindVersions:
 		return s.handleVersions(body)
+	case KindOffer:
+		return s.handleOffer(body)
 	default:
 		return nil, errors.Wrapf(errMessage, "kind %.32q", kind)
 	}
--- a/pkg/daemon/adapter.go
+++ b/pkg/daemon/adapter.go
@@ -20,24 +20,13 @@
 	// Registers means that the platform keeps no list of daemons, so that each
 	// daemon enters itself.
 	Registers bool
-	// Forward says to which homes a daemon that is no home of a service passes
-	// requests.
-	Forward Forward
+	// DearDistance means that bytes between failure domains are dear: periodic
+	// messages stay within a domain but for those of a few daemons, and a daemon
+	// that is no home of a service passes requests to homes of its own domain
+	// only.
+	DearDistance bool
 }
 
-// Forward says to which homes requests are passed on. A daemon that finds none
-// serves the request itself.
-type Forward uint8
-
-// Ways of forwarding.
-const (
-	// ForwardAnywhere prefers homes of the own failure domain.
-	ForwardAnywhere Forward = iota
-	// ForwardWithinDomain leaves out homes elsewhere, where bytes between
-	// failure domains are dear.
-	ForwardWithinDomain
-)
-
 // AdapterFactory makes an adapter on a caller of the platform.
 type AdapterFactory func(s *settings.Settings, caller *platform.Caller, log zerolog.Logger) Adapter
 
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -158,6 +158,11 @@
 	return d.node.Reload(d.credentials())
 }
 
+// rosterDelay is how long a daemon that has entered itself waits before it reads
+// the list of daemons. Those of a fleet that starts as a whole start within 0.3 s
+// of each other, and each takes about as long to enter itself.
+const rosterDelay = 600 * time.Millisecond
+
 func (d *Daemon) provisionSync() error {
 	d.replica = confsync.NewReplica()
 	d.replica.OnChange(d.catalog.Changed)
@@ -169,7 +174,7 @@
 		d.catalog.OnEntry(d.registration.Seen)
 	}
 	var err error
-	d.syncer, err = confsync.New(confsync.Config{
+	config := confsync.Config{
 		Self:      confsync.Peer{Address: d.node.Addr(), Domain: d.settings.Domain},
 		Prefixes:  d.adapter.Prefixes,
 		Replica:   d.replica,
@@ -180,11 +185,21 @@
 		Relays:    d.roster.relays,
 		Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Log:       d.log,
-	})
+	}
+	if d.adapter.Registers {
+		config.Roster, config.RosterDelay = platform.DaemonsPrefix, rosterDelay
+	}
+	if d.adapter.DearDistance {
+		// One relay in each domain watches the platform, so that one ready peer
+		// has what the others have.
+		config.Thrifty, config.BootPeers, config.BootDomains = true, 1, 1
+		config.Cross = d.roster.members.IsBridge
+	}
+	d.syncer, err = confsync.New(config)
 	if err != nil {
 		return err
 	}
-	for _, kind := range []string{confsync.KindObjects, confsync.KindDigest, confsync.KindVersions} {
+	for _, kind := range []string{confsync.KindObjects, confsync.KindDigest, confsync.KindVersions, confsync.KindOffer} {
 		d.node.Handle(kind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
 			return d.syncer.Handle(ctx, kind, body)
 		})
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -24,8 +24,12 @@
 
 const (
 	// relaysPerDomain is two, so that changes go on through the other while
-	// one of them fails.
+	// one of them fails. Where the daemons of several domains watch, one in each
+	// is enough: each passes changes on to the other domains too.
 	relaysPerDomain = 2
+	// leastRelays is how many relays a fleet has at least, if it has as many
+	// daemons, where calls to the platform are dear.
+	leastRelays = 3
 	// refreshInterval is how soon homes follow a change of the daemons or
 	// documents.
 	refreshInterval = 100 * time.Millisecond
@@ -57,7 +61,11 @@
 }
 
 func newRoster(d *Daemon) (*roster, error) {
-	members, err := membership.Start(membership.Config{Self: d.self, Node: d.node, Seed: rand.Uint64(), Logger: d.log})
+	config := membership.Config{Self: d.self, Node: d.node, Seed: rand.Uint64(), Logger: d.log}
+	if d.adapter.DearDistance {
+		config.Params = membership.DomainParams()
+	}
+	members, err := membership.Start(config)
 	if err != nil {
 		return nil, errors.Wrap(err, "membership")
 	}
@@ -120,11 +128,12 @@
 		}
 	}
 	r.version, r.generation, r.hosts, r.homes = version, generation, hosts, homes
-	r.relaysOf = relaysOf(hosts)
+	r.relaysOf = r.relaysIn(hosts)
 	r.mu.Unlock()
 	for _, s := range r.d.board.Services() {
 		r.setHomes(s, homes[s.Name])
 	}
+	r.setCompanions()
 	r.count(states)
 }
 
@@ -156,14 +165,22 @@
 	return 1 + s.Slots()/slotsPerHome
 }
 
-func relaysOf(hosts []placement.Host) map[string][]confsync.Peer {
+func (r *roster) relaysIn(hosts []placement.Host) map[string][]confsync.Peer {
+	domains := map[string]bool{}
+	for _, h := range hosts {
+		domains[h.Domain] = true
+	}
+	perDomain := relaysPerDomain
+	if r.d.adapter.DearDistance {
+		perDomain = max(1, (leastRelays+len(domains)-1)/len(domains))
+	}
 	out := map[string][]confsync.Peer{}
 	for _, h := range hosts {
 		if _, done := out[h.Domain]; done {
 			continue
 		}
 		out[h.Domain] = []confsync.Peer{}
-		for _, relay := range placement.Relays(h.Domain, hosts, relaysPerDomain) {
+		for _, relay := range placement.Relays(h.Domain, hosts, perDomain) {
 			out[h.Domain] = append(out[h.Domain], confsync.Peer{Address: relay.PeerAddress, Domain: relay.Domain})
 		}
 	}
@@ -183,6 +200,23 @@
 	}
 }
 
+// setCompanions has membership probe the other homes of this daemon's services,
+// with which it exchanges reports anyway.
+func (r *roster) setCompanions() {
+	var ids []string
+	for _, s := range r.d.board.Services() {
+		if !s.IsHome() {
+			continue
+		}
+		for _, h := range r.others(s.Name) {
+			if !slices.Contains(ids, h.ID) {
+				ids = append(ids, h.ID)
+			}
+		}
+	}
+	r.members.SetCompanions(ids)
+}
+
 func (r *roster) count(states []membership.HostState) {
 	counts := map[string]int{"alive": 0, "suspect": 0, "dead": 0, "leaving": 0}
 	for _, s := range states {
@@ -226,7 +260,7 @@
 // failure domain.
 func (r *roster) Homes(service string) []proxy.Peer {
 	hosts := r.others(service)
-	if r.d.adapter.Forward == ForwardWithinDomain {
+	if r.d.adapter.DearDistance {
 		hosts = slices.DeleteFunc(hosts, func(h placement.Host) bool {
 			return h.Domain != r.d.settings.Domain || h.Condition != placement.Usable
 		})
--- a/pkg/daemon/store.go
+++ b/pkg/daemon/store.go
@@ -59,6 +59,13 @@
 	return objects, revision, err
 }
 
+// ListStale implements platform.Store.
+func (s *observedStore) ListStale(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
+	objects, revision, err := s.Store.ListStale(ctx, prefix)
+	s.seen(err)
+	return objects, revision, err
+}
+
 // Watch implements platform.Store.
 func (s *observedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Object, uint64, error) {
 	objects, revision, err := s.Store.Watch(ctx, prefix, after, wait)
--- a/pkg/membership/controller.go
+++ b/pkg/membership/controller.go
@@ -131,6 +131,21 @@
 	return c.view.Partners()
 }
 
+// SetCompanions names hosts to which connections are open anyway.
+func (c *Controller) SetCompanions(ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.SetCompanions(ids)
+}
+
+// IsBridge reports whether this daemon may exchange periodic messages with other
+// domains.
+func (c *Controller) IsBridge() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.IsBridge()
+}
+
 // Counters returns the totals of the view and whether it is isolated.
 func (c *Controller) Counters() (counters Counters, isolated bool) {
 	c.mu.Lock()
--- a/pkg/membership/params.go
+++ b/pkg/membership/params.go
@@ -20,6 +20,10 @@
 	PathBad time.Duration
 	// Partners is the number of hosts that a daemon probes in turn.
 	Partners int
+	// Bridges is how many daemons of each domain probe other domains; the others
+	// probe their own domain only. It saves bytes between domains where these
+	// are dear. 0 means that all daemons probe all domains.
+	Bridges int
 	// Helpers is the number of hosts asked for an indirect probe.
 	Helpers int
 	// RandomEvery makes each n-th probe go to any host, dead ones included:
@@ -42,6 +46,15 @@
 	}
 }
 
+// DomainParams returns the values for failure domains between which bytes are
+// dear: each daemon has a few partners in its own domain, and two daemons of each
+// domain probe those of the others.
+func DomainParams() Params {
+	p := DefaultParams()
+	p.Partners, p.Bridges = 3, 2
+	return p
+}
+
 const (
 	// pauseGap is the number of periods between two ticks that means that
 	// this process was frozen.
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -98,7 +98,7 @@
 	asked := []uint64{p.target}
 	for range v.params.Helpers {
 		key, found := v.pick(rng, func(h *host) bool {
-			return h.state == Alive && h.badUntil <= v.now && !slices.Contains(asked, h.key)
+			return h.state == Alive && h.badUntil <= v.now && v.near(h) && !slices.Contains(asked, h.key)
 		})
 		if !found {
 			break
@@ -167,13 +167,18 @@
 	}
 	v.turn++
 	if v.turn%v.params.RandomEvery == 0 || len(v.partners) == 0 {
-		out = v.probe(out, v.order[rng.IntN(len(v.order))])
+		if key, found := v.pick(rng, v.near); found {
+			out = v.probe(out, key)
+		}
 	} else {
 		out = v.probe(out, v.partners[v.turn%len(v.partners)])
 	}
+	if len(v.companions) > 0 {
+		out = v.probe(out, v.companions[v.turn%len(v.companions)])
+	}
 	if v.now < v.recoverUntil {
 		for range recoveryProbes {
-			if key, found := v.pick(rng, func(h *host) bool { return h.state == Dead }); found {
+			if key, found := v.pick(rng, func(h *host) bool { return h.state == Dead && v.near(h) }); found {
 				out = v.probe(out, key)
 			}
 		}
@@ -195,6 +200,7 @@
 func (v *View) choosePartners(rng *rand.Rand) {
 	v.stale = false
 	v.partners = v.partners[:0]
+	v.bridge = v.params.Bridges > 0 && slices.Contains(v.bridgesOf(v.self.Domain), v.key)
 	for ring := range v.params.Partners {
 		seed := mix(uint64(ring) + 1)
 		own := mix(v.key ^ seed)
@@ -202,7 +208,11 @@
 		distance := ^uint64(0)
 		for _, key := range v.order {
 			// The subtraction wraps around the ring.
-			if d := mix(key^seed) - own; d < distance && v.hosts[key].state != Dead {
+			h := v.hosts[key]
+			if v.params.Bridges > 0 && h.member.Domain != v.self.Domain {
+				continue
+			}
+			if d := mix(key^seed) - own; d < distance && h.state != Dead {
 				best, distance = key, d
 			}
 		}
@@ -210,9 +220,66 @@
 			v.partners = append(v.partners, best)
 		}
 	}
+	if v.bridge {
+		for _, domain := range v.otherDomains() {
+			v.partners = append(v.partners, v.bridgesOf(domain)...)
+		}
+	}
 	rng.Shuffle(len(v.partners), func(i, j int) { v.partners[i], v.partners[j] = v.partners[j], v.partners[i] })
 }
 
+// bridgeSeed keeps the choice of bridges independent of the rings of partners.
+const bridgeSeed = 0xb41d6e
+
+// bridgesOf returns the daemons of a domain that probe other domains, all of
+// which agree on them as far as they know the same daemons.
+func (v *View) bridgesOf(domain string) []uint64 {
+	var keys []uint64
+	for _, key := range v.order {
+		if h := v.hosts[key]; h.member.Domain == domain && h.state != Dead && !h.leaving {
+			keys = append(keys, key)
+		}
+	}
+	if domain == v.self.Domain && !v.leaving {
+		keys = append(keys, v.key)
+	}
+	slices.SortFunc(keys, func(a, b uint64) int { return cmp.Compare(mix(a^bridgeSeed), mix(b^bridgeSeed)) })
+	return keys[:min(len(keys), v.params.Bridges)]
+}
+
+// otherDomains returns the failure domains of the other daemons, sorted.
+func (v *View) otherDomains() []string {
+	var out []string
+	for _, h := range v.hosts {
+		if d := h.member.Domain; d != v.self.Domain && !slices.Contains(out, d) {
+			out = append(out, d)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// near reports whether this daemon may open a connection to the host for a
+// probe.
+func (v *View) near(h *host) bool {
+	return v.params.Bridges == 0 || v.bridge || h.member.Domain == v.self.Domain
+}
+
+// SetCompanions names hosts to which connections are open anyway, such as the
+// other homes of a service. One of them is probed each period, wherever it is.
+func (v *View) SetCompanions(ids []string) {
+	v.companions = v.companions[:0]
+	for _, id := range ids {
+		if key := KeyOf(id); v.hosts[key] != nil && key != v.key {
+			v.companions = append(v.companions, key)
+		}
+	}
+}
+
+// IsBridge reports whether this daemon may exchange periodic messages with other
+// domains.
+func (v *View) IsBridge() bool { return v.params.Bridges == 0 || v.bridge }
+
 // Partners returns the host ids that this daemon probes in turn. Connections to
 // them are open, so other periodic messages should prefer them.
 func (v *View) Partners() []string {
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -32,6 +32,10 @@
 	corrections []uint64
 	rumours     rumours
 	partners    []uint64
+	// companions are hosts to which connections are open for other reasons.
+	companions []uint64
+	// bridge means that this daemon probes other domains.
+	bridge bool
 	// stale asks for new partners before the next probe.
 	stale   bool
 	turn    int
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -63,6 +63,11 @@
 	return reply.Objects, reply.Revision, err
 }
 
+// ListStale implements Store; the stand-in's lists are never stale.
+func (c *Client) ListStale(ctx context.Context, prefix string) ([]Object, uint64, error) {
+	return c.List(ctx, prefix)
+}
+
 // Watch implements Store.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Object, uint64, error) {
 	var reply ObjectsReply
--- a/pkg/platform/members.go
+++ b/pkg/platform/members.go
@@ -55,6 +55,14 @@
 	return slices.DeleteFunc(objects, func(o Object) bool { return o.Deleted }), revision, nil
 }
 
+// ListStale implements Store.
+func (s *memberStore) ListStale(ctx context.Context, prefix string) ([]Object, uint64, error) {
+	if prefix != MembersPrefix {
+		return s.Store.ListStale(ctx, prefix)
+	}
+	return s.List(ctx, prefix)
+}
+
 // Watch implements Store.
 func (s *memberStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Object, uint64, error) {
 	if prefix != MembersPrefix {
--- a/pkg/platform/memstore/store.go
+++ b/pkg/platform/memstore/store.go
@@ -142,6 +142,11 @@
 	return out, s.revision, nil
 }
 
+// ListStale implements platform.Store.
+func (s *Store) ListStale(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
+	return s.List(ctx, prefix)
+}
+
 // Watch implements platform.Store.
 func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]platform.Object, uint64, error) {
 	if err := s.begin(ctx, &s.counts.Watches); err != nil {
--- a/pkg/proxy/attempts.go
+++ b/pkg/proxy/attempts.go
@@ -164,6 +164,7 @@
 		ID: x.in.ID, Method: x.in.Method, URI: x.in.URI, Host: x.in.Host,
 		Headers: x.in.Headers, Body: x.in.Body, HasBody: x.in.HasBody,
 		FreshConnection: !x.idempotent() && x.document.Upstreams.Reuse == document.ReuseIdempotent,
+		Cautious:        !x.idempotent(),
 	})
 }
 
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -51,7 +51,7 @@
 func (c *Client) Do(ctx context.Context, target Target, request *Request) Result {
 	start := time.Now()
 	p := c.pool(target.Address)
-	conn, err := p.take(target, request.FreshConnection, start)
+	conn, err := p.take(target, request.FreshConnection, request.Cautious, start)
 	if err != nil {
 		return Result{Kind: Refused, Verdict: verdict.NotRun, Err: err}
 	}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -51,6 +51,8 @@
 	target  Target
 	// used means that a request was answered on it before.
 	used bool
+	// idleSince is when the last answer on it ended.
+	idleSince time.Time
 	// idleUntil is when the connection is to be closed if it is not used; the
 	// upstream may have stated an earlier time than the pool's.
 	idleUntil time.Time
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -10,10 +10,18 @@
 	"shallotglade/pkg/dialect"
 )
 
-// maxIdle is how long a kept connection may wait for its next request. It is
-// short, since a connection that the upstream closes while a request is on its
-// way leaves the outcome unknown.
-const maxIdle = 4 * time.Second
+const (
+	// maxIdle is how long a kept connection may wait for its next request when
+	// the upstream does not say how long it keeps it. A connection that the
+	// upstream closes while a request is on its way leaves the outcome unknown.
+	maxIdle = 4 * time.Second
+	// longestIdle bounds what the upstream says.
+	longestIdle = 30 * time.Second
+	// cautiousIdle is how long a connection may have waited that carries a
+	// request which must not run twice. An upstream that drops idle connections
+	// early, or a path that has gone silent, costs such a request.
+	cautiousIdle = 4 * time.Second
+)
 
 var errTooManyConnections = errors.New("the connection limit of the upstream is reached")
 
@@ -26,15 +34,19 @@
 	open int
 }
 
-// take returns a kept connection, or a new one if there is none or if fresh is
-// set. It fails when the limit of open connections is reached.
-func (p *pool) take(target Target, fresh bool, now time.Time) (*conn, error) {
+// take returns the kept connection that was used last, or a new one if there is
+// none or if fresh is set. A cautious request gets none that waited for long. It
+// fails when the limit of open connections is reached.
+func (p *pool) take(target Target, fresh, cautious bool, now time.Time) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dropExpired(now)
 	for !fresh && len(p.idle) > 0 {
 		last := len(p.idle) - 1
 		c := p.idle[last]
+		if cautious && now.Sub(c.idleSince) > cautiousIdle {
+			break
+		}
 		p.idle = p.idle[:last]
 		if c.reusable() {
 			return c, nil
@@ -64,10 +76,10 @@
 	defer p.mu.Unlock()
 	keep := maxIdle
 	if stated > 0 {
-		keep = min(keep, stated-closingMargin)
+		keep = min(longestIdle, stated-closingMargin)
 	}
 	if whole && keep > 0 && c.reusable() {
-		c.used, c.idleUntil = true, now.Add(keep)
+		c.used, c.idleSince, c.idleUntil = true, now, now.Add(keep)
 		p.idle = append(p.idle, c)
 		return
 	}
--- a/pkg/upstream/types.go
+++ b/pkg/upstream/types.go
@@ -29,6 +29,9 @@
 	// FreshConnection asks for a new connection: on a kept connection that the
 	// upstream is just closing, nothing tells whether the request was read.
 	FreshConnection bool
+	// Cautious asks for a new connection rather than one that has waited for
+	// long.
+	Cautious bool
 }
 
 // Response is one whole answer.
