--- a/pkg/blackboard/report.go
+++ b/pkg/blackboard/report.go
@@ -28,8 +28,23 @@
 	Home string `cbor:"6,keyasint"`
 	// Outcomes are the home's own since its last report.
 	Outcomes []OutcomeReport `cbor:"7,keyasint,omitempty"`
+	// Snapshots is sent after a home was added, which knows nothing yet.
+	Snapshots []SnapshotReport `cbor:"8,keyasint,omitempty"`
 }
 
+// SnapshotReport is what a home knows of an upstream.
+type SnapshotReport struct {
+	_ struct{} `cbor:",toarray"`
+	// Upstream is a hash of the upstream's id.
+	Upstream uint32
+	// Failing is a probability in parts of 255.
+	Failing uint8
+	AgeMs   uint32
+}
+
+// snapshotScale is the value of SnapshotReport.Failing for certainty.
+const snapshotScale = 255
+
 // OutcomeReport is the outcome of one attempt at an upstream.
 type OutcomeReport struct {
 	_ struct{} `cbor:",toarray"`
@@ -98,6 +113,7 @@
 	defer s.mu.Unlock()
 	r := Report{Service: s.Name, Load: s.inFlight.Report(now, s.Gate.Stats().Waiting), Outcomes: s.outcomes}
 	s.outcomes = nil
+	r.Snapshots = s.snapshotsLocked(now)
 	if s.ejects() {
 		r.Evidence = s.judge.Summary(now)
 	}
@@ -109,10 +125,25 @@
 	for id := range s.left {
 		r.Leaving = append(r.Leaving, id)
 	}
-	said := len(r.Evidence.Reports) > 0 || len(r.Load.Loads) > 0 || r.Load.Demand > 0 || len(r.Poison) > 0 || len(r.Leaving) > 0 || len(r.Outcomes) > 0
+	said := len(r.Evidence.Reports) > 0 || len(r.Load.Loads) > 0 || r.Load.Demand > 0 || len(r.Poison) > 0 || len(r.Leaving) > 0 || len(r.Outcomes) > 0 || len(r.Snapshots) > 0
 	return r, said
 }
 
+// snapshotsLocked returns what this home knows, once after a home was added.
+func (s *Service) snapshotsLocked(now time.Time) []SnapshotReport {
+	if !s.homeAdded {
+		return nil
+	}
+	s.homeAdded = false
+	var out []SnapshotReport
+	for _, known := range s.reliability.Snapshots(now) {
+		out = append(out, SnapshotReport{
+			Upstream: keyOf(known.Upstream), Failing: uint8(known.Failing * snapshotScale), AgeMs: uint32(known.Age.Milliseconds()),
+		})
+	}
+	return out[:min(len(out), maxOutcomes)]
+}
+
 // Busy reports whether attempts are in flight.
 func (s *Service) Busy() bool {
 	s.mu.Lock()
@@ -131,7 +162,7 @@
 		s.judge.Merge(now, home, r.Evidence)
 	}
 	s.inFlight.Merge(now, home, r.Load)
-	s.mergeOutcomesLocked(now, r.Outcomes)
+	s.mergeOutcomesLocked(now, r.Outcomes, r.Snapshots)
 	if summary, err := poison.DecodeSummary(r.Poison); err == nil {
 		s.forgiveLocked(now, s.poison.Merge(now, summary).Forgiven)
 	}
@@ -139,17 +170,31 @@
 
 // mergeOutcomesLocked takes outcomes of another home, and renews what requests
 // choose from.
-func (s *Service) mergeOutcomesLocked(now time.Time, outcomes []OutcomeReport) {
+func (s *Service) mergeOutcomesLocked(now time.Time, outcomes []OutcomeReport, snapshots []SnapshotReport) {
+	for _, k := range snapshots[:min(len(snapshots), maxOutcomes)] {
+		if id, ok := s.upstreamOfLocked(k.Upstream); ok {
+			s.reliability.Adopt(now, reliability.Snapshot{
+				Upstream: id, Failing: float64(k.Failing) / snapshotScale, Age: time.Duration(k.AgeMs) * time.Millisecond,
+			})
+		}
+	}
 	for _, o := range outcomes[:min(len(outcomes), maxOutcomes)] {
-		i := slices.IndexFunc(s.upstreams, func(u Upstream) bool { return keyOf(u.ID) == o.Upstream })
-		if i < 0 {
-			continue
+		if id, ok := s.upstreamOfLocked(o.Upstream); ok {
+			s.reliability.Merge(now, id, o.finding())
 		}
-		s.reliability.Merge(now, s.upstreams[i].ID, o.finding())
 	}
 	s.refreshLoadLocked(now)
 }
 
+// upstreamOfLocked returns the id of an upstream by its short form.
+func (s *Service) upstreamOfLocked(key uint32) (string, bool) {
+	i := slices.IndexFunc(s.upstreams, func(u Upstream) bool { return keyOf(u.ID) == key })
+	if i < 0 {
+		return "", false
+	}
+	return s.upstreams[i].ID, true
+}
+
 // refreshLoadLocked renews the load of the candidates after a report.
 func (s *Service) refreshLoadLocked(now time.Time) {
 	s.inFlight.Refresh(now, s.reliability.Mean())
--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -52,12 +52,14 @@
 	self   string
 	domain string
 
-	mu        sync.Mutex
-	group     string
-	document  *document.Service
-	version   uint64
-	unknown   []string
-	homes     []routing.Home
+	mu       sync.Mutex
+	group    string
+	document *document.Service
+	version  uint64
+	unknown  []string
+	homes    []routing.Home
+	// homeAdded means that a home has not been told what this one knows.
+	homeAdded bool
 	upstreams []Upstream
 	// left remembers upstreams that announced themselves that they leave.
 	left map[string]bool
@@ -191,6 +193,9 @@
 func (s *Service) SetHomes(homes []routing.Home) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if slices.ContainsFunc(homes, func(h routing.Home) bool { return h.ID != s.self && !slices.Contains(s.homes, h) }) {
+		s.homeAdded = true
+	}
 	s.homes = homes
 	s.budget.SetPolicy(s.retryPolicyLocked())
 	s.poison.SetHomes(s.homeIDsLocked())
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -91,11 +91,11 @@
 	c.onEntry = f
 }
 
-// Daemon returns the member of a daemon.
-func (c *Catalog) Daemon(id string) (platform.Member, bool) {
+// Daemon returns the member of a host's daemon.
+func (c *Catalog) Daemon(host string) (platform.Member, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m, ok := c.daemons[id]
+	m, ok := c.daemons[host]
 	return m, ok
 }
 
--- a/pkg/confsync/boot.go
+++ b/pkg/confsync/boot.go
@@ -139,10 +139,6 @@
 	s.config.Log.Info().Int("peers", compared).Bool("listed", len(s.boot.unlisted) == 0).Msg("confsync: ready")
 }
 
-// rosterSettling is how long the roles of daemons take to follow a new list of
-// daemons. A role taken before would be that of a daemon that is alone.
-const rosterSettling = 150 * time.Millisecond
-
 // readRoster lists the daemons until it has succeeded once. While the platform is
 // away, the peers that the settings name have to do.
 func (s *Syncer) readRoster(ctx context.Context) {
@@ -153,8 +149,13 @@
 		objects, revision, err := s.config.Store.ListStale(ctx, s.config.Roster)
 		if err == nil {
 			s.config.Replica.Listed(s.config.Roster, objects, revision)
-			if sleep(ctx, rosterSettling) {
-				s.boot.setRostered()
+			if s.config.OnRoster != nil {
+				s.config.OnRoster()
+			}
+			s.boot.setRostered()
+			if s.config.Alone > 0 && len(objects) <= s.config.Alone {
+				s.listAll(ctx)
+				s.checkReady(ctx)
 			}
 			return
 		}
--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -29,7 +29,7 @@
 	collectPause = 250 * time.Millisecond
 	// collectRosterPause is the same for the list of daemons. A daemon's leaving
 	// is known by its own messages too.
-	collectRosterPause = 500 * time.Millisecond
+	collectRosterPause = 100 * time.Millisecond
 	// relistInterval is the time between lists of a relay. They repair what a
 	// watch may have left out, at little cost.
 	relistInterval = time.Hour
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -68,6 +68,12 @@
 	// Relays know the daemons without it.
 	Roster      string
 	RosterDelay time.Duration
+	// OnRoster is called when the list of daemons was read, before this daemon
+	// takes a role.
+	OnRoster func()
+	// Alone is up to how many other daemons a starting daemon lists everything at
+	// the platform itself instead of waiting for peers. 0 means never.
+	Alone int
 	// Cross says whether this daemon compares with other domains; nil means that
 	// it does.
 	Cross func() bool
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -125,8 +125,10 @@
 			return err
 		}
 		config.Registered.KeyOf = func(id string) string {
-			m, _ := d.catalog.Daemon(id)
-			return m.PeerKey
+			if m, ok := d.catalog.Daemon(registration.HostOf(id)); ok && m.ID == id {
+				return m.PeerKey
+			}
+			return ""
 		}
 	} else {
 		config.Credentials = d.credentials()
@@ -140,7 +142,7 @@
 		Region: d.settings.Region, Domain: d.settings.Domain, State: platform.Live,
 	}
 	if config.Registered != nil {
-		d.self.PeerKey = config.Registered.KeyHash()
+		d.self.Host, d.self.PeerKey = d.settings.Host, config.Registered.KeyHash()
 	}
 	return nil
 }
@@ -163,6 +165,12 @@
 // of each other, and each takes about as long to enter itself.
 const rosterDelay = 600 * time.Millisecond
 
+// smallFleetStart is up to how many daemons a daemon that starts again reads
+// everything from the platform by itself, which takes a few of its answers. In a
+// larger fleet many may start at once, and the platform's rate of reads would
+// bound them.
+const smallFleetStart = 128
+
 func (d *Daemon) provisionSync() error {
 	d.replica = confsync.NewReplica()
 	d.replica.OnChange(d.catalog.Changed)
@@ -187,7 +195,12 @@
 		Log:       d.log,
 	}
 	if d.adapter.Registers {
-		config.Roster, config.RosterDelay = platform.DaemonsPrefix, rosterDelay
+		config.Roster, config.OnRoster = platform.DaemonsPrefix, d.roster.refresh
+		config.Alone = smallFleetStart
+		if d.settings.FirstStart {
+			// One daemon of each domain lists the platform for all others.
+			config.RosterDelay, config.Alone = rosterDelay, 0
+		}
 	}
 	if d.adapter.DearDistance {
 		// One relay in each domain watches the platform, so that one ready peer
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -133,7 +133,9 @@
 	for _, s := range r.d.board.Services() {
 		r.setHomes(s, homes[s.Name])
 	}
-	r.setCompanions()
+	if r.d.adapter.DearDistance {
+		r.setCompanions()
+	}
 	r.count(states)
 }
 
@@ -150,7 +152,7 @@
 
 func (r *roster) selfLocked() placement.Host {
 	h := placement.Host{
-		ID: r.d.node.ID(), Domain: r.d.settings.Domain, Address: r.d.settings.Listen.Callers, PeerAddress: r.d.node.Addr(),
+		ID: r.d.node.ID(), Rank: r.d.self.HostName(), Domain: r.d.settings.Domain, Address: r.d.settings.Listen.Callers, PeerAddress: r.d.node.Addr(),
 	}
 	if r.leaving {
 		h.Condition = placement.Leaving
@@ -200,16 +202,14 @@
 	}
 }
 
-// setCompanions has membership probe the other homes of this daemon's services,
-// with which it exchanges reports anyway.
+// setCompanions has membership watch the homes that this daemon names to callers
+// of its domain, and the other homes of its own services.
 func (r *roster) setCompanions() {
 	var ids []string
 	for _, s := range r.d.board.Services() {
-		if !s.IsHome() {
-			continue
-		}
 		for _, h := range r.others(s.Name) {
-			if !slices.Contains(ids, h.ID) {
+			near := h.Domain == r.d.settings.Domain
+			if (near || s.IsHome()) && !slices.Contains(ids, h.ID) {
 				ids = append(ids, h.ID)
 			}
 		}
@@ -357,6 +357,7 @@
 	d.roster.mu.Unlock()
 	a := placement.Addresses(placement.Query{
 		Service: s.Group(), Domain: q.Domain, Caller: q.Caller, Failed: q.Failed, Now: time.Now(),
+		AnyOrder: d.adapter.Dialect.Addresses.AnyOrder,
 	}, hosts, homesPerDomain(s))
 	lifetime := scaledLifetime(a.Lifetime, d.settings.Addresses.Lifetime)
 	if d.settings.Log.Decisions {
--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -59,6 +59,9 @@
 // Addresses is how callers ask which addresses to use.
 type Addresses struct {
 	Path string
+	// AnyOrder means that callers use the addresses in any order, so that an
+	// answer names none that should come last.
+	AnyOrder bool
 	// Parse reads a question; get returns a field of the query.
 	Parse func(get func(name string) string) AddressQuery
 	// Encode returns the JSON body of an answer.
--- a/pkg/membership/host.go
+++ b/pkg/membership/host.go
@@ -47,7 +47,7 @@
 
 // Placement returns the host as placement sees it.
 func (h HostState) Placement() placement.Host {
-	host := placement.Host{ID: h.ID, Domain: h.Domain, Address: h.Address, PeerAddress: h.PeerAddress}
+	host := placement.Host{ID: h.ID, Rank: h.HostName(), Domain: h.Domain, Address: h.Address, PeerAddress: h.PeerAddress}
 	switch {
 	case h.Liveness == Dead:
 		host.Condition = placement.Failed
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -54,8 +54,8 @@
 
 // Contact is where the sender of a Ping can be reached.
 type Contact struct {
-	_                                    struct{} `cbor:",toarray"`
-	Region, Domain, Address, PeerAddress string
+	_                                          struct{} `cbor:",toarray"`
+	Region, Domain, Address, PeerAddress, Host string
 }
 
 // Entry is a rumour about one host.
--- a/pkg/membership/params.go
+++ b/pkg/membership/params.go
@@ -24,6 +24,9 @@
 	// probe their own domain only. It saves bytes between domains where these
 	// are dear. 0 means that all daemons probe all domains.
 	Bridges int
+	// CompanionPeriod is the time between probes of one companion, see
+	// View.SetCompanions.
+	CompanionPeriod time.Duration
 	// Helpers is the number of hosts asked for an indirect probe.
 	Helpers int
 	// RandomEvery makes each n-th probe go to any host, dead ones included:
@@ -41,8 +44,11 @@
 		Forget:        time.Minute,
 		PathBad:       15 * time.Second,
 		Partners:      8,
-		Helpers:       2,
-		RandomEvery:   8,
+		// A third of DirectTimeout and the time that an answer takes: callers are
+		// told within about half a second that a home has ended.
+		CompanionPeriod: 250 * time.Millisecond,
+		Helpers:         2,
+		RandomEvery:     8,
 	}
 }
 
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -41,6 +41,12 @@
 		out = v.probe(out, key)
 	}
 	v.urgent = v.urgent[:0]
+	if v.now >= v.nextCompanions && len(v.companions) > 0 {
+		v.nextCompanions = v.now + v.params.CompanionPeriod
+		for _, key := range v.companions {
+			out = v.probe(out, key)
+		}
+	}
 	if v.now >= v.nextProbe {
 		v.nextProbe = max(v.nextProbe+v.params.Period, v.now)
 		out = v.probeNext(out, rng)
@@ -173,9 +179,6 @@
 	} else {
 		out = v.probe(out, v.partners[v.turn%len(v.partners)])
 	}
-	if len(v.companions) > 0 {
-		out = v.probe(out, v.companions[v.turn%len(v.companions)])
-	}
 	if v.now < v.recoverUntil {
 		for range recoveryProbes {
 			if key, found := v.pick(rng, func(h *host) bool { return h.state == Dead && v.near(h) }); found {
@@ -265,11 +268,15 @@
 	return v.params.Bridges == 0 || v.bridge || h.member.Domain == v.self.Domain
 }
 
-// SetCompanions names hosts to which connections are open anyway, such as the
-// other homes of a service. One of them is probed each period, wherever it is.
+// maxCompanions bounds the hosts that are probed often.
+const maxCompanions = 12
+
+// SetCompanions names hosts whose end this daemon must learn of soon, wherever
+// they are: those that it names to callers, and the other homes of its services.
+// Each is probed every Params.CompanionPeriod.
 func (v *View) SetCompanions(ids []string) {
 	v.companions = v.companions[:0]
-	for _, id := range ids {
+	for _, id := range ids[:min(len(ids), maxCompanions)] {
 		if key := KeyOf(id); v.hosts[key] != nil && key != v.key {
 			v.companions = append(v.companions, key)
 		}
@@ -317,6 +324,7 @@
 	m := v.message(Ping, seq, h.member.PeerAddress, h.key)
 	m.Contact = &Contact{
 		Region: v.self.Region, Domain: v.self.Domain, Address: v.self.Address, PeerAddress: v.self.PeerAddress,
+		Host: v.self.Host,
 	}
 	return m
 }
@@ -366,9 +374,11 @@
 	if m.Contact == nil {
 		return nil
 	}
+	v.replaceHost(key, m.Contact.Host)
 	h := v.add(key, &platform.Member{
 		ID: m.From, Role: platform.RoleDaemon, State: platform.Live, Region: m.Contact.Region,
 		Domain: m.Contact.Domain, Address: m.Contact.Address, PeerAddress: m.Contact.PeerAddress,
+		Host: m.Contact.Host,
 	})
 	h.unlisted = v.now
 	return h
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -46,6 +46,8 @@
 	// nextProbe and nextForget are when these are due; nobody is suspected
 	// before graceUntil.
 	nextProbe, nextForget, graceUntil time.Duration
+	// nextCompanions is when the companions are probed next.
+	nextCompanions time.Duration
 	// recoverUntil is the end of the extra probes of dead hosts.
 	recoverUntil        time.Duration
 	lastTick, lastHeard time.Duration
@@ -123,7 +125,7 @@
 	for i := range members {
 		m := &members[i]
 		key := KeyOf(m.ID)
-		if m.Role != platform.RoleDaemon || key == v.key {
+		if m.Role != platform.RoleDaemon || key == v.key || (m.Host != "" && m.Host == v.self.Host) {
 			continue
 		}
 		listed[key] = true
@@ -147,6 +149,10 @@
 func (v *View) list(key uint64, m *platform.Member) {
 	h := v.hosts[key]
 	if h == nil {
+		if v.metOn(m.Host) {
+			return // The roster still shows the daemon's former start.
+		}
+		v.replaceHost(key, m.Host)
 		h = v.add(key, m)
 	}
 	h.member, h.listed = m, true
@@ -156,6 +162,31 @@
 	}
 }
 
+// metOn reports whether a daemon on the host that no roster shows yet was heard
+// a short time ago.
+func (v *View) metOn(name string) bool {
+	return name != "" && slices.ContainsFunc(v.order, func(k uint64) bool {
+		h := v.hosts[k]
+		return h.member.Host == name && !h.listed && h.heard > 0 && v.now-h.heard < v.params.Suspicion
+	})
+}
+
+// replaceHost forgets the daemon that ran on a host before the one with the key.
+func (v *View) replaceHost(key uint64, name string) {
+	if name == "" {
+		return
+	}
+	v.order = slices.DeleteFunc(v.order, func(k uint64) bool {
+		replaced := k != key && v.hosts[k].member.Host == name
+		if replaced {
+			delete(v.hosts, k)
+			v.stale = true
+			v.version++
+		}
+		return replaced
+	})
+}
+
 func (v *View) add(key uint64, m *platform.Member) *host {
 	h := &host{key: key, member: m}
 	v.hosts[key] = h
@@ -186,6 +217,13 @@
 		v.leaving = true
 		v.incarnation++
 		v.rumours.add(v.key, v.sends())
+		// Those that name this daemon to callers are told at the next tick, and do
+		// not have to wait for the rumour.
+		for _, key := range v.order {
+			if h := v.hosts[key]; h.state != Dead && (v.near(h) || slices.Contains(v.companions, key)) && len(v.urgent) < maxPending {
+				v.urgent = append(v.urgent, key)
+			}
+		}
 	}
 }
 
--- a/pkg/placement/addresses.go
+++ b/pkg/placement/addresses.go
@@ -33,6 +33,8 @@
 	Failed []string
 	// Now chooses the time slice.
 	Now time.Time
+	// AnyOrder means that the caller uses the addresses in any order.
+	AnyOrder bool
 }
 
 // Answer is the response to a Query.
@@ -75,6 +77,9 @@
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.round, b.round), cmp.Compare(a.domain, b.domain))
 	})
+	if q.AnyOrder {
+		list = usableOnly(list)
+	}
 	answer := Answer{Lifetime: minLifetime + time.Duration(mix(turn)%uint64(MaxLifetime-minLifetime))}
 	for _, c := range list {
 		if len(answer.Addresses) < maxAddresses && !slices.Contains(answer.Addresses, c.address) {
@@ -84,6 +89,20 @@
 	return answer
 }
 
+// usableOnly returns the usable homes of a sorted list, or without any the
+// addresses of its first class.
+func usableOnly(list []candidate) []candidate {
+	if len(list) == 0 {
+		return list
+	}
+	last := max(list[0].class, otherHome)
+	n := len(list)
+	if i := slices.IndexFunc(list, func(c candidate) bool { return c.class > last }); i >= 0 {
+		n = i
+	}
+	return list[:n]
+}
+
 // candidate is an address with its place: by class, then by round (the first
 // home of every domain before the second of any), then by the caller's order
 // of domains.
--- a/pkg/placement/homes.go
+++ b/pkg/placement/homes.go
@@ -66,7 +66,7 @@
 			at = len(tops)
 			tops = append(tops, top{domain: h.Domain, list: make([]scored, 0, min(n, len(hosts))+1)})
 		}
-		tops[at].insert(scored{score: mix(seed ^ xxhash.Sum64String(h.ID)), host: h}, n)
+		tops[at].insert(scored{score: mix(seed ^ xxhash.Sum64String(h.rank())), host: h}, n)
 	}
 	slices.SortFunc(tops, func(a, b top) int { return cmp.Compare(a.domain, b.domain) })
 	var chosen []Host
--- a/pkg/placement/host.go
+++ b/pkg/placement/host.go
@@ -1,5 +1,7 @@
 package placement
 
+import "cmp"
+
 // Condition is what this daemon knows about another one.
 type Condition uint8
 
@@ -21,6 +23,9 @@
 type Host struct {
 	// ID is unique per process start.
 	ID string
+	// Rank is what homes and relays are chosen by: the name of the host, so that
+	// a daemon that starts again has the roles it had. Empty means the ID.
+	Rank string
 	// Domain is the failure domain.
 	Domain string
 	// Address is the IP:port for callers, PeerAddress the UDP IP:port for
@@ -29,5 +34,8 @@
 	Condition            Condition
 }
 
+// rank returns what the host is chosen by.
+func (h *Host) rank() string { return cmp.Or(h.Rank, h.ID) }
+
 // eligible tells whether the host may be a home or relay.
 func (h Host) eligible() bool { return h.Condition == Usable || h.Condition == Doubtful }
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -258,3 +258,29 @@
 		}
 	}
 }
+
+var _ = Describe("Addresses for callers that use them in any order", func() {
+	// Guards against a share of the callers that is sent to a home known to be in
+	// doubt, or to another domain's, while their own has a usable one.
+	It("name usable homes of the best class only", func() {
+		testkit.Check(GinkgoT(), func(t *rapid.T) {
+			hosts := drawFleet(t)
+			q := placement.Query{Service: "s", Domain: "domain-0", Caller: "c", Now: time.Unix(1000, 0), AnyOrder: true}
+			answer := placement.Addresses(q, hosts, placement.DefaultPerDomain)
+			usable := map[string]bool{}
+			for _, h := range placement.Homes("s", hosts, placement.DefaultPerDomain) {
+				if h.Condition == placement.Usable {
+					usable[h.Address] = true
+				}
+			}
+			if len(answer.Addresses) == 0 {
+				t.Fatal("no address")
+			}
+			for _, a := range answer.Addresses {
+				if len(usable) > 0 && !usable[a] {
+					t.Fatalf("%s is named beside usable homes %v", a, usable)
+				}
+			}
+		})
+	})
+})
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -9,6 +9,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -48,6 +49,9 @@
 	Deleted bool `json:"deleted,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
+// HostName returns what stays the same when the process starts again.
+func (m Member) HostName() string { return cmp.Or(m.Host, m.ID) }
+
 // MemberState is the state of a host in the membership list.
 type MemberState string
 
@@ -66,6 +70,9 @@
 // Member is one entry of the membership list.
 type Member struct {
 	ID string `json:"id"`
+	// Host names the host of a daemon whose ID is new at each start; empty if the
+	// ID names the host.
+	Host string `json:"host,omitempty"`
 	// Role is RoleDaemon or RoleUpstream.
 	Role string `json:"role"`
 	// Service is the service of an upstream; empty for a daemon.
@@ -97,7 +104,8 @@
 type Store interface {
 	// Get returns the object, or ErrNotFound.
 	Get(ctx context.Context, key string) (Object, error)
-	// Create stores a new object, or returns ErrConflict if the key exists.
+	// Create stores a new object, or returns ErrConflict if the key exists; the
+	// object is then the one that exists, if the platform says.
 	Create(ctx context.Context, key string, value []byte) (Object, error)
 	// Update replaces the value if version is the current one, else ErrConflict.
 	Update(ctx context.Context, key string, version uint64, value []byte) (Object, error)
--- a/pkg/registration/controller.go
+++ b/pkg/registration/controller.go
@@ -1,6 +1,7 @@
 package registration
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"strings"
@@ -25,7 +26,7 @@
 // Controller keeps the entry of one daemon. Store, Self and Log are required.
 type Controller struct {
 	Store platform.Store
-	// Self is the daemon; its ID is new at each start.
+	// Self is the daemon; its ID is new at each start, its Host is not.
 	Self platform.Member
 	Log  zerolog.Logger
 
@@ -36,8 +37,8 @@
 	missing chan struct{}
 }
 
-// Key returns the key of the entry of a daemon.
-func Key(id string) string { return platform.DaemonsPrefix + id }
+// Key returns the key of the entry of a host's daemon.
+func Key(host string) string { return platform.DaemonsPrefix + host }
 
 // Provision prepares the controller.
 func (c *Controller) Provision() { c.missing = make(chan struct{}, 1) }
@@ -65,8 +66,7 @@
 	}
 }
 
-// register creates the entry. An entry that exists is the result of an earlier
-// try whose reply was lost, since the ID is new at each start.
+// register writes the entry in place of that of an earlier start on the host.
 func (c *Controller) register(ctx context.Context) error {
 	c.mu.Lock()
 	leaving := c.leaving
@@ -80,9 +80,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	o, err := c.Store.Create(ctx, Key(c.Self.ID), value)
+	o, err := c.Store.Create(ctx, Key(c.Self.Host), value)
 	if errors.Is(err, platform.ErrConflict) {
-		o, err = c.Store.Get(ctx, Key(c.Self.ID))
+		o, err = c.replace(ctx, o, value)
 	}
 	if err != nil {
 		return err
@@ -94,9 +94,24 @@
 	return nil
 }
 
+// replace writes the entry over the one that exists.
+func (c *Controller) replace(ctx context.Context, existing platform.Object, value []byte) (platform.Object, error) {
+	if existing.Version == 0 {
+		var err error
+		if existing, err = c.Store.Get(ctx, Key(c.Self.Host)); err != nil {
+			return platform.Object{}, err
+		}
+	}
+	if bytes.Equal(existing.Value, value) {
+		// An earlier try took effect and its reply was lost.
+		return existing, nil
+	}
+	return c.Store.Update(ctx, Key(c.Self.Host), existing.Version, value)
+}
+
 // Seen takes a change of an entry, in order of version.
 func (c *Controller) Seen(o platform.Object) {
-	if o.Key != Key(c.Self.ID) {
+	if o.Key != Key(c.Self.Host) {
 		return
 	}
 	c.mu.Lock()
@@ -119,21 +134,21 @@
 	if version == 0 {
 		return
 	}
-	c.delete(ctx, c.Self.ID, version)
+	c.delete(ctx, c.Self.Host, version)
 }
 
-// Remove removes the entry of a daemon that has ended.
-func (c *Controller) Remove(ctx context.Context, id string, version uint64) {
-	c.Log.Info().Str("daemon", id).Uint64("version", version).Msg("registration: removes the entry of a daemon that ended")
-	c.delete(ctx, id, version)
+// Remove removes the entry of a host whose daemon has ended.
+func (c *Controller) Remove(ctx context.Context, host string, version uint64) {
+	c.Log.Info().Str("host", host).Uint64("version", version).Msg("registration: removes the entry of a daemon that ended")
+	c.delete(ctx, host, version)
 }
 
-func (c *Controller) delete(ctx context.Context, id string, version uint64) {
+func (c *Controller) delete(ctx context.Context, host string, version uint64) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := c.Store.Delete(ctx, Key(id), version)
+	err := c.Store.Delete(ctx, Key(host), version)
 	if err != nil && !errors.IsAny(err, platform.ErrNotFound, platform.ErrConflict) {
-		c.Log.Warn().Str("daemon", id).Err(err).Msg("registration: entry not removed")
+		c.Log.Warn().Str("host", host).Err(err).Msg("registration: entry not removed")
 	}
 }
 
--- a/pkg/registration/doc.go
+++ b/pkg/registration/doc.go
@@ -6,5 +6,7 @@
 //	go c.Run(ctx)        // creates the entry, and again if it is removed
 //	c.Seen(object)       // every change of an entry
 //	c.Leave(ctx)         // at the start of a graceful exit
-//	c.Remove(ctx, id)    // an entry whose daemon has ended
+//	c.Remove(ctx, host, version) // an entry whose daemon has ended
+//
+// There is one entry for each host, which the next start on the host replaces.
 package registration
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -19,6 +19,9 @@
 	// Host is the name of the host. Default: none; required with peers.trust
 	// "registered".
 	Host string `yaml:"host"`
+	// FirstStart says that the whole fleet starts for the first time, so that
+	// nothing can be learned from others yet. Default: false.
+	FirstStart bool `yaml:"firstStart"`
 	// Region is the region of the host.
 	Region string `yaml:"region"`
 	// Domain is the failure domain of the host.
