--- a/pkg/blackboard/attempt.go
+++ b/pkg/blackboard/attempt.go
@@ -85,6 +85,7 @@
 		c := &s.candidates[i]
 		c.Own, c.PausedUntil = s.inFlight.Own(c.ID), s.pausedUntil[c.ID]
 		c.Failing = s.reliability.Failing(now, c.ID)
+		c.Untried = !s.reliability.Known(c.ID)
 	}
 	choice, ok := s.chooseLocked(now, r)
 	if !ok {
--- a/pkg/blackboard/health.go
+++ b/pkg/blackboard/health.go
@@ -93,6 +93,7 @@
 			ID: u.ID, Domain: u.Domain, Slots: u.Slots,
 			Own:     s.inFlight.Own(u.ID),
 			Demoted: demoted, Trial: standing.IdempotentOnly, Share: standing.Share,
+			Listed: u.Listed, ColdUntil: u.ColdUntil,
 			Preference: routing.Preference(s.self, u.ID),
 		}
 		c.Others, c.OthersKnown = s.inFlight.Others(u.ID)
--- a/pkg/reliability/estimator.go
+++ b/pkg/reliability/estimator.go
@@ -86,15 +86,8 @@
 	return 1 - (1-work)*(1-path)
 }
 
-// Age returns how long ago the last outcome of the upstream was seen, false if
-// there was none.
-func (e *Estimator) Age(now time.Time, id string) (time.Duration, bool) {
-	u := e.upstreams[id]
-	if u == nil {
-		return 0, false
-	}
-	return now.Sub(u.seenAt), true
-}
+// Known reports whether an outcome of the upstream was seen.
+func (e *Estimator) Known(id string) bool { return e.upstreams[id] != nil }
 
 // Mean returns the smoothed latency of the service's answers, 0 while unknown.
 func (e *Estimator) Mean() time.Duration { return e.mean }
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -34,6 +34,12 @@
 	OthersKnown bool
 	// Failing is the probability that an attempt fails, see pkg/reliability.
 	Failing float64
+	// Untried means that no home has seen an outcome of the upstream since it was
+	// listed, which was at Listed.
+	Untried bool
+	Listed  time.Time
+	// ColdUntil is until when the upstream is slow after its start.
+	ColdUntil time.Time
 	// Demoted marks an upstream that this home judges unhealthy.
 	Demoted bool
 	// Trial marks an ejected upstream that is on trial: it receives idempotent
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -1,6 +1,9 @@
 package routing
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // DemotedShare is the part of an equal share of the idempotent attempts that a
 // demoted upstream receives, so that its recovery is seen.
@@ -22,6 +25,8 @@
 	Doubtful
 	// DemotedFree is a demoted upstream; no healthy one has a free slot.
 	DemotedFree
+	// Untried is an upstream of which no outcome is known yet.
+	Untried
 	// Contended is an upstream whose slots other homes seem to hold; this home
 	// has no slot anywhere and no request in flight.
 	Contended
@@ -41,7 +46,7 @@
 
 var reasonNames = [...]string{
 	OwnDomain: "own-domain", OtherDomain: "other-domain", Borrowed: "borrowed", Doubtful: "doubtful", DemotedFree: "demoted-free",
-	Contended: "contended", Ramp: "ramp", Trial: "trial", Recovery: "recovery",
+	Untried: "untried", Contended: "contended", Ramp: "ramp", Trial: "trial", Recovery: "recovery",
 	NoUpstream: "no-upstream", AllTried: "all-tried", AllBusy: "all-busy",
 }
 
@@ -79,6 +84,26 @@
 	borrowedCost  = 0.5
 	demotedCost   = 1.5
 	contendedCost = 10
+	// coldCost is for an upstream that is slow after its start: an answer comes
+	// late, and earns less.
+	coldCost = 0.1
+)
+
+// An upstream that no home has used is worth an attempt: without an outcome it
+// looks worse than those known to work, and would stay idle.
+const (
+	// exploreAfter and exploreColdAfter are how long after it was listed: by
+	// then all homes list it, and a cold one has had some time.
+	exploreAfter     = time.Second
+	exploreColdAfter = 3 * time.Second
+	// exploreValue is what a repeatable attempt at it is worth, in lost answers;
+	// it outweighs farCost, coldCost and what is believed of an upstream without
+	// outcomes.
+	exploreValue = 0.2
+	// After insistAfter without any outcome, as where no request can be
+	// repeated, an attempt of any kind is worth insistValue.
+	insistAfter = 5 * time.Second
+	insistValue = 0.4
 )
 
 // hopelessMargin is how much better an upstream must be for a request to wait
@@ -134,7 +159,30 @@
 	if c.Demoted {
 		cost += demotedCost
 	}
-	return cost
+	if c.cold(req) {
+		cost += coldCost
+	}
+	return cost - c.explorationValue(req)
+}
+
+// explorationValue is what the outcome of an attempt is worth, in lost answers.
+func (c *Candidate) explorationValue(req *Request) float64 {
+	if !c.Untried || c.Own > 0 || c.Others >= 0.5 {
+		return 0
+	}
+	due := exploreAfter
+	if c.cold(req) {
+		due = exploreColdAfter
+	}
+	switch age := req.Now.Sub(c.Listed); {
+	case age < due:
+		return 0
+	case age >= insistAfter:
+		return insistValue
+	case req.Repeatable:
+		return exploreValue
+	}
+	return 0
 }
 
 // reason says which class the candidate was chosen from.
@@ -144,6 +192,8 @@
 		return Contended
 	case c.Demoted:
 		return DemotedFree
+	case c.explorationValue(req) > 0:
+		return Untried
 	case c.Failing > Doubt:
 		return Doubtful
 	case !c.mine():
@@ -155,6 +205,8 @@
 	}
 }
 
+func (c *Candidate) cold(req *Request) bool { return req.Now.Before(c.ColdUntil) }
+
 func (c *Candidate) near(req *Request) bool { return c.Domain == req.Domain || req.Domain == "" }
 
 // mine reports whether a slot is free for this home without borrowing.
--- /dev/null
+++ b/pkg/routing/reliability_test.go
@@ -0,0 +1,111 @@
+package routing_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"shallotglade/internal/testkit"
+	"shallotglade/pkg/routing"
+)
+
+var _ = Describe("Choose by reliability", func() {
+	candidate := func(id, domain string, failing float64) routing.Candidate {
+		return routing.Candidate{
+			ID: id, Domain: domain, Slots: 4, Share: 1, OthersKnown: true, Failing: failing, Listed: epoch.Add(-time.Minute),
+		}
+	}
+	once := routing.Request{Domain: "a", Now: epoch}
+	repeatable := routing.Request{Domain: "a", Now: epoch, Idempotent: true, Repeatable: true}
+
+	// Guards against an order that is lost at a near upstream that probably fails
+	// it, while a far one works.
+	It("leaves the domain when the upstreams there probably fail", func() {
+		cs := []routing.Candidate{candidate("near", "a", 0.4), candidate("far", "b", 0.05)}
+		c, ok := routing.Choose(cs, once, newRand())
+		Expect(ok).To(BeTrue())
+		Expect(c.ID).To(Equal("far"))
+	})
+
+	// Guards against bytes between domains that are paid for without a gain.
+	It("stays in the domain when the upstreams are about as good", func() {
+		cs := []routing.Candidate{candidate("near", "a", 0.07), candidate("far", "b", 0.05)}
+		for _, req := range []routing.Request{once, repeatable} {
+			c, _ := routing.Choose(cs, req, newRand())
+			Expect(c.ID).To(Equal("near"))
+		}
+	})
+
+	// Guards against a request that may run once and is sent to an upstream that
+	// probably fails it, while it has time to wait for a slot elsewhere.
+	It("waits for a better upstream when there is time", func() {
+		cs := []routing.Candidate{candidate("failing", "a", 0.9), candidate("busy", "a", 0.05)}
+		cs[1].Own = 4
+		patient := once
+		patient.MayWait = true
+		_, ok := routing.Choose(cs, patient, newRand())
+		Expect(ok).To(BeFalse())
+		c, ok := routing.Choose(cs, once, newRand())
+		Expect(ok).To(BeTrue())
+		Expect(c.Reason).To(Equal(routing.Doubtful))
+	})
+
+	// Guards against upstreams that join and never get a request, because those
+	// that are known to work look better.
+	Describe("an upstream without any outcome", func() {
+		var cs []routing.Candidate
+		BeforeEach(func() {
+			cs = []routing.Candidate{candidate("known", "a", 0.05), candidate("new", "b", 0.25)}
+			cs[1].Untried = true
+		})
+		chosen := func(req routing.Request, age time.Duration) string {
+			cs[1].Listed = epoch.Add(-age)
+			c, _ := routing.Choose(cs, req, newRand())
+			return c.ID
+		}
+		It("gets a request that can be repeated within seconds", func() {
+			Expect(chosen(repeatable, 100*time.Millisecond)).To(Equal("known"))
+			Expect(chosen(repeatable, 2*time.Second)).To(Equal("new"))
+			Expect(chosen(once, 2*time.Second)).To(Equal("known"))
+		})
+		It("gets any request in the end", func() {
+			Expect(chosen(once, 6*time.Second)).To(Equal("new"))
+		})
+		It("gets one request at a time", func() {
+			cs[1].Own = 1
+			Expect(chosen(repeatable, 6*time.Second)).To(Equal("known"))
+		})
+		It("is given time while it is slow after its start", func() {
+			cs[1].ColdUntil = epoch.Add(time.Minute)
+			Expect(chosen(repeatable, 2*time.Second)).To(Equal("known"))
+			Expect(chosen(repeatable, 4*time.Second)).To(Equal("new"))
+		})
+	})
+
+	// Guards against a choice among free upstreams that is not the best one for a
+	// request that may run once.
+	It("never sends a request that may run once to a much worse upstream than the best free one", func() {
+		testkit.Check(GinkgoT(), func(t *rapid.T) {
+			n := rapid.IntRange(2, 12).Draw(t, "upstreams")
+			cs := make([]routing.Candidate, n)
+			best := 2.0
+			for i := range cs {
+				cs[i] = candidate(fmt.Sprint(i), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"), rapid.Float64Range(0, 1).Draw(t, "failing"))
+				cs[i].Own = rapid.IntRange(0, 4).Draw(t, "own")
+				if cs[i].Own < cs[i].Slots {
+					best = min(best, cs[i].Failing)
+				}
+			}
+			c, ok := routing.Choose(cs, once, newRand())
+			if ok && c.Failing > best+0.1 {
+				t.Fatalf("chose %s with %.2f, the best free one has %.2f", c.ID, c.Failing, best)
+			}
+			if !ok && best < 2 {
+				t.Fatal("nothing chosen although a slot is free")
+			}
+		})
+	})
+})
