Test the server for callers' connections

Guards against pipelined requests that wait for each other, requests that run behind an answer that ended their connection, cut requests at an exit, bodies in chunks or after an invitation that are lost, and connections that hold memory. No fault found.

--- /dev/null
+++ b/pkg/ingress/ingress_test.go
@@ -0,0 +1,319 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"shallotglade/internal/testkit"
+	"shallotglade/pkg/ingress"
+)
+
+func TestIngress(t *testing.T) { testkit.RunSpecs(t, "ingress") }
+
+// caller is a caller's connection.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dial(address string) *caller {
+	GinkgoHelper()
+	c, err := net.Dial("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	// A test may have closed it already.
+	DeferCleanup(func() { _ = c.Close() })
+	return &caller{Conn: c, reader: bufio.NewReader(c)}
+}
+
+func (c *caller) send(format string, args ...any) {
+	GinkgoHelper()
+	_, err := fmt.Fprintf(c, format, args...)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// answer reads an answer and its body.
+func (c *caller) answer() (*http.Response, string) {
+	GinkgoHelper()
+	Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	r, err := http.ReadResponse(c.reader, nil)
+	Expect(err).NotTo(HaveOccurred())
+	body, err := io.ReadAll(r.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return r, string(body)
+}
+
+// ended waits for the end of the connection and returns what arrived before it.
+func (c *caller) ended() string {
+	GinkgoHelper()
+	Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	rest, err := io.ReadAll(c.reader)
+	Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse(), "the connection stays open")
+	return string(rest)
+}
+
+const get = "GET /%s HTTP/1.1\r\nHost: h\r\n\r\n"
+
+var _ = Describe("Server", func() {
+	var (
+		server  *ingress.Server
+		address string
+		limits  ingress.Limits
+		handler ingress.Handler
+
+		mu      sync.Mutex
+		begun   []string
+		release map[string]chan struct{}
+	)
+	// gate returns the channel that a request for the path waits for.
+	gate := func(path string) chan struct{} {
+		mu.Lock()
+		defer mu.Unlock()
+		if release[path] == nil {
+			release[path] = make(chan struct{})
+		}
+		return release[path]
+	}
+	setHandler := func(h ingress.Handler) {
+		mu.Lock()
+		defer mu.Unlock()
+		handler = h
+	}
+	started := func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]string(nil), begun...)
+	}
+	BeforeEach(func() {
+		limits = ingress.Limits{
+			Connections: 8, MaxHeaderBytes: 1 << 10, MaxBodyBytes: 64, RequestArrival: 300 * time.Millisecond, Idle: 5 * time.Second,
+		}
+		begun, release = nil, map[string]chan struct{}{}
+		// Requests for /wait/... wait; all are answered with path and body.
+		handler = func(ctx context.Context, r *ingress.Request, resp *protocol.Response) {
+			path := string(r.Path())
+			mu.Lock()
+			begun = append(begun, path)
+			mu.Unlock()
+			if strings.HasPrefix(path, "/wait/") {
+				select {
+				case <-gate(path):
+				case <-ctx.Done():
+				}
+			}
+			resp.SetBodyString(path + string(r.Body()))
+		}
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address = ln.Addr().String()
+		server = ingress.New(ln, func() ingress.Limits { mu.Lock(); defer mu.Unlock(); return limits }, func(ctx context.Context, r *ingress.Request, resp *protocol.Response) {
+			mu.Lock()
+			h := handler
+			mu.Unlock()
+			h(ctx, r, resp)
+		}, zerolog.Nop())
+		run := make(chan error, 1)
+		go func() { run <- server.Run() }()
+		DeferCleanup(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			// The error says that connections of the test were still open.
+			_ = server.Shutdown(ctx)
+			Eventually(run).Should(Receive(BeNil()))
+		})
+	})
+
+	// Guards against pipelined requests that wait for each other, which takes a
+	// caller as long as all of them together.
+	It("handles requests of one connection side by side and answers in their order", func() {
+		c := dial(address)
+		c.send(get+get+get, "wait/1", "2", "wait/3")
+		Eventually(started).Should(ConsistOf("/wait/1", "/2", "/wait/3"))
+		close(gate("/wait/3"))
+		Consistently(func() int { return c.reader.Buffered() }, 50*time.Millisecond).Should(BeZero())
+		close(gate("/wait/1"))
+		for _, want := range []string{"/wait/1", "/2", "/wait/3"} {
+			_, body := c.answer()
+			Expect(body).To(Equal(want))
+		}
+	})
+
+	// Guards against a request that runs although the connection ends with the
+	// answer before it, whose caller then sends it again.
+	It("lets a request wait for its turn, which does not come when an earlier answer ends the connection", func() {
+		turns := make(chan error, 2)
+		inner := handler
+		setHandler(func(ctx context.Context, r *ingress.Request, resp *protocol.Response) {
+			inner(ctx, r, resp)
+			if string(r.Path()) == "/second" {
+				turns <- r.Turn(ctx)
+			}
+		})
+		c := dial(address)
+		c.send("GET /wait/first HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"+get, "second")
+		Eventually(started).Should(ContainElement("/second"))
+		Consistently(turns, 50*time.Millisecond).ShouldNot(Receive())
+		close(gate("/wait/first"))
+		Eventually(turns).Should(Receive(HaveOccurred()))
+		_, body := c.answer()
+		Expect(body).To(Equal("/wait/first"))
+		Expect(c.ended()).To(BeEmpty())
+	})
+
+	// Guards against work for callers that have left.
+	It("ends the context of a request when its caller leaves", func() {
+		causes := make(chan error, 1)
+		setHandler(func(ctx context.Context, _ *ingress.Request, _ *protocol.Response) {
+			<-ctx.Done()
+			causes <- context.Cause(ctx)
+		})
+		c := dial(address)
+		c.send(get, "x")
+		Expect(c.Close()).To(Succeed())
+		Eventually(causes).Should(Receive(MatchError(ingress.ErrCallerGone)))
+	})
+
+	// Guards against bodies that arrive in chunks or after an invitation and are
+	// lost.
+	It("reads bodies with a length, in chunks and after an invitation", func() {
+		c := dial(address)
+		c.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+		_, body := c.answer()
+		Expect(body).To(Equal("/aabc"))
+		c.send("POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
+		_, body = c.answer()
+		Expect(body).To(Equal("/babc"))
+		c.send("POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+		line, err := c.reader.ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(line).To(HavePrefix("HTTP/1.1 100 "))
+		_, err = c.reader.ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		c.send("abc")
+		_, body = c.answer()
+		Expect(body).To(Equal("/cabc"))
+	})
+
+	// Guards against connections that hold memory because their request trickles
+	// in or never ends, and against refusals without a reason.
+	DescribeTable("refuses", func(request string, status int) {
+		c := dial(address)
+		c.send("%s", request)
+		r, _ := c.answer()
+		Expect(r.StatusCode).To(Equal(status))
+		Expect(r.Close).To(BeTrue())
+		Expect(c.ended()).To(BeEmpty())
+		Expect(started()).To(BeEmpty())
+	},
+		Entry("a request that does not arrive in time", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na", 408),
+		Entry("a large header", "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 2<<10)+"\r\n\r\n", 431),
+		Entry("a large body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n"+strings.Repeat("x", 65), 413),
+		Entry("what is no HTTP", "hello\r\n\r\n", 400),
+	)
+
+	// Guards against an answer to a malformed request that overtakes those before
+	// it.
+	It("answers earlier requests before it refuses a malformed one", func() {
+		c := dial(address)
+		c.send(get+"nonsense\r\n\r\n", "wait/1")
+		Eventually(started).Should(ConsistOf("/wait/1"))
+		close(gate("/wait/1"))
+		_, body := c.answer()
+		Expect(body).To(Equal("/wait/1"))
+		r, _ := c.answer()
+		Expect(r.StatusCode).To(Equal(400))
+	})
+
+	// Guards against a body of an answer to HEAD, which would be read as the next
+	// answer.
+	It("answers HEAD without a body", func() {
+		c := dial(address)
+		c.send("HEAD /abc HTTP/1.1\r\nHost: h\r\n\r\n"+get, "next")
+		r, err := http.ReadResponse(c.reader, &http.Request{Method: "HEAD"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.ContentLength).To(BeEquivalentTo(4))
+		_, body := c.answer()
+		Expect(body).To(Equal("/next"))
+	})
+
+	Describe("that leaves", func() {
+		// Guards against requests that are cut by a restart: a connection ends
+		// with an answer, or between two requests.
+		It("ends connections with their next answer, then idle ones, and waits for requests", func() {
+			busy, idle := dial(address), dial(address)
+			busy.send(get, "wait/1")
+			idle.send(get, "1")
+			_, _ = idle.answer()
+			Eventually(started).Should(ContainElement("/wait/1"))
+			server.EndAfterAnswer()
+			server.Drain()
+			Expect(idle.ended()).To(BeEmpty())
+			over := make(chan error, 1)
+			go func() { over <- server.Shutdown(context.Background()) }()
+			Consistently(over, 100*time.Millisecond).ShouldNot(Receive())
+			close(gate("/wait/1"))
+			r, body := busy.answer()
+			Expect(body).To(Equal("/wait/1"))
+			Expect(r.Close).To(BeTrue())
+			Expect(busy.Close()).To(Succeed())
+			Eventually(over).Should(Receive(BeNil()))
+			_, err := net.Dial("tcp", address)
+			Expect(err).To(HaveOccurred())
+		})
+
+		// Guards against a caller that keeps a leaving daemon in use: the answer
+		// must tell it to go elsewhere.
+		It("announces the end with the next answer", func() {
+			c := dial(address)
+			server.EndAfterAnswer()
+			c.send(get, "1")
+			r, _ := c.answer()
+			Expect(r.Close).To(BeTrue())
+			Expect(c.ended()).To(BeEmpty())
+		})
+
+		// Guards against an exit that hangs on a request without an end.
+		It("cuts what is left at the time limit", func() {
+			c := dial(address)
+			c.send(get, "wait/1")
+			Eventually(started).Should(ContainElement("/wait/1"))
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			defer cancel()
+			Expect(server.Shutdown(ctx)).To(MatchError(context.DeadlineExceeded))
+			Expect(c.ended()).To(BeEmpty())
+		})
+	})
+
+	// Guards against a host without descriptors.
+	It("closes connections beyond the limit", func() {
+		for range limits.Connections {
+			c := dial(address)
+			c.send(get, "x")
+			_, _ = c.answer()
+		}
+		Expect(dial(address).ended()).To(BeEmpty())
+		Expect(server.Open()).To(Equal(limits.Connections))
+	})
+
+	// Guards against connections of callers that never come back.
+	It("closes a connection that waits too long for its next request", func() {
+		mu.Lock()
+		limits.Idle = 50 * time.Millisecond
+		mu.Unlock()
+		Expect(dial(address).ended()).To(BeEmpty())
+	})
+})
