Use upstreams in doubt rather than refuse; spread by the failures of all homes

Repeatable requests then used up the retry budget at upstreams known to fail.

Change: slots at upstreams in doubt are a reserve of the queue, used by requests that have waited until their target can only just be met. While less than a quarter of the retries is left, a failed first attempt counts more.

--- a/internal/bench/traffic/service.go
+++ b/internal/bench/traffic/service.go
@@ -184,7 +184,8 @@
 		h.candidates[i].Quota = quotas[i]
 		h.candidates[i].Others, _ = h.inFlight.Others(h.candidates[i].ID)
 	}
-	s.admitted(h, h.queue.SetCapacity(s.loop.Now, routing.Capacity(h.candidates)))
+	capacity, reserve := routing.Capacity(h.candidates)
+	s.admitted(h, h.queue.SetCapacity(s.loop.Now, capacity, reserve))
 }
 
 // quotas deals the slots.
--- a/pkg/blackboard/attempt.go
+++ b/pkg/blackboard/attempt.go
@@ -114,8 +114,8 @@
 	if !r.Alone {
 		return routing.Choose(s.candidates, routing.Request{
 			Now: now, Domain: s.domain, Idempotent: r.Idempotent,
-			Repeatable: r.Repeatable, MayWait: r.MayWait, Tried: r.Tried,
-			Spread: s.pressure.high(now),
+			Repeatable: r.Repeatable && s.budget.Available(now) > 0, MayWait: r.MayWait, Tried: r.Tried,
+			Spread: s.pressure.high(now), Scarce: s.budget.Scarce(now),
 		}, s.rng)
 	}
 	options := make([]poison.Option, 0, len(s.candidates))
--- a/pkg/blackboard/pressure_test.go
+++ b/pkg/blackboard/pressure_test.go
@@ -26,24 +26,32 @@
 			all = append(all, e)
 			p.add(e.at, e.served)
 		}
-		// What is certainly inside the span, and what is certainly not outside it.
-		requests, unserved, most := 0, 0, 0
+		other := Tally{Requests: rapid.IntRange(0, 100).Draw(t, "at another home")}
+		other.Unserved = rapid.IntRange(0, other.Requests).Draw(t, "unserved there")
+		p.merge(now, "other", other)
+		// What is certainly inside the span, and what may be outside it.
+		sum, most := other, other
 		for _, e := range all {
-			if age := now.Sub(e.at); age < pressureSpan-pressurePart {
-				requests++
-				if !e.served {
-					unserved++
-				}
-			} else if age < pressureSpan && !e.served {
-				most++
+			age := now.Sub(e.at)
+			if age < pressureSpan-pressurePart {
+				sum.Requests++
+			}
+			if age < pressureSpan && !e.served {
+				most.Unserved++
+			}
+			if age < pressureSpan-pressurePart && !e.served {
+				sum.Unserved++
+			}
+			if age < pressureSpan {
+				most.Requests++
 			}
 		}
 		high := p.high(now)
-		if high && float64(unserved+most) < pressureShare*float64(requests) {
-			t.Fatalf("high with %d of %d unserved", unserved+most, requests)
+		if high && (most.Unserved < leastUnserved || float64(most.Unserved) < pressureShare*float64(sum.Requests)) {
+			t.Fatalf("high with at most %d of at least %d unserved", most.Unserved, sum.Requests)
 		}
-		if high && requests+most < leastRequests && len(all) < leastRequests {
-			t.Fatal("high with too few requests")
+		if !high && sum.Unserved >= leastUnserved && float64(sum.Unserved) >= pressureShare*float64(most.Requests) {
+			t.Fatalf("not high with at least %d of at most %d unserved", sum.Unserved, most.Requests)
 		}
 		if p.high(now.Add(pressureSpan)) {
 			t.Fatal("high although nothing was asked for a whole span")
--- a/pkg/blackboard/report.go
+++ b/pkg/blackboard/report.go
@@ -30,6 +30,8 @@
 	Outcomes []OutcomeReport `cbor:"7,keyasint,omitempty"`
 	// Snapshots is sent after a home was added, which knows nothing yet.
 	Snapshots []SnapshotReport `cbor:"8,keyasint,omitempty"`
+	// Ended is how many requests have ended at the home in the last two seconds.
+	Ended Tally `cbor:"9,keyasint"`
 }
 
 // SnapshotReport is what a home knows of an upstream.
@@ -111,7 +113,7 @@
 func (s *Service) Report(now time.Time) (Report, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := Report{Service: s.Name, Load: s.inFlight.Report(now, s.Gate.Stats().Waiting), Outcomes: s.outcomes}
+	r := Report{Service: s.Name, Load: s.inFlight.Report(now, s.Gate.Stats().Waiting), Outcomes: s.outcomes, Ended: s.pressure.own(now)}
 	s.outcomes = nil
 	r.Snapshots = s.snapshotsLocked(now)
 	if s.ejects() {
@@ -162,6 +164,7 @@
 		s.judge.Merge(now, home, r.Evidence)
 	}
 	s.inFlight.Merge(now, home, r.Load)
+	s.pressure.merge(now, home, r.Ended)
 	s.mergeOutcomesLocked(now, home, r.Outcomes, r.Snapshots)
 	if summary, err := poison.DecodeSummary(r.Poison); err == nil {
 		s.forgiveLocked(now, s.poison.Merge(now, summary).Forgiven)
@@ -205,5 +208,6 @@
 		c.Own, c.Failing = s.inFlight.Own(c.ID), s.reliability.Failing(now, c.ID)
 		s.noteDoubtLocked(c.ID, c.Failing)
 	}
-	s.Gate.SetCapacity(routing.Capacity(s.candidates))
+	capacity, reserve := routing.Capacity(s.candidates)
+	s.Gate.SetCapacity(capacity, reserve)
 }
--- a/pkg/limits/gate.go
+++ b/pkg/limits/gate.go
@@ -19,6 +19,9 @@
 	Deadline time.Time
 	// Target is when the response earns most; zero means none.
 	Target time.Time
+	// Settle is from when on it runs at an upstream that probably fails it; zero
+	// means never.
+	Settle time.Time
 	// Takes is how long a request of its kind usually runs; zero means unknown.
 	Takes time.Duration
 	// Priority ranks kinds of requests, 0 first.
@@ -56,7 +59,7 @@
 	now := g.clock()
 	g.next++
 	ticket := Ticket{
-		ID: g.next, Caller: r.Caller, Deadline: r.Deadline, Target: r.Target, Takes: r.Takes, Priority: r.Priority,
+		ID: g.next, Caller: r.Caller, Deadline: r.Deadline, Target: r.Target, Settle: r.Settle, Takes: r.Takes, Priority: r.Priority,
 	}
 	d := g.queue.Offer(now, ticket)
 	g.notify(nil, g.queue.Expire(now))
@@ -86,12 +89,13 @@
 	g.notify(g.queue.Done(now, p.ticket), g.queue.Expire(now))
 }
 
-// SetCapacity changes how many requests may run at once.
-func (g *Gate) SetCapacity(capacity int) {
+// SetCapacity changes how many requests may run at once, and how many more of
+// those that have waited until their Settle.
+func (g *Gate) SetCapacity(capacity, reserve int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock()
-	g.notify(g.queue.SetCapacity(now, capacity), g.queue.Expire(now))
+	g.notify(g.queue.SetCapacity(now, capacity, reserve), g.queue.Expire(now))
 }
 
 // SetPolicy changes the limits.
--- a/pkg/limits/policy.go
+++ b/pkg/limits/policy.go
@@ -79,6 +79,10 @@
 	// Target is when the response earns most; zero means that only Deadline
 	// counts.
 	Target time.Time
+	// Settle is from when on it runs at an upstream that probably fails it, if
+	// no other one has a free slot: an attempt there is worth more than a refusal.
+	// Zero means never.
+	Settle time.Time
 	// Takes is how long a request of its kind usually runs; zero means unknown,
 	// and the measured service time counts.
 	Takes time.Duration
--- a/pkg/limits/property_test.go
+++ b/pkg/limits/property_test.go
@@ -157,6 +157,7 @@
 				"c1": {Concurrency: 1}, "c2": {Rate: 20, Burst: 2}, "c3": {Weight: 5, Concurrency: 2},
 			}}
 			capacity := rapid.IntRange(1, 4).Draw(t, "capacity")
+			reserve := 0
 			q := limits.NewQueue(p, capacity)
 			now, next := epoch, uint64(0)
 			running, waiting := map[uint64]limits.Ticket{}, map[uint64]limits.Ticket{}
@@ -165,6 +166,10 @@
 					if _, ok := waiting[x.ID]; !ok || now.After(x.Deadline) {
 						t.Fatalf("ticket %v was not waiting or is late", x)
 					}
+					settled := !x.Settle.IsZero() && !now.Before(x.Settle)
+					if n := len(running); n >= capacity+reserve || n >= capacity && !settled {
+						t.Fatalf("%v runs beside %d of %d and %d", x, n, capacity, reserve)
+					}
 					delete(waiting, x.ID)
 					running[x.ID] = x
 				}
@@ -178,6 +183,9 @@
 						ID: next, Caller: fmt.Sprintf("c%d", rapid.IntRange(0, 4).Draw(t, "caller")),
 						Deadline: now.Add(time.Duration(rapid.IntRange(-5, 400).Draw(t, "deadline")) * time.Millisecond),
 					}
+					if rapid.Bool().Draw(t, "settles") {
+						x.Settle = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "settle")) * time.Millisecond)
+					}
 					switch d := q.Offer(now, x); d.Action {
 					case limits.Run:
 						running[x.ID] = x
@@ -204,7 +212,8 @@
 					}
 				default:
 					capacity = rapid.IntRange(1, 4).Draw(t, "capacity")
-					start(q.SetCapacity(now, capacity))
+					reserve = rapid.IntRange(0, 3).Draw(t, "reserve")
+					start(q.SetCapacity(now, capacity, reserve))
 				}
 				for _, x := range q.Expire(now) {
 					delete(waiting, x.ID)
--- a/pkg/limits/queue.go
+++ b/pkg/limits/queue.go
@@ -35,8 +35,10 @@
 type Queue struct {
 	policy   Policy
 	capacity int
-	callers  map[string]*caller
-	used     list.List // of *caller, most recently used first
+	// reserve is how many more may run at upstreams that probably fail them.
+	reserve int
+	callers map[string]*caller
+	used    list.List // of *caller, most recently used first
 	// queued are the callers with waiting tickets.
 	queued   map[*caller]struct{}
 	expiries expiries
@@ -76,10 +78,14 @@
 	if q.capacity <= 0 {
 		return Decision{Reason: NoCapacity, RetryAfter: q.policy.MaxWait}
 	}
-	wait := q.expectedWait(now, c, t)
+	wait := q.expectedWait(now, c, t, q.capacity)
 	latest := q.latestStart(now, t)
 	if wait > 0 {
-		if late := wait - time.Duration(admitShare*float64(latest.Sub(now))); late > 0 {
+		any := wait
+		if q.reserve > 0 && !t.Settle.IsZero() {
+			any = q.expectedWait(now, c, t, q.capacity+q.reserve)
+		}
+		if late := any - time.Duration(admitShare*float64(latest.Sub(now))); late > 0 {
 			return Decision{Reason: TooLate, ExpectedWait: wait, RetryAfter: max(late, q.service)}
 		}
 		if c.waiting.Len() >= q.policy.MaxQueue-len(q.waiting) {
@@ -105,8 +111,8 @@
 	if d.Action == Run {
 		return nil
 	}
-	return errors.Newf("expected wait %v, latest start in %v, %d running of %d, %d waiting, service time %v",
-		d.ExpectedWait, left, len(q.running), q.capacity, len(q.waiting), q.service)
+	return errors.Newf("expected wait %v, latest start in %v, %d running of %d and %d in reserve, %d waiting, service time %v",
+		d.ExpectedWait, left, len(q.running), q.capacity, q.reserve, len(q.waiting), q.service)
 }
 
 // Done ends a running ticket and returns the tickets that may run now.
@@ -121,10 +127,11 @@
 	return q.dispatch(now)
 }
 
-// SetCapacity changes how many requests may run at once and returns the tickets
-// that may run now. Running requests are not affected.
-func (q *Queue) SetCapacity(now time.Time, capacity int) []Ticket {
-	q.capacity = capacity
+// SetCapacity changes how many requests may run at once, and how many more of
+// those that have waited until their Settle, and returns the tickets that may run
+// now. Running requests are not affected.
+func (q *Queue) SetCapacity(now time.Time, capacity, reserve int) []Ticket {
+	q.capacity, q.reserve = capacity, reserve
 	return q.dispatch(now)
 }
 
@@ -169,11 +176,12 @@
 // ServiceTime is the measured time from start to Done.
 func (q *Queue) ServiceTime() time.Duration { return q.service }
 
-// expectedWait estimates the time until a new ticket of the caller runs; zero
-// means at once. The tickets count that would run before it.
-func (q *Queue) expectedWait(now time.Time, c *caller, t Ticket) time.Duration {
+// expectedWait estimates the time until a new ticket of the caller runs where
+// capacity requests may run; zero means at once. The tickets count that would run
+// before it.
+func (q *Queue) expectedWait(now time.Time, c *caller, t Ticket, capacity int) time.Duration {
 	blocked := c.policy.Concurrency > 0 && c.running >= c.policy.Concurrency
-	if !blocked && c.waiting.Len() == 0 && !q.anyEligible() && len(q.running) < q.capacity {
+	if !blocked && c.waiting.Len() == 0 && !q.anyEligible() && len(q.running) < capacity {
 		return 0
 	}
 	own := float64(c.waiting.Len())
@@ -188,7 +196,7 @@
 			ahead++
 		}
 	}
-	wait := (ahead + own + 1) / float64(q.capacity)
+	wait := (ahead + own + 1) / float64(capacity)
 	if c.policy.Concurrency > 0 {
 		wait = max(wait, (own+1)/float64(c.policy.Concurrency))
 	}
@@ -244,18 +252,55 @@
 		if w == nil {
 			break
 		}
-		c := w.owner
-		q.virtual = max(q.virtual, c.next)
-		c.next += 1 / c.policy.Weight
-		c.ran(now)
-		q.lastNext = max(q.lastNext, c.next)
-		q.remove(w)
-		q.start(now, w.ticket.ID, c)
-		out = append(out, w.ticket)
+		out = append(out, q.admit(now, w))
+	}
+	for len(q.running) < q.capacity+q.reserve {
+		w := q.nextSettled(now)
+		if w == nil {
+			break
+		}
+		out = append(out, q.admit(now, w))
 	}
 	return out
 }
 
+// admit starts a waiting ticket.
+func (q *Queue) admit(now time.Time, w *waiter) Ticket {
+	c := w.owner
+	q.virtual = max(q.virtual, c.next)
+	c.next += 1 / c.policy.Weight
+	c.ran(now)
+	q.lastNext = max(q.lastNext, c.next)
+	q.remove(w)
+	q.start(now, w.ticket.ID, c)
+	return w.ticket
+}
+
+// nextSettled returns the ticket that must start first of those that have waited
+// until their Settle, or nil.
+func (q *Queue) nextSettled(now time.Time) *waiter {
+	var first *waiter
+	for c := range q.queued {
+		if !c.eligible() {
+			continue
+		}
+		w := c.head()
+		settled := !w.ticket.Settle.IsZero() && !now.Before(w.ticket.Settle)
+		if settled && (first == nil || w.before(first)) {
+			first = w
+		}
+	}
+	return first
+}
+
+// before orders tickets by when they must start at the latest.
+func (w *waiter) before(o *waiter) bool {
+	if !w.latest.Equal(o.latest) {
+		return w.latest.Before(o.latest)
+	}
+	return w.ticket.ID < o.ticket.ID
+}
+
 func (q *Queue) start(now time.Time, id uint64, c *caller) {
 	c.running++
 	q.running[id] = run{owner: c, started: now}
--- a/pkg/proxy/attempts.go
+++ b/pkg/proxy/attempts.go
@@ -128,22 +128,10 @@
 	return x.idempotent() && !x.alone && x.launched+1 < x.rule.Attempts
 }
 
-// waitShare is the part of the time limit for which a request without a target
-// latency may wait for a better upstream.
-const waitShare = 0.25
-
 // mayWait reports whether the request can wait for an upstream that is less
 // likely to fail, and still be answered within its target latency.
 func (x *exchange) mayWait(now time.Time) bool {
-	if x.repeatable() {
-		return false
-	}
-	median, _ := x.service.Latency(x.rule.Name)
-	patience := x.rule.Target - median
-	if x.rule.Target == 0 {
-		patience = time.Duration(waitShare * float64(x.rule.Timeout))
-	}
-	return now.Sub(x.in.Arrived) < patience
+	return !x.repeatable() && now.Before(settleOf(x.service, x.rule, x.in))
 }
 
 // send makes one attempt within its part of the time limit. An attempt of a
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -203,7 +203,8 @@
 		takes = unknownTakes(service, time.Until(deadlineOf(ctx)))
 	}
 	permit, err := service.Gate.Acquire(ctx, limits.Request{
-		Caller: in.Caller, Deadline: deadlineOf(ctx), Target: targetOf(rule, in), Takes: takes, Priority: rule.Priority,
+		Caller: in.Caller, Deadline: deadlineOf(ctx), Target: targetOf(rule, in), Settle: settleOf(service, rule, in),
+		Takes: takes, Priority: rule.Priority,
 	})
 	if err != nil {
 		return refused(asVerdict(err))
@@ -230,6 +231,20 @@
 	return in.Arrived.Add(rule.Target)
 }
 
+// waitShare is the part of the time limit for which a request without a target
+// latency waits for a better upstream.
+const waitShare = 0.25
+
+// settleOf is until when a request waits for an upstream that probably serves it:
+// as long as it can still be answered within its target latency.
+func settleOf(service *blackboard.Service, rule *document.Rule, in *Incoming) time.Time {
+	if rule.Target == 0 {
+		return in.Arrived.Add(time.Duration(waitShare * float64(rule.Timeout)))
+	}
+	median, _ := service.Latency(rule.Name)
+	return in.Arrived.Add(rule.Target - median)
+}
+
 // suspectPoll is how often a suspect checks whether the copy before it ended.
 const suspectPoll = 10 * time.Millisecond
 
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -147,6 +147,18 @@
 	return int(b.tokens + rounding)
 }
 
+// scarcePart is the part of a span's retries below which those left are scarce.
+const scarcePart = 0.25
+
+// Scarce reports whether few of the retries that a span allows are left.
+func (b *Budget) Scarce(now time.Time) bool {
+	if b.policy.Window > 0 {
+		requests, _ := b.window.sums()
+		return float64(b.window.left(now, b.policy)) < scarcePart*(b.policy.Ratio*float64(requests)+b.policy.Allowance)
+	}
+	return b.tokens < scarcePart*b.policy.Burst
+}
+
 // pay counts a retry.
 func (b *Budget) pay(now time.Time) {
 	if b.policy.Window > 0 {
--- /dev/null
+++ b/pkg/retry/window_test.go
@@ -0,0 +1,91 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"shallotglade/internal/testkit"
+	"shallotglade/pkg/retry"
+	"shallotglade/pkg/verdict"
+)
+
+var _ = Describe("Budget of a sliding span", func() {
+	const (
+		span      = 10 * time.Second
+		ratio     = 0.2
+		allowance = 56.0
+		homes     = 3
+	)
+	policy := func() retry.Policy {
+		p := retry.DefaultPolicy()
+		p.Ratio, p.Window, p.Allowance = ratio, span, 0.8*allowance/homes
+		return p
+	}
+	again := retry.Attempt{Verdict: verdict.MayHaveRun, Idempotent: true, Attempts: 1, MaxAttempts: 10, TimeLeft: time.Second}
+
+	// Guards against more repeated attempts in some span than the users allow, over
+	// all homes together and whatever the load does: saved-up retries would allow a
+	// second span's worth at its start.
+	It("is kept in every span by all homes together", func() {
+		testkit.Check(GinkgoT(), func(t *rapid.T) {
+			rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+			budgets := make([]*retry.Budget, homes)
+			for i := range budgets {
+				budgets[i] = retry.NewBudget(policy())
+			}
+			var requests, repeats []time.Duration
+			rate := 100.0
+			for at := time.Duration(0); at < time.Minute; {
+				if rng.IntN(200) == 0 {
+					rate = rapid.SampledFrom([]float64{1, 20, 100, 400}).Draw(t, "rate")
+				}
+				at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+				now := epoch.Add(at)
+				b := budgets[rng.IntN(homes)]
+				b.Request(now)
+				requests = append(requests, at)
+				for range rng.IntN(4) {
+					if b.Decide(now, again).Retry {
+						repeats = append(repeats, at)
+					}
+				}
+			}
+			within := func(list []time.Duration, from time.Duration) (n int) {
+				for _, x := range list {
+					if x >= from && x < from+span {
+						n++
+					}
+				}
+				return n
+			}
+			for from := time.Duration(0); from < 50*time.Second; from += 250 * time.Millisecond {
+				most := max(within(requests, from), within(requests, from-span), within(requests, from-span/2))
+				if n := within(repeats, from); float64(n) > ratio*float64(most)+allowance {
+					t.Fatalf("%d repeats from %v for %d requests", n, from, most)
+				}
+			}
+		})
+	})
+
+	// Guards against a budget that stays spent, and against one that a clock that
+	// goes back gives away twice.
+	It("comes back after the span, and not by a clock that goes back", func() {
+		b := retry.NewBudget(policy())
+		spend := func(now time.Time) (n int) {
+			for b.Decide(now, again).Retry {
+				n++
+			}
+			return n
+		}
+		first := spend(epoch)
+		Expect(first).To(BeNumerically(">", 0))
+		Expect(b.Scarce(epoch)).To(BeTrue())
+		Expect(spend(epoch.Add(span / 2))).To(BeZero())
+		Expect(spend(epoch.Add(-time.Second))).To(BeZero())
+		Expect(spend(epoch.Add(span + time.Second))).To(Equal(first))
+	})
+})
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -67,6 +67,8 @@
 	Idempotent bool
 	// Repeatable means that the request can be sent again if the attempt fails.
 	Repeatable bool
+	// Scarce means that few further attempts are left in the service's budget.
+	Scarce bool
 	// MayWait means that the request has time to wait for a slot at an upstream
 	// that is less likely to fail.
 	MayWait bool
@@ -77,6 +79,10 @@
 	Tried []string
 }
 
+// Hopeless is the probability of failing from which an upstream is no reserve: it
+// has just failed, and a refusal that is certainly not run serves the caller better.
+const Hopeless = 0.93
+
 // Doubt is the probability of failing from which an upstream is used only when
 // no better one has a free slot.
 const Doubt = 0.5
@@ -85,12 +91,19 @@
 // some time, and the chance that the next one fails too.
 const repeatLoss = 0.15
 
+// scarceLoss is the same while few repeats are left: each one that a doubtful
+// upstream uses up is missing for a request that fails by chance.
+const scarceLoss = 0.5
+
 // loss is what a failed attempt costs, in lost answers.
 func (r *Request) loss() float64 {
-	if r.Repeatable {
-		return repeatLoss
+	switch {
+	case !r.Repeatable:
+		return 1
+	case r.Scarce:
+		return scarceLoss
 	}
-	return 1
+	return repeatLoss
 }
 
 // Preference is the tie-breaking value of an upstream at a home. It differs
@@ -104,34 +117,41 @@
 	return d.Sum64()
 }
 
-// Capacity is how many requests this home may have in flight at once: its own
-// slots and those it may borrow. It is at least one while there is a healthy
-// upstream, because a home that never starts a request would stay starved.
-// Upstreams in ramp count only while no normal one exists, and upstreams that
-// probably fail only while there is no better one: a request that waits for a
-// good slot is served, and one that gets a bad slot may be lost.
-func Capacity(candidates []Candidate) int {
+// Capacity is how many requests this home may have in flight at once, its own
+// slots and those it may borrow, and how many more at upstreams that probably fail
+// them (reserve). The former is at least one while there is a healthy upstream,
+// because a home that never starts a request would stay starved. Upstreams in ramp
+// count only while no normal one exists, and upstreams that probably fail are no
+// reserve only while there is no better one: a request that waits for a good slot
+// is served, and one that gets a bad slot may be lost.
+func Capacity(candidates []Candidate) (capacity, reserve int) {
 	full := hasFull(candidates, nil)
-	total, doubtful, healthy := 0, 0, false
+	healthy, hopeless := false, 0
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.normal(full) {
 			continue
 		}
 		healthy = healthy || !c.Demoted
-		if c.Failing > Doubt {
-			doubtful += c.limit()
-			continue
+		switch {
+		case c.Failing <= Doubt:
+			capacity += c.limit()
+		case c.Failing < Hopeless:
+			reserve += c.limit()
+		default:
+			hopeless += c.limit()
 		}
-		total += c.limit()
 	}
-	if total == 0 {
-		total = doubtful
+	if capacity == 0 {
+		capacity, reserve = reserve, 0
+	}
+	if capacity == 0 {
+		capacity = hopeless
 	}
 	if healthy {
-		total = max(1, total)
+		capacity = max(1, capacity)
 	}
-	return total
+	return capacity, reserve
 }
 
 // limit is how many requests of this home the upstream may have in flight.
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -15,7 +15,8 @@
 //		candidates[i].Quota = quota
 //		candidates[i].Others, candidates[i].OthersKnown = inFlight.Others(candidates[i].ID)
 //	}
-//	queue.SetCapacity(now, routing.Capacity(candidates))
+//	capacity, reserve := routing.Capacity(candidates)
+//	queue.SetCapacity(now, capacity, reserve)
 //
 // Call Choose for each attempt, with Own up to date:
 //
--- a/pkg/routing/property_test.go
+++ b/pkg/routing/property_test.go
@@ -135,12 +135,14 @@
 	It("finds an upstream while fewer requests run than Capacity", func() {
 		testkit.Check(GinkgoT(), func(t *rapid.T) {
 			cs := drawCandidates(t)
-			capacity, running := routing.Capacity(cs), 0
+			capacity, reserve := routing.Capacity(cs)
+			running := 0
 			for i := range cs {
 				cs[i].Own, cs[i].PausedUntil = 0, time.Time{}
+				cs[i].Failing = rapid.SampledFrom([]float64{0.05, 0.3, 0.7, 0.99}).Draw(t, "failing")
 			}
 			rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-			for running < capacity {
+			for running < capacity+reserve {
 				c, ok := routing.Choose(cs, routing.Request{Domain: "a"}, rng)
 				if !ok {
 					t.Fatalf("%v at %d of %d running: %+v", c.Reason, running, capacity, cs)
--- a/pkg/routing/reliability_test.go
+++ b/pkg/routing/reliability_test.go
@@ -31,6 +31,18 @@
 		Expect(c.ID).To(Equal("far"))
 	})
 
+	// Guards against the last retries of a service being used up by first attempts
+	// at upstreams that are known to fail.
+	It("avoids doubtful upstreams for repeatable requests while few repeats are left", func() {
+		cs := []routing.Candidate{candidate("near", "a", 0.3), candidate("far", "b", 0.05)}
+		c, _ := routing.Choose(cs, repeatable, newRand())
+		Expect(c.ID).To(Equal("near"))
+		scarce := repeatable
+		scarce.Scarce = true
+		c, _ = routing.Choose(cs, scarce, newRand())
+		Expect(c.ID).To(Equal("far"))
+	})
+
 	// Guards against bytes between domains that are paid for without a gain.
 	It("stays in the domain when the upstreams are about as good", func() {
 		cs := []routing.Candidate{candidate("near", "a", 0.07), candidate("far", "b", 0.05)}
