Keep the retry budget of a service in every span of a large fleet

A trace with an unbounded log shows two parts: each of the hundred daemons that are no homes had half a percent of the allowance (37 repeats in the span), and requests were counted for up to 10.5 s of a span of 10 s, which paid for 30 to 40 repeats at 300 requests a second. Ruled out: attempts at upstreams that cannot be connected to (not counted by either side), requests served at two daemons (none in the log), hedges (6). Change: daemons that are no homes repeat only what their own requests pay for; the oldest part of the window counts for repeats only. Conclusion: the sum over a fleet must be bounded for the daemons that rarely serve, too. TestRetriesOfFleet and "is kept exactly at a high rate" failed before.

--- a/pkg/blackboard/pressure_test.go
+++ b/pkg/blackboard/pressure_test.go
@@ -1,14 +1,50 @@
 package blackboard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"shallotglade/internal/testkit"
+	"shallotglade/pkg/document"
+	"shallotglade/pkg/retry"
+	"shallotglade/pkg/routing"
+	"shallotglade/pkg/verdict"
 )
 
+// TestRetriesOfFleet guards against a fleet that repeats more than its allowance: a
+// hundred daemons that are no homes had a part of it each, and a service got 787
+// arrivals beyond the first of a request in a span that allowed 772.
+func TestRetriesOfFleet(t *testing.T) {
+	const (
+		daemons   = 107
+		allowance = 166
+		ratio     = 0.2
+	)
+	homes := []routing.Home{{ID: "d0"}, {ID: "d1"}, {ID: "d2"}}
+	d, problems := document.Parse("test.yaml", []byte(fmt.Sprintf("service: s\nretries: {budget: %v, window: 10s, allowance: %d, attempts: 10}", ratio, allowance)))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	now, requests, repeats := time.Unix(1000, 0), 0, 0
+	for i := range daemons {
+		board := New(fmt.Sprintf("d%d", i), "a")
+		board.PutDocument(d, 1, nil)
+		s, _ := board.Service("s")
+		s.SetHomes(homes)
+		s.budget.Request(now)
+		requests++
+		for s.budget.Decide(now, retry.Attempt{Verdict: verdict.NotRun, Attempts: 1, TimeLeft: time.Second}).Retry {
+			repeats++
+		}
+	}
+	if float64(repeats) > ratio*float64(requests)+allowance {
+		t.Fatalf("%d repeats for %d requests", repeats, requests)
+	}
+}
+
 // TestPressure guards against a service that spreads its work for good after one
 // bad moment, and against one that does so for a single failure among few.
 func TestPressure(t *testing.T) {
--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -170,18 +170,15 @@
 	return p
 }
 
-// Parts of a fleet's allowance of retries. Homes that change leave two sets of
-// homes for a moment, which may spend their parts in one span; daemons that are
-// no homes serve the few requests that reach them.
-const (
-	homesAllowance = 0.8
-	otherAllowance = 0.005
-)
+// homesAllowance is the part of a fleet's allowance of retries that the homes share.
+// Homes that change leave two sets of homes for a moment, which may spend their parts
+// in one span. Daemons that are no homes repeat only what the requests that they
+// serve pay for: a part for each of a hundred would exceed the allowance.
+const homesAllowance = 0.8
 
 func (s *Service) retryPolicyLocked() retry.Policy {
 	p, d := retry.DefaultPolicy(), s.document.Retries
 	p.Ratio, p.MaxAttempts, p.Window = float64(d.Budget), d.Attempts, d.Window
-	p.Allowance = otherAllowance * float64(d.Allowance)
 	if s.isHomeLocked() {
 		p.Allowance = homesAllowance * float64(d.Allowance) / float64(len(s.homes))
 	}
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -3,7 +3,8 @@
 import "time"
 
 // buckets is into how many parts a window is divided. A part is forgotten as a
-// whole, so that a window counts up to one part too much and never too little.
+// whole: repeats are counted for up to one part more than the span, and requests for
+// up to one part less, so that the limit holds in any span.
 const buckets = 20
 
 // window counts requests and repeated attempts over a sliding span.
@@ -25,7 +26,10 @@
 	if gap := at - w.at; gap > buckets || gap < 0 {
 		// A clock that went back starts a new span, in which the repeats count
 		// as just made.
-		_, made := w.sums()
+		made := 0
+		for _, n := range w.repeats {
+			made += n
+		}
 		w.requests, w.repeats = [buckets + 1]int{}, [buckets + 1]int{}
 		if gap < 0 {
 			w.repeats[at%(buckets+1)] = made
@@ -39,9 +43,13 @@
 	}
 }
 
+// sums returns the requests and repeats of the span; advance was called before.
 func (w *window) sums() (requests, repeats int) {
+	oldest := int((w.at + 1) % (buckets + 1))
 	for i := range w.requests {
-		requests += w.requests[i]
+		if i != oldest {
+			requests += w.requests[i]
+		}
 		repeats += w.repeats[i]
 	}
 	return requests, repeats
--- a/pkg/retry/window_test.go
+++ b/pkg/retry/window_test.go
@@ -71,6 +71,33 @@
 		})
 	})
 
+	// Guards against requests that count for longer than the span: at 300 a second half
+	// a second more pays for 30 repeats too many, and a service got 783 where 777 were
+	// allowed.
+	It("is kept exactly at a high rate", func() {
+		p := policy()
+		p.Allowance = allowance
+		b := retry.NewBudget(p)
+		const rate = 300
+		var repeats []time.Duration
+		for i := range 40 * rate {
+			at := time.Duration(i) * time.Second / rate
+			b.Request(epoch.Add(at))
+			for at >= span && b.Decide(epoch.Add(at), again).Retry {
+				repeats = append(repeats, at)
+			}
+		}
+		for from := time.Duration(0); from < 30*time.Second; from += 50 * time.Millisecond {
+			n := 0
+			for _, at := range repeats {
+				if at >= from && at < from+span {
+					n++
+				}
+			}
+			Expect(float64(n)).To(BeNumerically("<=", ratio*rate*span.Seconds()+allowance), "from %v", from)
+		}
+	})
+
 	// Guards against a budget that stays spent, and against one that a clock that
 	// goes back gives away twice.
 	It("comes back after the span, and not by a clock that goes back", func() {
