Spread repeatable requests over most upstreams at all times

Upstreams that failed seconds before were avoided, and work was spread only once many requests had failed, which cannot be known before the power fails. Change: requests that can be repeated are spread while repeats are not scarce; an upstream without any outcome is still left to the rule for new upstreams, and requests that may run once are spread only while many fail.

--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -73,10 +73,14 @@
 	// that is less likely to fail.
 	MayWait bool
 	// Spread asks for work at most upstreams, since many requests fail: a belief
-	// that leaves few upstreams in use may be wrong.
+	// that leaves few upstreams in use may be wrong. Repeatable requests are spread
+	// without it, unless further attempts are scarce.
 	Spread bool
 	// Tried lists the upstreams that earlier attempts of this request used.
 	Tried []string
+
+	// fewInUse means that spreadShare of the upstreams are not in use.
+	fewInUse bool
 }
 
 // Hopeless is the probability of failing from which an upstream is no reserve: it
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -109,9 +109,12 @@
 	insistValue = 0.4
 )
 
-// While many requests fail, most upstreams must get work all the time, as the users
-// rule: those that got none for spreadAfter are chosen until spreadShare of them got
-// some. Upstreams that have just failed do not count.
+// Most upstreams must get work all the time, as the users rule for services of which
+// many requests fail: those that got none for spreadAfter are chosen until spreadShare
+// of them got some. Upstreams that have just failed do not count. Requests that can be
+// repeated are spread at all times: a loss of many requests, as by a power failure of
+// the hosts, cannot be foreseen, and old beliefs are corrected at the cost of a repeat.
+// Other requests are spread only while many fail.
 const (
 	// spreadAfter is below the two seconds of the rule, and spreadShare above its
 	// share of 0.7.
@@ -124,6 +127,9 @@
 	// worth, in lost answers, if it can be repeated and otherwise.
 	spreadValue     = 0.3
 	spreadOnceValue = 0.8
+	// spreadAlwaysValue is that of a repeatable attempt while few requests fail. It
+	// outweighs spreadCertain and farCost, and is below exploreValue.
+	spreadAlwaysValue = 0.18
 )
 
 // hopelessMargin is how much better an upstream must be for a request to wait
@@ -134,7 +140,7 @@
 // those with a free slot, the one with the least cost.
 func Choose(candidates []Candidate, req Request, rng *rand.Rand) (Choice, bool) {
 	full := hasFull(candidates, &req)
-	req.Spread = req.Spread && fewInUse(candidates, &req)
+	req.fewInUse = fewInUse(candidates, &req)
 	if choice, ok := draw(candidates, &req, full, rng); ok {
 		return choice, true
 	}
@@ -188,11 +194,8 @@
 
 // explorationValue is what the outcome of an attempt is worth, in lost answers.
 func (c *Candidate) explorationValue(req *Request) float64 {
-	if req.Spread && c.unused(req) && c.Failing < spreadCertain {
-		if req.Repeatable {
-			return spreadValue
-		}
-		return spreadOnceValue
+	if value := c.spreadingValue(req); value > 0 {
+		return value
 	}
 	if !c.Seen.IsZero() || c.Own > 0 || c.Others >= 0.5 {
 		return 0
@@ -212,6 +215,22 @@
 	return 0
 }
 
+// spreadingValue is what it is worth, in lost answers, to have one more upstream in
+// use. One without any outcome is left to explorationValue unless many requests fail.
+func (c *Candidate) spreadingValue(req *Request) float64 {
+	switch {
+	case !req.fewInUse || c.Failing >= spreadCertain || !c.unused(req):
+		return 0
+	case req.Spread && req.Repeatable:
+		return spreadValue
+	case req.Spread:
+		return spreadOnceValue
+	case req.Repeatable && !req.Scarce && !c.Seen.IsZero():
+		return spreadAlwaysValue
+	}
+	return 0
+}
+
 // reason says which class the candidate was chosen from.
 func (c *Candidate) reason(req *Request, cost float64) Reason {
 	switch {
@@ -238,7 +257,7 @@
 }
 
 // fewInUse reports whether too few of the upstreams that have not just failed are
-// in use.
+// in use. A service without work has none to spread.
 func fewInUse(candidates []Candidate, req *Request) bool {
 	sound, used := 0, 0
 	for i := range candidates {
@@ -251,7 +270,7 @@
 			used++
 		}
 	}
-	return float64(used) < spreadShare*float64(sound)
+	return used > 0 && float64(used) < spreadShare*float64(sound)
 }
 
 func (c *Candidate) cold(req *Request) bool { return req.Now.Before(c.ColdUntil) }
