Place homes by the slots of a group of services

Cause: the services of one host name share their homes, since callers ask for a host name. The number of homes followed each service by itself: on the grown Atlas site three services of 540 slots and 500 requests a second had one home in each domain. Change: a group has one more home in each domain for each 480 slots of all its services, besides one for each 240 slots of one. Conclusion: the processor of a small host binds before its slots do.

--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -37,9 +38,6 @@
 	// next. A refresh takes 36 ms at 1,600 daemons and 380 services, and a
 	// failing domain brings a change with every tick.
 	refreshPause = 50
-	// slotsPerHome is how many slots one home of a domain serves before the
-	// service gets another there (docs/decisions/homes-per-service.md).
-	slotsPerHome = 240
 	// referenceLifetime is the lifetime that placement gives answers; the
 	// settings scale it.
 	referenceLifetime = 10 * time.Second
@@ -59,6 +57,8 @@
 	generation uint64
 	hosts      []placement.Host
 	homes      map[string][]placement.Host
+	// perDomain is the number of homes in each domain, by service.
+	perDomain map[string]int
 	relaysOf   map[string][]confsync.Peer
 }
 
@@ -100,10 +100,10 @@
 }
 
 func (r *roster) changed() bool {
-	version, generation := r.members.Version(), r.d.board.Generation()
+	version, generation, perDomain := r.members.Version(), r.d.board.Generation(), r.homesPerDomain()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return version != r.version || generation != r.generation
+	return version != r.version || generation != r.generation || !maps.Equal(perDomain, r.perDomain)
 }
 
 // refresh works out the homes of all services and the relays of all domains.
@@ -117,9 +117,9 @@
 	r.mu.Lock()
 	hosts = append(hosts, r.selfLocked())
 	r.mu.Unlock()
-	homes := map[string][]placement.Host{}
+	homes, perDomain := map[string][]placement.Host{}, r.homesPerDomain()
 	for _, s := range r.d.board.Services() {
-		homes[s.Name] = placement.Homes(s.Group(), hosts, homesPerDomain(s))
+		homes[s.Name] = placement.Homes(s.Group(), hosts, max(perDomain[s.Name], 1))
 	}
 	r.mu.Lock()
 	for name, placed := range r.homes {
@@ -129,7 +129,7 @@
 			homes[name] = placed
 		}
 	}
-	r.version, r.generation, r.hosts, r.homes = version, generation, hosts, homes
+	r.version, r.generation, r.hosts, r.homes, r.perDomain = version, generation, hosts, homes, perDomain
 	r.relaysOf = r.relaysIn(hosts)
 	r.mu.Unlock()
 	for _, s := range r.d.board.Services() {
@@ -145,9 +145,10 @@
 // Until then this daemon would serve it alone, and tell no other home what it
 // sees.
 func (r *roster) place(s *blackboard.Service) {
+	perDomain := r.homesPerDomain()[s.Name]
 	r.mu.Lock()
-	homes := placement.Homes(s.Group(), r.hosts, homesPerDomain(s))
-	r.homes[s.Name] = homes
+	homes := placement.Homes(s.Group(), r.hosts, max(perDomain, 1))
+	r.homes[s.Name], r.perDomain[s.Name] = homes, max(perDomain, 1)
 	r.mu.Unlock()
 	r.setHomes(s, homes)
 }
@@ -163,11 +164,22 @@
 	return h
 }
 
-func homesPerDomain(s *blackboard.Service) int {
-	if n := s.Document().Homes.PerDomain; n > 0 {
-		return n
+// homesPerDomain returns the number of homes in each domain, by service.
+func (r *roster) homesPerDomain() map[string]int {
+	services := r.d.board.Services()
+	slots, groups := map[string][]int{}, map[string]string{}
+	for _, s := range services {
+		groups[s.Name] = s.Group()
+		slots[groups[s.Name]] = append(slots[groups[s.Name]], s.Slots())
+	}
+	perDomain := make(map[string]int, len(services))
+	for _, s := range services {
+		perDomain[s.Name] = placement.PerDomain(slots[groups[s.Name]])
+		if n := s.Document().Homes.PerDomain; n > 0 {
+			perDomain[s.Name] = n
+		}
 	}
-	return 1 + s.Slots()/slotsPerHome
+	return perDomain
 }
 
 func (r *roster) relaysIn(hosts []placement.Host) map[string][]confsync.Peer {
@@ -366,12 +378,12 @@
 		return dialect.AddressAnswer{}, verdict.Refuse(404, "unknown-service", "No service has this name.")
 	}
 	d.roster.mu.Lock()
-	hosts := d.roster.hosts
+	hosts, perDomain := d.roster.hosts, max(d.roster.perDomain[q.Service], 1)
 	d.roster.mu.Unlock()
 	a := placement.Addresses(placement.Query{
 		Service: s.Group(), Domain: q.Domain, Caller: q.Caller, Failed: q.Failed, Now: time.Now(),
 		AnyOrder: d.adapter.Dialect.Addresses.AnyOrder,
-	}, hosts, homesPerDomain(s))
+	}, hosts, perDomain)
 	lifetime := scaledLifetime(a.Lifetime, d.dynamic.Load().Addresses.Lifetime)
 	if d.logsDecisions() {
 		d.log.Info().Str("service", q.Service).Str("caller", q.Caller).Str("domain", q.Domain).Strs("failed", q.Failed).
--- a/pkg/placement/homes.go
+++ b/pkg/placement/homes.go
@@ -11,6 +11,25 @@
 // two, so that the loss of one leaves a home in the caller's own domain.
 const DefaultPerDomain = 2
 
+// How many slots one home in each failure domain serves before there is another
+// (docs/decisions/homes-per-service.md): of one service, so that the homes find free
+// slots without waiting for each other, and of all services of a group, so that the
+// processor of a small host can pass on their requests.
+const (
+	slotsPerHome      = 240
+	groupSlotsPerHome = 480
+)
+
+// PerDomain is the number of homes in each failure domain of a group of services,
+// which have the same homes, from the slots of each of them.
+func PerDomain(slots []int) int {
+	most, sum := 0, 0
+	for _, n := range slots {
+		most, sum = max(most, n), sum+n
+	}
+	return 1 + max(most/slotsPerHome, sum/groupSlotsPerHome)
+}
+
 // Purposes keep the scores of different uses independent of each other.
 const (
 	homePurpose  = "home/"
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -108,6 +108,18 @@
 		})
 	})
 
+	// Guards against a group of services whose requests all pass through one small
+	// host in each domain: the three services of 540 slots took more than its
+	// processor could give, and answers and changes came late.
+	DescribeTable("are as many in each domain as the slots of their group ask for",
+		func(slots []int, want int) { Expect(placement.PerDomain(slots)).To(Equal(want)) },
+		Entry("no upstreams yet", nil, 1),
+		Entry("three small services", []int{18, 24, 30}, 1),
+		Entry("three services of one group", []int{135, 189, 216}, 2),
+		Entry("one large service", []int{600}, 3),
+		Entry("a large group", []int{282, 498, 588}, 3),
+	)
+
 	It("moves far less than modulo placement when one of 100 hosts goes", func() {
 		hosts := fleet(100, 1)
 		moved := func(homes func(string, []placement.Host, int) []placement.Host) (n int) {
