--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -287,6 +287,17 @@
 	return d, nil
 }
 
+// RestartDaemon starts a daemon that has ended once more, with the same settings and
+// addresses. AwaitReady waits for it.
+func (f *Fleet) RestartDaemon(d *Daemon) error {
+	p, err := f.start(d.ID, "shallotgladed", "--config", filepath.Join(f.Dir, d.ID+".yaml"))
+	if err != nil {
+		return err
+	}
+	d.Process = p
+	return nil
+}
+
 // seeds returns the settings of up to two running daemons of each domain.
 func (f *Fleet) seeds() string {
 	count := map[string]int{}
--- a/internal/fleettest/process.go
+++ b/internal/fleettest/process.go
@@ -14,6 +14,8 @@
 type Process struct {
 	ID  string
 	cmd *exec.Cmd
+	// log is the file that the output goes to.
+	log string
 
 	done chan struct{}
 	mu   sync.Mutex
@@ -26,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{ID: id, cmd: exec.Command(program, args...), done: make(chan struct{})}
+	p := &Process{ID: id, log: logFile, cmd: exec.Command(program, args...), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		return nil, errors.Wrapf(err, "start %s", id)
@@ -45,6 +47,13 @@
 // Signal sends a signal.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// HasOutput reports whether the process has written anything: before that it may not
+// have run any code of its own, and a signal has its default effect.
+func (p *Process) HasOutput() bool {
+	info, err := os.Stat(p.log)
+	return err == nil && info.Size() > 0
+}
+
 // PID returns the process id.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
