--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -11,7 +11,10 @@
 	"time"
 )
 
-func main() {
+func main() { os.Exit(execute()) }
+
+// execute plays the seeds and returns the exit code.
+func execute() int {
 	bin := flag.String("bin", "bin", "folder of the programs")
 	seeds := flag.Int("seeds", 10, "how many fresh seeds to play")
 	seed := flag.Uint64("seed", 0, "play this seed only")
@@ -39,8 +42,9 @@
 	}
 	fmt.Printf("%d of %d seeds failed\n", failed, len(list))
 	if failed > 0 {
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
 
 // report plays a seed and prints its result; the logs stay if it failed.
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -59,7 +59,7 @@
 	homes      map[string][]placement.Host
 	// perDomain is the number of homes in each domain, by service.
 	perDomain map[string]int
-	relaysOf   map[string][]confsync.Peer
+	relaysOf  map[string][]confsync.Peer
 }
 
 func newRoster(d *Daemon) (*roster, error) {
