--- a/pkg/confsync/boot.go
+++ b/pkg/confsync/boot.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"shallotglade/internal/sleep"
 )
 
 const (
@@ -142,7 +144,7 @@
 // readRoster lists the daemons until it has succeeded once. While the platform is
 // away, the peers that the settings name have to do.
 func (s *Syncer) readRoster(ctx context.Context) {
-	if !sleep(ctx, s.config.RosterDelay) {
+	if !sleep.For(ctx, s.config.RosterDelay) {
 		return
 	}
 	for failures := 0; ctx.Err() == nil; failures++ {
@@ -163,7 +165,7 @@
 		if failures == 0 {
 			s.config.Log.Warn().Err(err).Msg("confsync: list of daemons not read, will retry")
 		}
-		if !sleep(ctx, backoff(failures+1, s.float())) {
+		if !sleep.For(ctx, backoff(failures+1, s.float())) {
 			return
 		}
 	}
--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"shallotglade/internal/sleep"
 	"shallotglade/pkg/document"
 	"shallotglade/pkg/platform"
 )
@@ -134,7 +135,7 @@
 
 func (p *poller) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := p.step(ctx); err != nil && !sleep(ctx, p.backoff()) {
+		if err := p.step(ctx); err != nil && !sleep.For(ctx, p.backoff()) {
 			return
 		}
 	}
@@ -178,7 +179,7 @@
 	if p.prefix == p.syncer.config.Roster {
 		pause = collectRosterPause
 	}
-	sleep(ctx, pause)
+	sleep.For(ctx, pause)
 }
 
 // list takes over all objects under the prefix and marks the missing ones as
--- a/pkg/confsync/push.go
+++ b/pkg/confsync/push.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"shallotglade/internal/sleep"
 	"shallotglade/pkg/platform"
 )
 
@@ -105,7 +106,7 @@
 func (s *Syncer) pushRelay(domain string, peers []Peer, objects []platform.Object) {
 	candidates := append(slices.Clone(s.config.Relays(domain)), peers[:min(relayStandIns, len(peers))]...)
 	s.spawn(func() {
-		if s.config.Thrifty && !sleep(s.background, offerDelay) {
+		if s.config.Thrifty && !sleep.For(s.background, offerDelay) {
 			return
 		}
 		for _, p := range candidates {
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -11,6 +11,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
 
+	"shallotglade/internal/sleep"
 	"shallotglade/pkg/platform"
 )
 
@@ -243,7 +244,7 @@
 			interval = min(interval, bootInterval)
 		}
 		// Jitter keeps daemons that started together from calling in step.
-		if !sleep(ctx, s.jitter(interval)) {
+		if !sleep.For(ctx, s.jitter(interval)) {
 			return
 		}
 		s.Tick(ctx)
@@ -291,15 +292,3 @@
 	defer cancel()
 	return s.config.Transport.Call(ctx, peer, kind, body)
 }
-
-// sleep waits and says whether ctx is still running.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/platform/members.go
+++ b/pkg/platform/members.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"shallotglade/internal/sleep"
 )
 
 // MembersPrefix is the prefix under which WithMembers shows the membership list.
@@ -76,8 +78,8 @@
 			return objects, revision, err
 		}
 		// Members returns at once for revision 0.
-		if err := pause(ctx, min(left, emptyListPoll)); err != nil {
-			return nil, after, err
+		if !sleep.For(ctx, min(left, emptyListPoll)) {
+			return nil, after, ctx.Err()
 		}
 	}
 }
@@ -92,17 +94,6 @@
 	return objects, revision, err
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // objects returns the members that are newer than after, and tombstones of those
 // that have vanished.
 func (s *memberStore) objects(members []Member, revision, after uint64) ([]Object, error) {
--- a/pkg/proxy/attempts.go
+++ b/pkg/proxy/attempts.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"shallotglade/internal/sleep"
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/document"
 	"shallotglade/pkg/retry"
@@ -112,7 +113,7 @@
 			First: len(x.tried) == 0, Tried: tried, Fingerprint: x.fingerprint, Alone: x.alone,
 		})
 		hopeless := choice.Reason == routing.NoUpstream || choice.Reason == routing.AllTried && x.launched == 0
-		if ok || hopeless || !sleep(ctx, busyPause) {
+		if ok || hopeless || !sleep.For(ctx, busyPause) {
 			return attempt, choice, ok
 		}
 		now = time.Now()
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"shallotglade/internal/sleep"
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/claims"
 	"shallotglade/pkg/dialect"
@@ -265,24 +266,13 @@
 			err.RetryAfter = d.RetryAfter
 			return false, refused(err)
 		case poison.Wait:
-			if !sleep(ctx, suspectPoll) {
+			if !sleep.For(ctx, suspectPoll) {
 				return false, refused(verdict.Refuse(503, "suspect-waits", "A copy of this request is running; no time is left to wait for it."))
 			}
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func deadlineOf(ctx context.Context) time.Time {
 	d, _ := ctx.Deadline()
 	return d
--- a/pkg/registration/controller.go
+++ b/pkg/registration/controller.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"shallotglade/internal/sleep"
 	"shallotglade/pkg/platform"
 )
 
@@ -51,7 +52,7 @@
 				c.Log.Warn().Err(err).Msg("registration: entry not written, will retry")
 			}
 			failures++
-			if !sleep(ctx, min(minBackoff<<min(failures, 10), maxBackoff)) {
+			if !sleep.For(ctx, min(minBackoff<<min(failures, 10), maxBackoff)) {
 				return
 			}
 			continue
@@ -125,7 +126,8 @@
 	}
 }
 
-// Leave removes the own entry. A failure leaves it to the other daemons.
+// Leave removes the own entry. After a failure it stays until the next start on the
+// host replaces it.
 func (c *Controller) Leave(ctx context.Context) {
 	c.mu.Lock()
 	c.leaving = true
@@ -134,21 +136,11 @@
 	if version == 0 {
 		return
 	}
-	c.delete(ctx, c.Self.Host, version)
-}
-
-// Remove removes the entry of a host whose daemon has ended.
-func (c *Controller) Remove(ctx context.Context, host string, version uint64) {
-	c.Log.Info().Str("host", host).Uint64("version", version).Msg("registration: removes the entry of a daemon that ended")
-	c.delete(ctx, host, version)
-}
-
-func (c *Controller) delete(ctx context.Context, host string, version uint64) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := c.Store.Delete(ctx, Key(host), version)
+	err := c.Store.Delete(ctx, Key(c.Self.Host), version)
 	if err != nil && !errors.IsAny(err, platform.ErrNotFound, platform.ErrConflict) {
-		c.Log.Warn().Str("host", host).Err(err).Msg("registration: entry not removed")
+		c.Log.Warn().Str("host", c.Self.Host).Err(err).Msg("registration: entry not removed")
 	}
 }
 
@@ -159,14 +151,3 @@
 	}
 	return id
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
