Work out the number of homes for one group when a service is placed

A configuration in force places each of its services, and each placement summed the slots of all upstreams of all services: 380 times 16,000 at the target size. It now sums those of the service's own group. A refresh reads the list of services once for the numbers and the homes, and keeps the number of a service that was placed meanwhile together with its homes; it was lost until the next tick.

--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -100,7 +100,7 @@
 }
 
 func (r *roster) changed() bool {
-	version, generation, perDomain := r.members.Version(), r.d.board.Generation(), r.homesPerDomain()
+	version, generation, perDomain := r.members.Version(), r.d.board.Generation(), homesPerDomain(r.d.board.Services())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return version != r.version || generation != r.generation || !maps.Equal(perDomain, r.perDomain)
@@ -117,16 +117,17 @@
 	r.mu.Lock()
 	hosts = append(hosts, r.selfLocked())
 	r.mu.Unlock()
-	homes, perDomain := map[string][]placement.Host{}, r.homesPerDomain()
-	for _, s := range r.d.board.Services() {
-		homes[s.Name] = placement.Homes(s.Group(), hosts, max(perDomain[s.Name], 1))
+	services := r.d.board.Services()
+	homes, perDomain := map[string][]placement.Host{}, homesPerDomain(services)
+	for _, s := range services {
+		homes[s.Name] = placement.Homes(s.Group(), hosts, perDomain[s.Name])
 	}
 	r.mu.Lock()
 	for name, placed := range r.homes {
 		// A service that came into force meanwhile keeps what place worked out.
 		_, done := homes[name]
 		if _, inForce := r.d.board.Service(name); inForce && !done {
-			homes[name] = placed
+			homes[name], perDomain[name] = placed, r.perDomain[name]
 		}
 	}
 	r.version, r.generation, r.hosts, r.homes, r.perDomain = version, generation, hosts, homes, perDomain
@@ -145,10 +146,13 @@
 // Until then this daemon would serve it alone, and tell no other home what it
 // sees.
 func (r *roster) place(s *blackboard.Service) {
-	perDomain := r.homesPerDomain()[s.Name]
+	group := s.Group()
+	mates := slices.DeleteFunc(r.d.board.Services(), func(o *blackboard.Service) bool { return o != s && o.Group() != group })
+	// A service that has left the board meanwhile has no number.
+	perDomain := max(homesPerDomain(mates)[s.Name], 1)
 	r.mu.Lock()
-	homes := placement.Homes(s.Group(), r.hosts, max(perDomain, 1))
-	r.homes[s.Name], r.perDomain[s.Name] = homes, max(perDomain, 1)
+	homes := placement.Homes(group, r.hosts, perDomain)
+	r.homes[s.Name], r.perDomain[s.Name] = homes, perDomain
 	r.mu.Unlock()
 	r.setHomes(s, homes)
 }
@@ -164,9 +168,9 @@
 	return h
 }
 
-// homesPerDomain returns the number of homes in each domain, by service.
-func (r *roster) homesPerDomain() map[string]int {
-	services := r.d.board.Services()
+// homesPerDomain returns the number of homes in each domain, by service. services
+// holds whole groups.
+func homesPerDomain(services []*blackboard.Service) map[string]int {
 	// slots is by group and domain.
 	slots, groups := map[string]map[string]int{}, map[string]string{}
 	for _, s := range services {
