Sum up the reports of other homes once in a refresh

A refresh of a service summed the reports twice and gave the candidates their load twice. renewCandidatesLocked does the second half alone. Behaviour is as before.

--- a/pkg/blackboard/health.go
+++ b/pkg/blackboard/health.go
@@ -37,7 +37,7 @@
 	}
 	s.rebuildCandidatesLocked()
 	s.dealSlotsLocked()
-	s.refreshLoadLocked(now)
+	s.renewCandidatesLocked(now)
 	var changed []detector.Assessment
 	for _, a := range s.assessments {
 		if a.Condition != before[a.Upstream] {
@@ -91,12 +91,10 @@
 		d, demoted := s.demotions[u.ID]
 		c := routing.Candidate{
 			ID: u.ID, Domain: u.Domain, Slots: u.Slots,
-			Own:     s.inFlight.Own(u.ID),
 			Demoted: demoted, Trial: standing.IdempotentOnly, Share: standing.Share,
 			Listed: u.Listed, ColdUntil: u.ColdUntil,
 			Preference: routing.Preference(s.self, u.ID),
 		}
-		c.Others, c.OthersKnown = s.inFlight.Others(u.ID)
 		if demoted {
 			c.Share = min(c.Share, d.Share)
 		}
--- a/pkg/blackboard/report.go
+++ b/pkg/blackboard/report.go
@@ -202,6 +202,12 @@
 // refreshLoadLocked renews the load of the candidates after a report.
 func (s *Service) refreshLoadLocked(now time.Time) {
 	s.inFlight.Refresh(now, s.reliability.Mean())
+	s.renewCandidatesLocked(now)
+}
+
+// renewCandidatesLocked gives the candidates their load and probability of failing,
+// and the queue the capacity that follows. The load is that of the last Refresh.
+func (s *Service) renewCandidatesLocked(now time.Time) {
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		c.Others, c.OthersKnown = s.inFlight.Others(c.ID)
