--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -40,8 +40,10 @@
 	p.mode = mode
 	p.mu.Unlock()
 	// Bytes that were swallowed are missing from the stream, so that a connection
-	// that was silent does not go on.
-	p.resetAll()
+	// that was silent does not go on when the fault ends.
+	if mode == reset || mode == "" {
+		p.resetAll()
+	}
 }
 
 func (p *proxy) current() kind {
@@ -54,9 +56,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if p.mode == silence || p.mode == cutAnswers || p.mode == delay {
-			continue
-		}
 		abort(c)
 	}
 }
--- a/pkg/platform/caller.go
+++ b/pkg/platform/caller.go
@@ -87,6 +87,9 @@
 	Body   []byte
 }
 
+// OK reports whether the status is a success.
+func (r Reply) OK() bool { return r.Status >= 200 && r.Status <= 299 }
+
 // NewCaller returns a caller; it does not connect yet.
 func NewCaller(c CallerConfig) (*Caller, error) {
 	if len(c.URLs) == 0 {
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -33,8 +33,8 @@
 	addresses AddressBook
 }
 
-// NewServer returns a server on ln; Run serves it.
-// limits returns the bounds of the settings in force.
+// NewServer returns a server on ln; Run serves it. limits returns the bounds of the
+// settings in force.
 func NewServer(ln net.Listener, limits func() settings.Callers, p *Proxy, addresses AddressBook) *Server {
 	s := &Server{proxy: p, addresses: addresses}
 	s.Server = ingress.New(ln, func() ingress.Limits { return limitsOf(limits(), p.Board.Connections()) }, s.handle, p.Log)
@@ -71,7 +71,7 @@
 // handle answers one request of a connection.
 func (s *Server) handle(ctx context.Context, r *ingress.Request, resp *protocol.Response) {
 	if s.addresses != nil && isAddressQuery(s.proxy.Dialect, r) {
-		s.handleAddresses(r, resp)
+		AnswerAddresses(s.proxy.Dialect, s.addresses, r, resp)
 		return
 	}
 	in, problem := s.incoming(r)
@@ -252,10 +252,6 @@
 	return path == d.Addresses.Path && string(r.Header.Method()) == "GET"
 }
 
-func (s *Server) handleAddresses(r *ingress.Request, resp *protocol.Response) {
-	AnswerAddresses(s.proxy.Dialect, s.addresses, r, resp)
-}
-
 // AnswerAddresses answers a caller's question which addresses to use.
 func AnswerAddresses(d *dialect.Dialect, book AddressBook, r *ingress.Request, resp *protocol.Response) {
 	args := r.URI().QueryArgs()
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -26,10 +26,7 @@
 	if gap := at - w.at; gap > buckets || gap < 0 {
 		// A clock that went back starts a new span, in which the repeats count
 		// as just made.
-		made := 0
-		for _, n := range w.repeats {
-			made += n
-		}
+		_, made := w.sums()
 		w.requests, w.repeats = [buckets + 1]int{}, [buckets + 1]int{}
 		if gap < 0 {
 			w.repeats[at%(buckets+1)] = made
@@ -43,7 +40,7 @@
 	}
 }
 
-// sums returns the requests and repeats of the span; advance was called before.
+// sums returns the requests and repeats of the span that ends at the present part.
 func (w *window) sums() (requests, repeats int) {
 	oldest := int((w.at + 1) % (buckets + 1))
 	for i := range w.requests {
