--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -323,17 +323,15 @@
 	return slices.Clone(s.upstreams)
 }
 
-// Slots returns the slots of all upstreams that are not leaving.
-func (s *Service) Slots() int {
+// AddSlots adds the slots of the upstreams, but of leaving ones, by failure domain.
+func (s *Service) AddSlots(byDomain map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
 	for _, u := range s.upstreams {
 		if !u.Leaving {
-			n += u.Slots
+			byDomain[u.Domain] += u.Slots
 		}
 	}
-	return n
 }
 
 // ejects reports whether sick upstreams are ejected by agreement, for which the
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -167,10 +167,15 @@
 // homesPerDomain returns the number of homes in each domain, by service.
 func (r *roster) homesPerDomain() map[string]int {
 	services := r.d.board.Services()
-	slots, groups := map[string][]int{}, map[string]string{}
+	// slots is by group and domain.
+	slots, groups := map[string]map[string]int{}, map[string]string{}
 	for _, s := range services {
-		groups[s.Name] = s.Group()
-		slots[groups[s.Name]] = append(slots[groups[s.Name]], s.Slots())
+		group := s.Group()
+		if slots[group] == nil {
+			slots[group] = map[string]int{}
+		}
+		s.AddSlots(slots[group])
+		groups[s.Name] = group
 	}
 	perDomain := make(map[string]int, len(services))
 	for _, s := range services {
--- a/pkg/placement/homes.go
+++ b/pkg/placement/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,23 +12,24 @@
 // two, so that the loss of one leaves a home in the caller's own domain.
 const DefaultPerDomain = 2
 
-// How many slots one home in each failure domain serves before there is another
-// (docs/decisions/homes-per-service.md): of one service, so that the homes find free
-// slots without waiting for each other, and of all services of a group, so that the
-// processor of a small host can pass on their requests.
-const (
-	slotsPerHome      = 240
-	groupSlotsPerHome = 480
-)
+// slotsPerHome is the number of slots that one home in a failure domain serves well
+// (docs/decisions/homes-per-service.md).
+const slotsPerHome = 64
 
 // PerDomain is the number of homes in each failure domain of a group of services,
-// which have the same homes, from the slots of each of them.
-func PerDomain(slots []int) int {
-	most, sum := 0, 0
+// which have the same homes, from the slots of their upstreams in each domain. One
+// more home halves the load of a small host, but it also divides what is known of the
+// upstreams and the slots of each: the number grows with the square root of the slots.
+func PerDomain(slots map[string]int) int {
+	sum := 0
 	for _, n := range slots {
-		most, sum = max(most, n), sum+n
+		sum += n
+	}
+	if sum == 0 {
+		return 1
 	}
-	return 1 + max(most/slotsPerHome, sum/groupSlotsPerHome)
+	mean := float64(sum) / float64(len(slots))
+	return max(1, int(math.Round(math.Sqrt(mean/slotsPerHome))))
 }
 
 // Purposes keep the scores of different uses independent of each other.
