Log refused peers and lost contact between daemons, and export the totals

A daemon that missed a configuration gave no sign of why: failed handshakes, comparisons and pushes were logged at debug level or only counted in totals that no metric showed. A refused handshake now has a line with the entry that is held, comparisons that begin to fail or succeed again have one each, and the totals of peer and confsync are on the metrics address.

--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -28,6 +28,7 @@
 	peer, ok := s.choosePeer()
 	if ok {
 		ready, err := s.exchange(ctx, peer)
+		s.compared(peer, err)
 		if err != nil {
 			s.digestErrors.Add(1)
 			s.config.Log.Debug().Err(err).Str("peer", peer.Address).Msg("confsync: digest comparison failed")
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -126,6 +126,8 @@
 	randMu sync.Mutex
 	boot   *bootState
 	link   *link
+	// contact is whether comparisons with other daemons succeed.
+	contact contact
 
 	pushErrors, digestErrors, dropped, platformErrors atomic.Uint64
 }
@@ -175,6 +177,7 @@
 	s.background, s.stop = context.WithCancel(context.Background())
 	s.boot = newBootState(c.Now(), c.Prefixes, c.Roster == "")
 	s.link = newLink()
+	s.contact.succeeded = c.Now()
 	return s, nil
 }
 
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"shallotglade/pkg/admin"
 	"shallotglade/pkg/blackboard"
@@ -36,6 +37,13 @@
 	kindStatus  = "status"
 )
 
+// refusedLogRate, in lines a second, and refusedLogBurst bound the lines about
+// refused daemons: each of them tries again several times a second.
+const (
+	refusedLogRate  = 2
+	refusedLogBurst = 20
+)
+
 // Daemon is one running daemon.
 type Daemon struct {
 	settings *settings.Settings
@@ -64,6 +72,9 @@
 	// questions answer callers' questions on listeners of their own.
 	questions []*ingress.Server
 
+	// refusedLog bounds the log lines about refused daemons.
+	refusedLog *rate.Limiter
+
 	serving   atomic.Bool
 	leave     chan struct{}
 	leaveOnce sync.Once
@@ -72,7 +83,10 @@
 // New opens the ports of a daemon and prepares its parts. adapters are the
 // adapters that the settings may name besides the native one.
 func New(s *settings.Settings, adapters map[string]AdapterFactory, log zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, metrics: telemetry.NewMetrics(), leave: make(chan struct{})}
+	d := &Daemon{
+		settings: s, log: log, metrics: telemetry.NewMetrics(), leave: make(chan struct{}),
+		refusedLog: rate.NewLimiter(refusedLogRate, refusedLogBurst),
+	}
 	d.dynamic.Store(s.Dynamic())
 	d.log.Info().Str("version", Version()).Str("host", s.Host).Str("region", s.Region).Str("domain", s.Domain).
 		Str("adapter", s.Platform.Adapter).Strs("platform", s.Platform.Addresses).Int("seeds", len(s.Peers.Seeds)).
@@ -103,6 +117,7 @@
 	if err := d.provisionPath(); err != nil {
 		return err
 	}
+	d.registerTotals()
 	return d.provisionServers()
 }
 
@@ -137,6 +152,7 @@
 			}
 			return ""
 		}
+		config.Registered.OnMismatch = d.refusedPeer
 	} else {
 		config.Credentials = d.credentials()
 	}
--- /dev/null
+++ b/pkg/daemon/metrics.go
@@ -0,0 +1,31 @@
+package daemon
+
+import "shallotglade/pkg/registration"
+
+// registerTotals registers the totals that the parts of the daemon keep.
+func (d *Daemon) registerTotals() {
+	for _, t := range []struct {
+		name, help string
+		value      func() uint64
+	}{
+		{"peer_dials_total", "Handshakes begun with other daemons.", func() uint64 { return d.node.Stats().Dials }},
+		{"peer_dial_errors_total", "Handshakes begun with other daemons that failed.", func() uint64 { return d.node.Stats().DialErrors }},
+		{"sync_comparison_errors_total", "Failed comparisons of copies with other daemons.", func() uint64 { return d.syncer.Stats().DigestErrors }},
+		{"sync_push_errors_total", "Changes that another daemon did not acknowledge.", func() uint64 { return d.syncer.Stats().PushErrors }},
+		{"sync_pushes_dropped_total", "Changes not sent because too many were in progress.", func() uint64 { return d.syncer.Stats().Dropped }},
+		{"sync_platform_errors_total", "Failed lists and watches at the platform.", func() uint64 { return d.syncer.Stats().PlatformErrors }},
+	} {
+		d.metrics.RegisterTotal(t.name, t.help, t.value)
+	}
+}
+
+// refusedPeer takes the id that the certificate of a refused daemon names.
+func (d *Daemon) refusedPeer(id string) {
+	d.metrics.PeersRefused.Inc()
+	if !d.refusedLog.Allow() {
+		return
+	}
+	held, _ := d.catalog.Daemon(registration.HostOf(id))
+	d.log.Warn().Str("peer", id).Str("held", held.ID).Uint64("held_version", held.Version).
+		Msg("peer: refused a daemon whose key is not the registered one")
+}
--- a/pkg/peer/registered.go
+++ b/pkg/peer/registered.go
@@ -23,6 +23,11 @@
 	// KeyOf returns the hash of the public key of a daemon, or an empty text
 	// when the daemon is not known.
 	KeyOf func(id string) string
+	// OnMismatch is called, in a handshake, with the id that a peer's certificate
+	// names when the peer is refused because KeyOf does not return its key. TLS
+	// has shown that the peer holds the private key, and nothing else about it.
+	// It must not block; nil means that nobody is told.
+	OnMismatch func(id string)
 
 	pair tls.Certificate
 	hash string
@@ -93,11 +98,14 @@
 		return err
 	}
 	entered := r.KeyOf(id)
+	if entered == keyHash(cert) {
+		return nil
+	}
+	if r.OnMismatch != nil {
+		r.OnMismatch(id)
+	}
 	if entered == "" {
 		return errors.Newf("daemon %s is not registered here", id)
 	}
-	if entered != keyHash(cert) {
-		return errors.Newf("the key of daemon %s is not the registered one", id)
-	}
-	return nil
+	return errors.Newf("the key of daemon %s is not the registered one", id)
 }
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -38,6 +38,8 @@
 	PlatformUp prometheus.Gauge
 	// Peers counts other daemons by state.
 	Peers *prometheus.GaugeVec
+	// PeersRefused counts handshakes with daemons whose key is not registered here.
+	PeersRefused prometheus.Counter
 }
 
 // NewMetrics registers the metrics.
@@ -59,14 +61,21 @@
 	m.ConfigurationsRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "configurations_refused_total", Help: "Configurations that could not be put in force."})
 	m.PlatformUp = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "platform_up", Help: "Whether the platform answered the last call of this daemon."})
 	m.Peers = gauge("peers", "Other daemons by state.", "state")
+	m.PeersRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "peers_refused_total", Help: "Handshakes with daemons whose key is not registered here."})
 	m.Registry.MustRegister(m.Requests, m.RequestSeconds, m.AddedSeconds, m.Attempts, m.Hedges, m.Refusals, m.Forwards, m.InFlight,
-		m.Standings, m.Ejections, m.DocumentVersion, m.ConfigurationVersion, m.ConfigurationsRefused, m.PlatformUp, m.Peers,
+		m.Standings, m.Ejections, m.DocumentVersion, m.ConfigurationVersion, m.ConfigurationsRefused, m.PlatformUp, m.Peers, m.PeersRefused,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
 const namespace = "shallotglade"
 
+// RegisterTotal registers a counter whose value another package keeps.
+func (m *Metrics) RegisterTotal(name, help string, value func() uint64) {
+	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help},
+		func() float64 { return float64(value()) }))
+}
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
