Open the peer port without a race for the list of daemons

The peer port is open before the catalog exists, and a handshake that arrives in between reads Daemon.catalog while New sets it: the race detector reports it in 3 of 8 runs of the restart tests, and a nil catalog would end the process. A daemon that has not read the list of daemons knows no key anyway: keyOf now says so until rostered is set, and setting it orders the catalog before its use.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -69,6 +69,9 @@
 	admin   *admin.Server
 
 	registration *registration.Controller
+	// rostered is set when the list of daemons was read. Handshakes may come
+	// before, and before the parts that hold the list exist.
+	rostered atomic.Bool
 	// questions answer callers' questions on listeners of their own.
 	questions []*ingress.Server
 
@@ -146,13 +149,7 @@
 		if config.Registered, err = peer.NewRegistered(registration.NewID(d.settings.Host)); err != nil {
 			return err
 		}
-		config.Registered.KeyOf = func(id string) string {
-			if m, ok := d.catalog.Daemon(registration.HostOf(id)); ok && m.ID == id {
-				return m.PeerKey
-			}
-			return ""
-		}
-		config.Registered.OnMismatch = d.refusedPeer
+		config.Registered.KeyOf, config.Registered.OnMismatch = d.keyOf, d.refusedPeer
 	} else {
 		config.Credentials = d.credentials()
 	}
@@ -210,7 +207,7 @@
 		Log:       d.log,
 	}
 	if d.adapter.Registers {
-		config.Roster, config.OnRoster = platform.DaemonsPrefix, d.roster.refresh
+		config.Roster, config.OnRoster = platform.DaemonsPrefix, d.rosterRead
 		config.Alone = smallFleetStart
 		if d.settings.FirstStart {
 			// One daemon of each domain lists the platform for all others.
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -1,7 +1,5 @@
 package daemon
 
-import "shallotglade/pkg/registration"
-
 // registerTotals registers the totals that the parts of the daemon keep.
 func (d *Daemon) registerTotals() {
 	for _, t := range []struct {
@@ -18,14 +16,3 @@
 		d.metrics.RegisterTotal(t.name, t.help, t.value)
 	}
 }
-
-// refusedPeer takes the id that the certificate of a refused daemon names.
-func (d *Daemon) refusedPeer(id string) {
-	d.metrics.PeersRefused.Inc()
-	if !d.refusedLog.Allow() {
-		return
-	}
-	held, _ := d.catalog.Daemon(registration.HostOf(id))
-	d.log.Warn().Str("peer", id).Str("held", held.ID).Uint64("held_version", held.Version).
-		Msg("peer: refused a daemon whose key is not the registered one")
-}
--- /dev/null
+++ b/pkg/daemon/trust.go
@@ -0,0 +1,33 @@
+package daemon
+
+import "shallotglade/pkg/registration"
+
+// keyOf returns the registered key of a daemon, or an empty text.
+func (d *Daemon) keyOf(id string) string {
+	if !d.rostered.Load() {
+		return ""
+	}
+	if m, ok := d.catalog.Daemon(registration.HostOf(id)); ok && m.ID == id {
+		return m.PeerKey
+	}
+	return ""
+}
+
+// rosterRead takes over the list of daemons that was read.
+func (d *Daemon) rosterRead() {
+	d.rostered.Store(true)
+	d.roster.refresh()
+}
+
+// refusedPeer takes the id that the certificate of a refused daemon names.
+func (d *Daemon) refusedPeer(id string) {
+	d.metrics.PeersRefused.Inc()
+	if !d.rostered.Load() {
+		return
+	}
+	if d.refusedLog.Allow() {
+		held, _ := d.catalog.Daemon(registration.HostOf(id))
+		d.log.Warn().Str("peer", id).Str("held", held.ID).Uint64("held_version", held.Version).
+			Msg("peer: refused a daemon whose key is not the registered one")
+	}
+}
