Look up the entry of a daemon that is refused for its key

Cause: keys are made anew at each start and are trusted by the list of daemons. After a restart of the whole fleet, a daemon that had read the list before others had entered their keys refused them in both directions, so that no push and no comparison could bring it their entries. Being ready and no relay, it did not ask the platform again.

A daemon that refuses another one now reads that daemon's entry from the platform, unless it arrives within 250 ms as after every ordinary start, and compares copies with it. TLS has proved the key of the other by then, so that a read is made only for a daemon that runs, one every 250 ms at most. This does not depend on whose restart, how many or in which order, nor on who is a relay.

--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -25,20 +25,29 @@
 // Tick compares digests with one peer. Run calls it at each interval; tests
 // call it themselves.
 func (s *Syncer) Tick(ctx context.Context) {
-	peer, ok := s.choosePeer()
-	if ok {
-		ready, err := s.exchange(ctx, peer)
-		s.compared(peer, err)
-		if err != nil {
-			s.digestErrors.Add(1)
-			s.config.Log.Debug().Err(err).Str("peer", peer.Address).Msg("confsync: digest comparison failed")
-		} else if ready {
-			s.boot.exchanged(peer)
-		}
+	if peer, ok := s.choosePeer(); ok {
+		s.compareWith(ctx, peer)
 	}
 	s.checkReady(ctx)
 }
 
+// Compare compares digests with a peer that may hold changes which could not reach
+// this daemon before. It does not wait for the end.
+func (s *Syncer) Compare(peer Peer) {
+	s.spawn(func() { s.compareWith(s.background, peer) })
+}
+
+func (s *Syncer) compareWith(ctx context.Context, peer Peer) {
+	ready, err := s.exchange(ctx, peer)
+	s.compared(peer, err)
+	if err != nil {
+		s.digestErrors.Add(1)
+		s.config.Log.Debug().Err(err).Str("peer", peer.Address).Msg("confsync: digest comparison failed")
+	} else if ready {
+		s.boot.exchanged(peer)
+	}
+}
+
 // randomShare is the share of comparisons with any peer instead of a near one,
 // so that near peers that form a group of their own cannot stay behind.
 const randomShare = 1.0 / 8
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -69,6 +69,8 @@
 	admin   *admin.Server
 
 	registration *registration.Controller
+	// lookup is nil unless daemons enter themselves.
+	lookup *registration.Lookup
 	// rostered is set when the list of daemons was read. Handshakes may come
 	// before, and before the parts that hold the list exist.
 	rostered atomic.Bool
@@ -192,6 +194,7 @@
 		d.registration = &registration.Controller{Store: d.store, Self: d.self, Log: d.log}
 		d.registration.Provision()
 		d.catalog.OnEntry(d.registration.Seen)
+		d.provisionLookup()
 	}
 	var err error
 	config := confsync.Config{
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -29,7 +29,7 @@
 	var background sync.WaitGroup
 	runs := []func(context.Context){d.syncer.Run, d.roster.run, d.health.Run}
 	if d.registration != nil {
-		runs = append(runs, d.registration.Run)
+		runs = append(runs, d.registration.Run, d.lookup.Run)
 	}
 	for _, run := range runs {
 		background.Add(1)
--- a/pkg/daemon/trust.go
+++ b/pkg/daemon/trust.go
@@ -1,6 +1,10 @@
 package daemon
 
-import "shallotglade/pkg/registration"
+import (
+	"shallotglade/pkg/confsync"
+	"shallotglade/pkg/platform"
+	"shallotglade/pkg/registration"
+)
 
 // keyOf returns the registered key of a daemon, or an empty text.
 func (d *Daemon) keyOf(id string) string {
@@ -19,15 +23,32 @@
 	d.roster.refresh()
 }
 
-// refusedPeer takes the id that the certificate of a refused daemon names.
+// refusedPeer takes the id that the certificate of a refused daemon names. The
+// daemon may have started after the list of daemons was read here.
 func (d *Daemon) refusedPeer(id string) {
 	d.metrics.PeersRefused.Inc()
 	if !d.rostered.Load() {
 		return
 	}
+	d.lookup.Request(id)
 	if d.refusedLog.Allow() {
 		held, _ := d.catalog.Daemon(registration.HostOf(id))
 		d.log.Warn().Str("peer", id).Str("held", held.ID).Uint64("held_version", held.Version).
 			Msg("peer: refused a daemon whose key is not the registered one")
 	}
 }
+
+func (d *Daemon) provisionLookup() {
+	d.lookup = &registration.Lookup{
+		Store: d.store, Log: d.log,
+		Held: func(host string) string {
+			m, _ := d.catalog.Daemon(host)
+			return m.ID
+		},
+		Apply: func(o platform.Object) { d.replica.Apply(o) },
+		Found: func(m platform.Member) {
+			d.syncer.Compare(confsync.Peer{Address: m.PeerAddress, Domain: m.Domain})
+		},
+	}
+	d.lookup.Provision()
+}
