Hand retries over when the homes of a service change

Cause: a change of weights took services out of a group and moved all three homes of wheel-roster at once, at 21.15 s, while nine of ten upstreams shed most requests from 13 s on. All repeats were sends after not-run answers, each was paid for at a home's own budget, and none went around it. The homes before had spent what the span allowed (163 and 162 repeats); the three new homes began with an empty window and a whole part of the allowance each, and added 43 and 37 repeats in 0.9 s. The reserve of a fifth of the allowance is less than the part of one home.

A daemon that stops being a home now hands its counts of the span and its part of the allowance to the homes, each an equal share, in one acknowledged report. A part of the allowance that has grown is in force as far as it was handed over, or a span after the change. So the sums over all daemons are the same before and after a change of homes, and callers of the new homes get the further attempts that are left at once. Requests still under way at the old home keep what they have paid. A home that starts again without word of the span before has no allowance for a span.

A property test changes the homes at random. TestRetriesOfFleet places its homes a span earlier, when their allowance is in force, and now also requires that it can be spent.

--- a/internal/bench/capacity/main.go
+++ b/internal/bench/capacity/main.go
@@ -223,7 +223,7 @@
 			homes = append(homes, routing.Home{ID: h.ID, Domain: h.Domain})
 		}
 	}
-	svc.SetHomes(homes)
+	svc.SetHomes(time.Now(), homes)
 	svc.Refresh(time.Now())
 	attempt := func() {
 		now := time.Now()
--- a/pkg/blackboard/blackboard_test.go
+++ b/pkg/blackboard/blackboard_test.go
@@ -244,7 +244,7 @@
 			x := &interleaving{t: t, board: blackboard.New("d1", "fes"), now: time.Unix(1_000_000, 0), marked: map[string]bool{}}
 			x.putDocument()
 			x.s, _ = x.board.Service("s")
-			x.s.SetHomes([]routing.Home{{ID: "d1", Domain: "fes"}})
+			x.s.SetHomes(x.now, []routing.Home{{ID: "d1", Domain: "fes"}})
 			for range rapid.IntRange(5, 60).Draw(t, "steps") {
 				x.step()
 			}
--- a/pkg/blackboard/pressure_test.go
+++ b/pkg/blackboard/pressure_test.go
@@ -33,7 +33,8 @@
 		board := New(fmt.Sprintf("d%d", i), "a")
 		board.PutDocument(d, 1, nil)
 		s, _ := board.Service("s")
-		s.SetHomes(homes)
+		// The homes' allowance comes into force a span later.
+		s.SetHomes(now.Add(-10*time.Second), homes)
 		s.budget.Request(now)
 		requests++
 		for s.budget.Decide(now, retry.Attempt{Verdict: verdict.NotRun, Attempts: 1, TimeLeft: time.Second}).Retry {
@@ -43,6 +44,9 @@
 	if float64(repeats) > ratio*float64(requests)+allowance {
 		t.Fatalf("%d repeats for %d requests", repeats, requests)
 	}
+	if float64(repeats) < homesAllowance*allowance-float64(len(homes)) {
+		t.Fatalf("%d repeats, although the homes may use an allowance of %v", repeats, homesAllowance*allowance)
+	}
 }
 
 // TestPressure guards against a service that spreads its work for good after one
--- a/pkg/blackboard/report.go
+++ b/pkg/blackboard/report.go
@@ -11,6 +11,7 @@
 	"shallotglade/pkg/detector"
 	"shallotglade/pkg/poison"
 	"shallotglade/pkg/reliability"
+	"shallotglade/pkg/retry"
 	"shallotglade/pkg/routing"
 )
 
@@ -32,6 +33,8 @@
 	Snapshots []SnapshotReport `cbor:"8,keyasint,omitempty"`
 	// Ended is how many requests have ended at the home in the last two seconds.
 	Ended Tally `cbor:"9,keyasint"`
+	// Retries is sent once by a daemon that is no longer a home.
+	Retries retry.HandOver `cbor:"10,keyasint,omitempty"`
 }
 
 // SnapshotReport is what a home knows of an upstream.
@@ -100,6 +103,9 @@
 	if err := strict.Unmarshal(b, &r); err != nil {
 		return Report{}, errors.Mark(err, ErrReport)
 	}
+	if !r.Retries.Valid() {
+		return Report{}, errors.Mark(errors.New("blackboard: handed over counts out of range"), ErrReport)
+	}
 	if len(r.Poison) > 0 {
 		if _, err := poison.DecodeSummary(r.Poison); err != nil {
 			return Report{}, errors.Mark(err, ErrReport)
@@ -131,6 +137,16 @@
 	return r, said
 }
 
+// HandOver returns this daemon's last report as a home, with the retries that the
+// homes take over, and whether there are any.
+func (s *Service) HandOver(now time.Time) (Report, bool) {
+	r, _ := s.Report(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.Retries, s.retries = s.retries, retry.HandOver{}
+	return r, !r.Retries.Empty()
+}
+
 // snapshotsLocked returns what this home knows, once after a home was added.
 func (s *Service) snapshotsLocked(now time.Time) []SnapshotReport {
 	if !s.homeAdded {
@@ -165,6 +181,7 @@
 	}
 	s.inFlight.Merge(now, home, r.Load)
 	s.pressure.merge(now, home, r.Ended)
+	s.budget.TakeOver(now, r.Retries)
 	s.mergeOutcomesLocked(now, home, r.Outcomes, r.Snapshots)
 	if summary, err := poison.DecodeSummary(r.Poison); err == nil {
 		s.forgiveLocked(now, s.poison.Merge(now, summary).Forgiven)
--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -90,8 +90,10 @@
 	attempts map[uint64]*Attempt
 	nextID   uint64
 	budget   *retry.Budget
-	poison   *poison.Tracker
-	rng      *rand.Rand
+	// retries is what the homes have still to be handed over.
+	retries retry.HandOver
+	poison  *poison.Tracker
+	rng     *rand.Rand
 }
 
 func newService(d *document.Service, self, domain string) *Service {
@@ -149,7 +151,7 @@
 	}
 	s.document, s.version, s.unknown = d, version, unknown
 	s.judge.SetTuning(detector.TuningFor(d.Detection.Weight))
-	s.budget.SetPolicy(s.retryPolicyLocked())
+	s.budget.SetPolicy(time.Now(), s.retryPolicyLocked())
 	s.Gate.SetPolicy(gatePolicy(d))
 	if static := d.Upstreams.Static; len(static) > 0 {
 		s.setUpstreamsLocked(time.Now(), staticUpstreams(static))
@@ -171,8 +173,8 @@
 }
 
 // homesAllowance is the part of a fleet's allowance of retries that the homes share.
-// Homes that change leave two sets of homes for a moment, which may spend their parts
-// in one span. Daemons that are no homes repeat only what the requests that they
+// What a killed home has spent is not known to the others, and daemons with different
+// views of the fleet have two sets of homes. Daemons that are no homes repeat only what the requests that they
 // serve pay for: a part for each of a hundred would exceed the allowance.
 const homesAllowance = 0.8
 
@@ -195,14 +197,18 @@
 
 // SetHomes tells which daemons are the service's homes; only their ids and
 // domains are looked at.
-func (s *Service) SetHomes(homes []routing.Home) {
+func (s *Service) SetHomes(now time.Time, homes []routing.Home) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	was := s.isHomeLocked()
 	if slices.ContainsFunc(homes, func(h routing.Home) bool { return h.ID != s.self && !slices.Contains(s.homes, h) }) {
 		s.homeAdded = true
 	}
 	s.homes = homes
-	s.budget.SetPolicy(s.retryPolicyLocked())
+	if was && !s.isHomeLocked() {
+		s.retries = s.budget.HandOver(now, len(homes), len(s.attempts))
+	}
+	s.budget.SetPolicy(now, s.retryPolicyLocked())
 	s.poison.SetHomes(s.homeIDsLocked())
 }
 
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -220,9 +220,12 @@
 	for i, h := range homes {
 		list[i] = routing.Home{ID: h.ID, Domain: h.Domain}
 	}
-	s.SetHomes(list)
+	s.SetHomes(time.Now(), list)
 	if is := s.IsHome(); is != was {
 		r.d.log.Info().Str("service", s.Name).Bool("home", is).Int("homes", len(homes)).Msg("placement: role changed")
+		if was {
+			r.d.health.HandOver(s)
+		}
 	}
 }
 
--- a/pkg/health/controller.go
+++ b/pkg/health/controller.go
@@ -154,10 +154,29 @@
 
 // ShareNow implements the request path's notification.
 func (c *Controller) ShareNow(ctx context.Context, s *blackboard.Service) {
-	body, ok := c.encodeReport(s)
-	if !ok {
-		return
+	if body, ok := c.encodeReport(s); ok {
+		c.tell(ctx, s, body)
 	}
+}
+
+// HandOver passes what this daemon counted to the homes, once it is no longer one of
+// them. What is lost on the way delays the allowance of the new homes.
+func (c *Controller) HandOver(s *blackboard.Service) {
+	c.background(func() {
+		r, any := s.HandOver(time.Now())
+		if !any {
+			return
+		}
+		if body, ok := c.encode(s, r); ok {
+			c.Log.Info().Str("service", s.Name).Int("parts", len(r.Retries.Parts)).Float64("allowance", r.Retries.Allowance).
+				Msg("retry: counts handed over to the homes")
+			c.tell(context.Background(), s, body)
+		}
+	})
+}
+
+// tell sends a report to the other homes and waits until they have it.
+func (c *Controller) tell(ctx context.Context, s *blackboard.Service, body []byte) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -297,6 +316,10 @@
 	if !said {
 		return nil, false
 	}
+	return c.encode(s, r)
+}
+
+func (c *Controller) encode(s *blackboard.Service, r blackboard.Report) ([]byte, bool) {
 	r.Home = c.Board.Self()
 	body, err := blackboard.EncodeReport(r)
 	if err != nil {
@@ -315,6 +338,10 @@
 		return
 	}
 	if s, ok := c.Board.Service(r.Service); ok {
+		if !r.Retries.Empty() {
+			c.Log.Info().Str("service", s.Name).Str("home", r.Home).Int("parts", len(r.Retries.Parts)).Float64("allowance", r.Retries.Allowance).
+				Msg("retry: counts taken over")
+		}
 		s.Merge(time.Now(), r.Home, r)
 	}
 }
--- a/pkg/health/health_test.go
+++ b/pkg/health/health_test.go
@@ -81,7 +81,7 @@
 		Expect(problems).To(BeEmpty())
 		board.PutDocument(d, 1, nil)
 		s, _ = board.Service("s")
-		s.SetHomes([]routing.Home{{ID: "d1", Domain: "fes"}})
+		s.SetHomes(time.Now(), []routing.Home{{ID: "d1", Domain: "fes"}})
 		var list []blackboard.Upstream
 		for _, id := range ids {
 			list = append(list, blackboard.Upstream{ID: id, Address: "127.0.0.1:1", Domain: "fes", Slots: 3})
@@ -136,6 +136,49 @@
 		return value
 	}
 
+	// Guards against new homes that do not hear what this home has spent of the retries
+	// of the present span, and spend the allowance again.
+	It("hands the retries over to the homes that follow it, once", func() {
+		next := []health.Peer{{ID: "d2", Address: "a2"}, {ID: "d3", Address: "a3"}}
+		c.Homes = func(string) []health.Peer { return next }
+		var mu sync.Mutex
+		told := map[string][]byte{}
+		c.Tell = func(_ context.Context, to health.Peer, body []byte) error {
+			mu.Lock()
+			defer mu.Unlock()
+			told[to.ID] = body
+			return nil
+		}
+		d, problems := document.Parse("s.yaml", []byte("service: s\nretries: {budget: 20%, window: 10s, allowance: 30}"))
+		Expect(problems).To(BeEmpty())
+		s.SetHomes(time.Now(), nil)
+		board.PutDocument(d, 2, nil)
+		now := time.Now()
+		s.SetHomes(now.Add(-10*time.Second), []routing.Home{{ID: "d1", Domain: "fes"}})
+		a, _, ok := s.Begin(now, blackboard.AttemptRequest{First: true})
+		Expect(ok).To(BeTrue())
+		s.End(now, a, upstream.Result{Kind: upstream.Success, Response: &upstream.Response{Status: 200}})
+		run()
+		s.SetHomes(now, []routing.Home{{ID: "d2", Domain: "fes"}, {ID: "d3", Domain: "fes"}})
+		c.HandOver(s)
+		heard := func() int {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(told)
+		}
+		Eventually(heard).Should(Equal(len(next)))
+		for _, body := range told {
+			r, err := blackboard.DecodeReport(body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.Home).To(Equal("d1"))
+			Expect(r.Retries.Allowance).To(BeNumerically(">", 0))
+			Expect(r.Retries.Parts).To(HaveLen(1))
+			Expect(r.Retries.Parts[0].Requests).To(Equal(0.5))
+		}
+		_, again := s.HandOver(now)
+		Expect(again).To(BeFalse())
+	})
+
 	// Guards against an ejection that this home does not know of because the
 	// reply was lost: it would go on sending work, or eject again.
 	It("takes over an ejection whose reply was lost", func() {
--- a/pkg/proxy/bench_test.go
+++ b/pkg/proxy/bench_test.go
@@ -38,7 +38,7 @@
 func asHome(p *proxy.Proxy, self string) *blackboard.Service {
 	s, ok := p.Board.Service("orders")
 	Expect(ok).To(BeTrue())
-	s.SetHomes([]routing.Home{{ID: self, Domain: "fes"}})
+	s.SetHomes(time.Now(), []routing.Home{{ID: self, Domain: "fes"}})
 	s.Refresh(time.Now())
 	return s
 }
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -100,7 +100,7 @@
 	board := blackboard.New(self, "fes")
 	Expect(board.PutDocument(doc, 1, nil)).To(BeTrue())
 	s, _ := board.Service(doc.Service)
-	s.SetHomes([]routing.Home{{ID: "home-1", Domain: "fes"}, {ID: "home-2", Domain: "fes"}})
+	s.SetHomes(time.Now(), []routing.Home{{ID: "home-1", Domain: "fes"}, {ID: "home-2", Domain: "fes"}})
 	var list []blackboard.Upstream
 	for i := range 4 {
 		list = append(list, blackboard.Upstream{ID: fmt.Sprintf("w%d", i), Address: fmt.Sprintf("127.0.0.1:%d", i+1), Domain: "fes", Slots: 3})
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"shallotglade/pkg/verdict"
@@ -30,7 +31,9 @@
 	// retries: in every span of this length at most Ratio times its requests
 	// plus Allowance are retries. 0 means saved-up retries.
 	Window time.Duration
-	// Allowance is this home's part of the retries that a span allows besides.
+	// Allowance is this home's part of the retries that a span allows besides. A
+	// larger part than before is in force only a span later, or as far as the
+	// homes before have handed theirs over.
 	Allowance float64
 	// MaxAttempts limits the attempts of one request, the first included.
 	MaxAttempts int
@@ -115,19 +118,45 @@
 	policy Policy
 	tokens float64
 	window window
+	// allowance is what was granted so far of policy.Allowance, or was handed over
+	// to this daemon before it became a home, at takenAt.
+	allowance float64
+	takenAt   time.Time
+	// fullAt is when the whole of policy.Allowance is granted: what the homes before
+	// have spent is then outside the span.
+	fullAt time.Time
 }
 
 // NewBudget returns an empty budget: an initial credit would allow more than
-// Ratio at a home that has just started, when many homes start at once.
-func NewBudget(p Policy) *Budget { return &Budget{policy: p, window: window{span: p.Window}} }
+// Ratio at a home that has just started, when many homes start at once. The
+// allowance of a span is in force.
+func NewBudget(p Policy) *Budget {
+	return &Budget{policy: p, window: window{span: p.Window}, allowance: p.Allowance}
+}
 
 // SetPolicy changes the limits; what was saved stays up to the new burst.
-func (b *Budget) SetPolicy(p Policy) {
-	b.policy = p
+func (b *Budget) SetPolicy(now time.Time, p Policy) {
 	b.tokens = min(b.tokens, p.Burst)
-	if b.window.span != p.Window {
-		b.window = window{span: p.Window}
+	switch before := b.granted(now); {
+	case b.window.span != p.Window:
+		b.window, b.allowance, b.fullAt = window{span: p.Window}, 0, now.Add(p.Window)
+	case p.Allowance > b.policy.Allowance:
+		if b.policy.Allowance > 0 || now.Sub(b.takenAt) > p.Window {
+			b.allowance = before
+		}
+		b.fullAt = now.Add(p.Window)
+	case p.Allowance < b.policy.Allowance:
+		b.allowance = min(before, p.Allowance)
+	}
+	b.policy = p
+}
+
+// granted is the part of the allowance that is in force.
+func (b *Budget) granted(now time.Time) float64 {
+	if now.Before(b.fullAt) {
+		return min(b.allowance, b.policy.Allowance)
 	}
+	return b.policy.Allowance
 }
 
 // Request counts the first dispatch of a request.
@@ -142,7 +171,7 @@
 // Available is the number of retries that may be made now.
 func (b *Budget) Available(now time.Time) int {
 	if b.policy.Window > 0 {
-		return max(b.window.left(now, b.policy), 0)
+		return max(int(math.Floor(b.left(now)+rounding)), 0)
 	}
 	return int(b.tokens + rounding)
 }
@@ -153,12 +182,25 @@
 // Scarce reports whether few of the retries that a span allows are left.
 func (b *Budget) Scarce(now time.Time) bool {
 	if b.policy.Window > 0 {
-		requests, _ := b.window.sums()
-		return float64(b.window.left(now, b.policy)) < scarcePart*(b.policy.Ratio*float64(requests)+b.policy.Allowance)
+		return b.left(now) < scarcePart*b.allowed(now)
 	}
 	return b.tokens < scarcePart*b.policy.Burst
 }
 
+// allowed is how many attempts the present span allows to repeat.
+func (b *Budget) allowed(now time.Time) float64 {
+	b.window.advance(now)
+	requests, _ := b.window.sums()
+	return b.policy.Ratio*requests + b.granted(now)
+}
+
+// left is how many of them are left.
+func (b *Budget) left(now time.Time) float64 {
+	allowed := b.allowed(now)
+	_, repeats := b.window.sums()
+	return allowed - repeats
+}
+
 // pay counts a retry.
 func (b *Budget) pay(now time.Time) {
 	if b.policy.Window > 0 {
--- a/pkg/retry/doc.go
+++ b/pkg/retry/doc.go
@@ -12,5 +12,6 @@
 // including those after an upstream has shed the request, so that attempts
 // never exceed (1 + Ratio) times the requests since the start of the budget. With
 // Policy.Window set, the bound holds in every span of that length instead; each
-// home of a service then has its part of the fleet's Allowance.
+// home of a service then has its part of the fleet's Allowance, and a daemon that is
+// no longer a home calls HandOver for what each of the homes gets by TakeOver.
 package retry
--- a/pkg/retry/window_test.go
+++ b/pkg/retry/window_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -71,6 +72,76 @@
 		})
 	})
 
+	// Guards against an allowance that is spent by the homes before and by those that
+	// take over, whichever daemons they are and however often they change: after a
+	// change of all homes 206 attempts were repeated where 185 were allowed.
+	It("is kept in every span when homes change and hand over", func() {
+		testkit.Check(GinkgoT(), func(t *rapid.T) {
+			const daemons = 8
+			rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+			budgets := make([]*retry.Budget, daemons)
+			for i := range budgets {
+				budgets[i] = retry.NewBudget(retry.Policy{Ratio: ratio, Window: span, MaxAttempts: 10})
+			}
+			placed := []int{}
+			place := func(now time.Time, next []int) {
+				for _, i := range placed {
+					if slices.Contains(next, i) {
+						continue
+					}
+					h := budgets[i].HandOver(now, len(next), rng.IntN(5))
+					for _, j := range next {
+						budgets[j].TakeOver(now, h)
+					}
+				}
+				for i, b := range budgets {
+					p := policy()
+					p.Allowance = 0
+					if slices.Contains(next, i) {
+						p.Allowance = 0.8 * allowance / float64(len(next))
+					}
+					b.SetPolicy(now, p)
+				}
+				placed = next
+			}
+			place(epoch.Add(-span), []int{0, 1, 2})
+			var requests, repeats []time.Duration
+			rate := 100.0
+			for at := time.Duration(0); at < time.Minute; {
+				if rng.IntN(200) == 0 {
+					rate = rapid.SampledFrom([]float64{1, 20, 100, 400}).Draw(t, "rate")
+				}
+				at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+				now := epoch.Add(at)
+				if rng.IntN(400) == 0 {
+					place(now, rng.Perm(daemons)[:1+rng.IntN(4)])
+				}
+				b := budgets[placed[rng.IntN(len(placed))]]
+				b.Request(now)
+				requests = append(requests, at)
+				for range rng.IntN(4) {
+					if b.Decide(now, again).Retry {
+						repeats = append(repeats, at)
+					}
+				}
+			}
+			within := func(list []time.Duration, from time.Duration) (n int) {
+				for _, x := range list {
+					if x >= from && x < from+span {
+						n++
+					}
+				}
+				return n
+			}
+			for from := time.Duration(0); from < 50*time.Second; from += 250 * time.Millisecond {
+				most := max(within(requests, from), within(requests, from-span), within(requests, from-span/2))
+				if n := within(repeats, from); float64(n) > ratio*float64(most)+allowance {
+					t.Fatalf("%d repeats from %v for %d requests", n, from, most)
+				}
+			}
+		})
+	})
+
 	// Guards against requests that count for longer than the span: at 300 a second half
 	// a second more pays for 30 repeats too many, and a service got 783 where 777 were
 	// allowed.
