Check the bound on repeats for each span that has begun

Cause: a repeat was paid for by the requests of the span that ends at that moment. The users count the requests of the span itself, of the one before it or of the one half a span before it. A burst 2 s before a span and one 7 s into it both paid for repeats in the span, while the users count one of them: 244 repeats where 156 are allowed.

A home now keeps two spans of counts and makes a repeat only if the users' bound holds for each span that has begun and not ended, with what is known of its requests so far. The check before remains, so no repeat is made that was not made before.

The test of two bursts fails on the code before with these 244 repeats.

--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -182,23 +182,17 @@
 // Scarce reports whether few of the retries that a span allows are left.
 func (b *Budget) Scarce(now time.Time) bool {
 	if b.policy.Window > 0 {
-		return b.left(now) < scarcePart*b.allowed(now)
+		left := b.left(now)
+		requests, _ := b.window.sums()
+		return left < scarcePart*(b.policy.Ratio*requests+b.granted(now))
 	}
 	return b.tokens < scarcePart*b.policy.Burst
 }
 
-// allowed is how many attempts the present span allows to repeat.
-func (b *Budget) allowed(now time.Time) float64 {
-	b.window.advance(now)
-	requests, _ := b.window.sums()
-	return b.policy.Ratio*requests + b.granted(now)
-}
-
-// left is how many of them are left.
+// left is how many attempts may be repeated now.
 func (b *Budget) left(now time.Time) float64 {
-	allowed := b.allowed(now)
-	_, repeats := b.window.sums()
-	return allowed - repeats
+	b.window.advance(now)
+	return b.window.left(b.policy.Ratio, b.granted(now))
 }
 
 // pay counts a retry.
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -7,11 +7,15 @@
 // up to one part less, so that the limit holds in any span.
 const buckets = 20
 
+// kept is how many parts are kept: those of the present span and of the one before it,
+// whose requests may pay for repeats of the present one.
+const kept = 2*buckets + 1
+
 // window counts requests and repeated attempts over a sliding span.
 type window struct {
 	span     time.Duration
-	requests [buckets + 1]float64
-	repeats  [buckets + 1]float64
+	requests [kept]float64
+	repeats  [kept]float64
 	// at is the number of the present part since the epoch of the clock.
 	at int64
 }
@@ -23,28 +27,28 @@
 		return
 	}
 	at := now.UnixNano() / part
-	if gap := at - w.at; gap > buckets || gap < 0 {
+	if gap := at - w.at; gap >= kept || gap < 0 {
 		// A clock that went back starts a new span, in which the repeats count
 		// as just made.
 		_, made := w.sums()
-		w.requests, w.repeats = [buckets + 1]float64{}, [buckets + 1]float64{}
+		w.requests, w.repeats = [kept]float64{}, [kept]float64{}
 		if gap < 0 {
-			w.repeats[at%(buckets+1)] = made
+			w.repeats[at%kept] = made
 		}
 		w.at = at
 		return
 	}
 	for w.at < at {
 		w.at++
-		w.requests[w.at%(buckets+1)], w.repeats[w.at%(buckets+1)] = 0, 0
+		w.requests[w.at%kept], w.repeats[w.at%kept] = 0, 0
 	}
 }
 
 // sums returns the requests and repeats of the span that ends at the present part.
 func (w *window) sums() (requests, repeats float64) {
-	oldest := int((w.at + 1) % (buckets + 1))
-	for i := range w.requests {
-		if i != oldest {
+	for age := range int64(buckets + 1) {
+		i := (w.at + kept - age) % kept
+		if age < buckets {
 			requests += w.requests[i]
 		}
 		repeats += w.repeats[i]
@@ -52,31 +56,55 @@
 	return requests, repeats
 }
 
+// left is how many requests may be repeated now, when ratio repeats are paid by each
+// request and allowance ones by none. That holds for each span that has begun and not
+// ended: its repeats are paid by its requests, those of the span before it or those of
+// the span half a span before it, whichever has most.
+func (w *window) left(ratio, allowance float64) float64 {
+	// before holds the requests before each part, the oldest first.
+	var before [kept + 1]float64
+	for part := range int64(kept) {
+		before[part+1] = before[part] + w.requests[(w.at+1+part)%kept]
+	}
+	requests, repeats := w.sums()
+	least := ratio*requests + allowance - repeats
+	repeats = 0
+	for first := int64(kept - 1); first > buckets; first-- {
+		repeats += w.repeats[(w.at+1+first)%kept]
+		// A span that begins within a part contains the whole parts after it only.
+		most := max(
+			before[first]-before[first-buckets+1], before[min(first+buckets/2, kept)]-before[first-buckets/2+1], before[kept]-before[first+1],
+		)
+		least = min(least, ratio*most+allowance-repeats)
+	}
+	return least
+}
+
 func (w *window) addRequest(now time.Time) {
 	w.advance(now)
-	w.requests[w.at%(buckets+1)]++
+	w.requests[w.at%kept]++
 }
 
 func (w *window) addRepeat(now time.Time) {
 	w.advance(now)
-	w.repeats[w.at%(buckets+1)]++
+	w.repeats[w.at%kept]++
 }
 
-// split empties the window but for the latest requests, as many as kept, and returns
+// split empties the window but for the latest requests, as many as stay, and returns
 // one of n equal shares of the rest.
-func (w *window) split(now time.Time, n, kept float64) []Part {
+func (w *window) split(now time.Time, n, stay float64) []Part {
 	w.advance(now)
 	var parts []Part
 	length := w.span / buckets
-	for age := range int64(buckets + 1) {
-		i := (w.at + buckets + 1 - age) % (buckets + 1)
-		stays := min(kept, w.requests[i])
+	for age := range int64(kept) {
+		i := (w.at + kept - age) % kept
+		stays := min(stay, w.requests[i])
 		middle := time.Unix(0, (w.at-age)*int64(length)).Add(length / 2)
 		p := Part{
 			AgeMs:    uint32(max(now.Sub(middle), 0).Milliseconds()),
 			Requests: (w.requests[i] - stays) / n, Repeats: w.repeats[i] / n,
 		}
-		kept -= stays
+		stay -= stays
 		w.requests[i], w.repeats[i] = stays, 0
 		if p.Requests > 0 || p.Repeats > 0 {
 			parts = append(parts, p)
@@ -89,9 +117,9 @@
 func (w *window) add(now time.Time, p Part) {
 	w.advance(now)
 	at := now.Add(-time.Duration(p.AgeMs)*time.Millisecond).UnixNano() / int64(w.span/buckets)
-	if at < w.at-buckets {
+	if at <= w.at-kept {
 		return
 	}
-	w.requests[at%(buckets+1)] += p.Requests
-	w.repeats[at%(buckets+1)] += p.Repeats
+	w.requests[at%kept] += p.Requests
+	w.repeats[at%kept] += p.Repeats
 }
--- a/pkg/retry/window_test.go
+++ b/pkg/retry/window_test.go
@@ -142,6 +142,28 @@
 		})
 	})
 
+	// Guards against a span whose repeats are paid by requests before and within it,
+	// when the users count only one or the other: two short bursts 9 s apart paid for
+	// 244 repeats in 10 s where 156 are allowed.
+	It("is kept between two bursts", func() {
+		const burst = 500
+		p := policy()
+		p.Allowance = 0.8 * allowance
+		b := retry.NewBudget(p)
+		repeats := 0
+		for _, at := range []time.Duration{8 * time.Second, 17 * time.Second} {
+			now := epoch.Add(at)
+			for range burst {
+				b.Request(now)
+			}
+			for at > span && b.Decide(now, again).Retry {
+				repeats++
+			}
+		}
+		Expect(repeats).To(BeNumerically("<=", ratio*burst+allowance))
+		Expect(repeats).To(BeNumerically(">=", int(ratio*burst+p.Allowance)))
+	})
+
 	// Guards against requests that count for longer than the span: at 300 a second half
 	// a second more pays for 30 repeats too many, and a service got 783 where 777 were
 	// allowed.
