Ask another peer at once when a digest comparison fails

Cause: the relay of a domain was killed in the middle of its push, and the survivors that the push had not reached learned of the change by digest comparison only. A comparison with a peer that had been killed took the whole call timeout of 800 ms, and the next one followed an interval later, so each such peer cost about 1.8 s.

A ready daemon now waits 300 ms for the first answer of a comparison, and after a failure asks 2, then 4, then 8 other peers at once. An interval and all rounds take at most 2.4 s, and with half of the peers dead the 15 peers all fail once in 30,000 times. After a comparison that nobody answered, a daemon is probably cut off and asks one peer at a time. While peers answer, no call is added.

The first test in survivors_test.go failed before in its first round; it also fails with a timeout of 800 ms, with one round, or with rounds that do not widen. The second fails without the rule for a daemon that is cut off (402 comparisons in a minute).

--- a/pkg/confsync/doc.go
+++ b/pkg/confsync/doc.go
@@ -11,8 +11,9 @@
 //     which pushes it on within its own domain. In a large domain the push goes
 //     through daemons that pass it on, so that a relay sends few copies.
 //   - Every daemon compares digests with one random peer each second, mostly
-//     of its own domain, and both sides end with the newer objects. What a
-//     daemon learns in this way it passes on to a few daemons of its domain.
+//     of its own domain, and both sides end with the newer objects. When the
+//     peer does not answer, others are asked at once. What a daemon learns in
+//     this way it passes on to a few daemons of its domain.
 //   - A daemon reports ready when it has listed the platform itself, or has
 //     compared digests with several ready peers of more than one domain.
 //
--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +17,14 @@
 	// of 12 daemons then has several such comparisons a second; in a domain of
 	// fewer than four the share is larger.
 	otherDomainShare = 0.25
+	// compareRounds is how many rounds of peers are asked until one answers: up to
+	// 1 + 2 + 4 + 8 peers, so that with half of all peers dead none answers about
+	// once in 30,000 times.
+	compareRounds = 4
+	// digestTimeout limits the first call of a comparison once the daemon is ready.
+	// Both messages are small, and answers took at most 245 ms on hosts with a
+	// sixth of a core. All rounds and an interval take less than 2.5 s.
+	digestTimeout = 300 * time.Millisecond
 	// maxRounds bounds the messages of one exchange.
 	maxRounds = 256
 	// versionsPerMessage bounds the versions sent at once, unless one bucket
@@ -22,20 +33,64 @@
 	versionsPerMessage = 1 << 10
 )
 
-// Tick compares digests with one peer. Run calls it at each interval; tests
-// call it themselves.
+// Tick compares digests with one peer, and with others when it does not answer.
+// Run calls it at each interval; tests call it themselves, not concurrently.
 func (s *Syncer) Tick(ctx context.Context) {
-	peer, ok := s.choosePeer()
-	if ok {
-		ready, err := s.exchange(ctx, peer)
-		if err != nil {
-			s.digestErrors.Add(1)
-			s.config.Log.Debug().Err(err).Str("peer", peer.Address).Msg("confsync: digest comparison failed")
-		} else if ready {
-			s.boot.exchanged(peer)
+	s.compare(ctx)
+	s.checkReady(ctx)
+}
+
+// compare compares digests with one peer. When it fails, others are tried at
+// once, twice as many in each round: when half of a domain is killed in the
+// middle of a push, a pause of an interval after each failure leaves survivors
+// without the change for several seconds.
+func (s *Syncer) compare(ctx context.Context) {
+	rounds := compareRounds
+	if s.unanswered || !s.Ready() {
+		rounds = 1
+	}
+	var tried []string
+	for round := range rounds {
+		var peers []Peer
+		for range 1 << round {
+			if peer, ok := s.choosePeer(tried); ok {
+				peers, tried = append(peers, peer), append(tried, peer.Address)
+			}
+		}
+		if s.compareWith(ctx, peers) {
+			s.unanswered = false
+			return
 		}
 	}
-	s.checkReady(ctx)
+	s.unanswered = s.Ready()
+}
+
+// compareWith compares digests with all of the peers at the same time and says
+// whether one comparison succeeded.
+func (s *Syncer) compareWith(ctx context.Context, peers []Peer) bool {
+	var done sync.WaitGroup
+	var succeeded atomic.Bool
+	for _, peer := range peers {
+		done.Add(1)
+		started := s.config.Spawn(func() {
+			defer done.Done()
+			ready, err := s.exchange(ctx, peer)
+			if err != nil {
+				s.digestErrors.Add(1)
+				s.config.Log.Debug().Err(err).Str("peer", peer.Address).Msg("confsync: digest comparison failed")
+				return
+			}
+			succeeded.Store(true)
+			if ready {
+				s.boot.exchanged(peer)
+			}
+		})
+		if !started {
+			done.Done()
+		}
+	}
+	done.Wait()
+	return succeeded.Load()
 }
 
 // randomShare is the share of comparisons with any peer instead of a near one,
@@ -46,10 +101,12 @@
 // own domain only.
 const ownDomainPatience = 3 * time.Second
 
-// choosePeer returns a random peer, mostly one to which a connection is open,
-// else mostly one of the own domain.
-func (s *Syncer) choosePeer() (Peer, bool) {
+// choosePeer returns a random peer that was not tried, mostly one to which a
+// connection is open, else mostly one of the own domain.
+func (s *Syncer) choosePeer(tried []string) (Peer, bool) {
+	wasTried := func(p Peer) bool { return slices.Contains(tried, p.Address) }
 	own, other := s.others()
+	own, other = slices.DeleteFunc(own, wasTried), slices.DeleteFunc(other, wasTried)
 	if !s.Ready() {
 		if s.config.Thrifty && len(own) > 0 && s.config.Now().Sub(s.boot.started) < ownDomainPatience {
 			other = nil
@@ -60,7 +117,7 @@
 		other = nil
 	}
 	if s.config.Near != nil && s.float() >= randomShare {
-		if near := s.config.Near(); len(near) > 0 {
+		if near := slices.DeleteFunc(s.config.Near(), wasTried); len(near) > 0 {
 			return near[int(s.float()*float64(len(near)))], true
 		}
 	}
@@ -79,7 +136,11 @@
 // says whether the peer is ready.
 func (s *Syncer) exchange(ctx context.Context, peer Peer) (ready bool, err error) {
 	mine := s.config.Replica.Digest()
-	body, err := s.call(ctx, peer.Address, KindDigest, digestMessage{Root: mine.Root()})
+	timeout := s.config.CallTimeout
+	if s.Ready() {
+		timeout = min(timeout, digestTimeout)
+	}
+	body, err := s.callWithin(ctx, timeout, peer.Address, KindDigest, digestMessage{Root: mine.Root()})
 	if err != nil {
 		return false, err
 	}
--- a/pkg/confsync/fleet_test.go
+++ b/pkg/confsync/fleet_test.go
@@ -53,9 +53,12 @@
 	done    chan struct{}
 }
 
-func newFleet() *fleet {
+func newFleet() *fleet { return newFleetWith(nil) }
+
+// newFleetWith returns a fleet whose daemons start with a changed configuration.
+func newFleetWith(launchWith func(*daemon, *confsync.Config)) *fleet {
 	never := func(int, int) bool { return false }
-	f := &fleet{store: memstore.New(), daemons: make([]*daemon, 36), blocked: never, mute: never}
+	f := &fleet{store: memstore.New(), daemons: make([]*daemon, 36), blocked: never, mute: never, launchWith: launchWith}
 	f.launchAll()
 	return f
 }
--- /dev/null
+++ b/pkg/confsync/survivors_test.go
@@ -0,0 +1,116 @@
+package confsync_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"shallotglade/internal/testkit"
+	"shallotglade/pkg/confsync"
+)
+
+// applyBound is how soon a survivor must hold a change that other survivors hold,
+// from the users' config_apply_ms for sites of a hundred hosts.
+const applyBound = 2500 * time.Millisecond
+
+// killAtOnce kills daemons at the same moment; membership goes on listing them.
+func (f *fleet) killAtOnce(numbers []int) {
+	var killed []*daemon
+	f.set(func() {
+		for _, i := range numbers {
+			killed = append(killed, f.daemons[i])
+			f.daemons[i] = nil
+		}
+	})
+	for _, d := range killed {
+		d.stop()
+	}
+	synctest.Wait() // No killed relay sends a change that is made from here on.
+}
+
+// virtuallyNear runs a scenario like virtually, in a fleet whose daemons compare
+// mostly with three near peers of their domain.
+func virtuallyNear(seed uint64, scenario func(*fleet) error) error {
+	var err error
+	synctest.Test(suite, func(*testing.T) {
+		f := newFleetWith(func(d *daemon, c *confsync.Config) {
+			c.Rand = rand.New(rand.NewPCG(testkit.Seed+seed, uint64(d.number)))
+			c.Near = func() []confsync.Peer {
+				var near []confsync.Peer
+				for _, step := range []int{3, 9, 21} {
+					near = append(near, d.f.peers()[(d.number+step)%36])
+				}
+				return near
+			}
+		})
+		time.Sleep(inForce) // the fleet starts
+		err = scenario(f)
+		for i, d := range f.daemons {
+			if d != nil {
+				f.kill(i)
+			}
+		}
+	})
+	return err
+}
+
+var _ = Describe("Survivors of a herd kill", func() {
+	// Guards against a daemon that missed a push, because its relay was killed
+	// before it sent it, and that asks a peer which was killed too, waits long for
+	// it and then pauses for a whole interval.
+	It("learn a change from other survivors within the bound", func() {
+		for round := range 20 {
+			rng := rand.New(rand.NewPCG(testkit.Seed, uint64(round)))
+			Expect(virtuallyNear(uint64(round), func(f *fleet) error {
+				time.Sleep(time.Duration(rng.Int64N(int64(time.Second))))
+				// All relays and 12 others are killed; 3 of the 18 survivors lack
+				// the change, and no other daemon happens to call them.
+				order := rng.Perm(30)
+				killed, late := []int{0, 1, 2, 3, 4, 5}, []int{}
+				for _, i := range order[:12] {
+					killed = append(killed, 6+i)
+				}
+				for _, i := range order[12:15] {
+					late = append(late, 6+i)
+				}
+				f.set(func() { f.blocked = func(_, to int) bool { return slices.Contains(late, to) } })
+				f.killAtOnce(killed)
+				o, err := f.store.Create(context.Background(), "services/late", []byte("v"))
+				if err != nil {
+					return err
+				}
+				for i, d := range f.daemons {
+					if d != nil && !slices.Contains(late, i) {
+						d.replica.Apply(o)
+					}
+				}
+				time.Sleep(applyBound)
+				return errors.Wrapf(f.check(o), "round %d", round)
+			})).To(Succeed())
+		}
+	})
+
+	// Guards against a daemon that is cut off from all others and goes on calling
+	// many of them each second.
+	It("ask one peer at a time while none answers", func() {
+		Expect(virtually(func(f *fleet) error {
+			const alone = 35
+			f.set(func() { f.blocked = func(from, to int) bool { return from == alone || to == alone } })
+			time.Sleep(10 * time.Second)
+			before := f.daemons[alone].syncer.Stats().DigestErrors
+			time.Sleep(time.Minute)
+			calls := f.daemons[alone].syncer.Stats().DigestErrors - before
+			if calls > 60 {
+				return errors.Newf("%d comparisons in a minute", calls)
+			}
+			return nil
+		})).To(Succeed())
+	})
+})
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -126,6 +126,9 @@
 	randMu sync.Mutex
 	boot   *bootState
 	link   *link
+	// unanswered means that no peer answered the last comparison. Until one does,
+	// this daemon is probably cut off and asks one peer at a time. Only Tick uses it.
+	unanswered bool
 
 	pushErrors, digestErrors, dropped, platformErrors atomic.Uint64
 }
@@ -284,11 +287,15 @@
 
 // call sends one message to a peer within the call timeout.
 func (s *Syncer) call(ctx context.Context, peer, kind string, message any) ([]byte, error) {
+	return s.callWithin(ctx, s.config.CallTimeout, peer, kind, message)
+}
+
+func (s *Syncer) callWithin(ctx context.Context, timeout time.Duration, peer, kind string, message any) ([]byte, error) {
 	body, err := encode(message)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.config.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return s.config.Transport.Call(ctx, peer, kind, body)
 }
