--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -177,7 +177,7 @@
 	s.background, s.stop = context.WithCancel(context.Background())
 	s.boot = newBootState(c.Now(), c.Prefixes, c.Roster == "")
 	s.link = newLink()
-	s.contact.succeeded = c.Now()
+	s.contact.answered = c.Now()
 	return s, nil
 }
 
@@ -287,11 +287,15 @@
 
 // call sends one message to a peer within the call timeout.
 func (s *Syncer) call(ctx context.Context, peer, kind string, message any) ([]byte, error) {
+	return s.callWithin(ctx, s.config.CallTimeout, peer, kind, message)
+}
+
+func (s *Syncer) callWithin(ctx context.Context, timeout time.Duration, peer, kind string, message any) ([]byte, error) {
 	body, err := encode(message)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.config.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return s.config.Transport.Call(ctx, peer, kind, body)
 }
