Keep the reason of a refused connection in logs

The QUIC library's error unwraps to a list with nil, which the errors library cannot format. The text is kept and the value dropped. The refusal tests now look at the formatted error; all four failed before.

--- a/pkg/peer/errors.go
+++ b/pkg/peer/errors.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
 )
 
 // Errors of Call and Send; test with errors.Is.
@@ -46,12 +47,22 @@
 // Error implements error.
 func (r refusal) Error() string { return string(r) }
 
+// formattable returns err, or its text alone when it holds an error of the QUIC
+// library whose list of causes may contain nil, which formatting with %v cannot take.
+func formattable(err error) error {
+	var transport *quic.TransportError
+	if errors.As(err, &transport) {
+		return errors.Newf("%s", err.Error())
+	}
+	return err
+}
+
 // notSent marks err as one after which the request certainly did not run.
 func notSent(err error, doing string) error {
-	return errors.Mark(errors.Wrapf(err, "peer: %s", doing), ErrNotSent)
+	return errors.Mark(errors.Wrapf(formattable(err), "peer: %s", doing), ErrNotSent)
 }
 
 // noReply marks err as one after which the request may have run.
 func noReply(err error, doing string) error {
-	return errors.Mark(errors.Wrapf(err, "peer: %s", doing), ErrNoReply)
+	return errors.Mark(errors.Wrapf(formattable(err), "peer: %s", doing), ErrNoReply)
 }
--- a/pkg/peer/registered_test.go
+++ b/pkg/peer/registered_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"sync"
 	"time"
@@ -89,6 +90,8 @@
 		clientKnows.set(known(clientHolds))
 		_, err := client.Call(ctx, server.Addr(), "echo", nil)
 		Expect(errors.Is(err, peer.ErrNotSent)).To(BeTrue(), "%v", err)
+		// Guards against a log line that shows a failure to format in place of the reason.
+		Expect(fmt.Sprintf("%v", err)).To(SatisfyAll(ContainSubstring("CRYPTO_ERROR"), Not(ContainSubstring("PANIC"))))
 		Eventually(serverKnows.refused).Should(HaveExactElements(refusedByServer))
 		Expect(clientKnows.refused()).To(HaveExactElements(refusedByClient))
 	},
