Wait less for the relay of another domain to answer an offer

Changes are offered to one relay in each other domain. An offer is as small as the first call of a comparison and gets the same 300 ms. The test, a change known in a domain within 1 s of the kill of its relay, failed before.

--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -21,10 +21,10 @@
 	// 1 + 2 + 4 + 8 peers, so that with half of all peers dead none answers about
 	// once in 30,000 times.
 	compareRounds = 4
-	// digestTimeout limits the first call of a comparison once the daemon is ready.
-	// Both messages are small, and answers took at most 245 ms on hosts with a
-	// sixth of a core. All rounds and an interval take less than 2.5 s.
-	digestTimeout = 300 * time.Millisecond
+	// smallCallTimeout limits an offer, and the first call of a comparison once the
+	// daemon is ready. Their messages are small, and answers took at most 245 ms on
+	// hosts with a sixth of a core. All rounds and an interval take less than 2.5 s.
+	smallCallTimeout = 300 * time.Millisecond
 	// maxRounds bounds the messages of one exchange.
 	maxRounds = 256
 	// versionsPerMessage bounds the versions sent at once, unless one bucket
@@ -153,7 +153,7 @@
 	mine := s.config.Replica.Digest()
 	timeout := s.config.CallTimeout
 	if s.Ready() {
-		timeout = min(timeout, digestTimeout)
+		timeout = min(timeout, smallCallTimeout)
 	}
 	body, err := s.callWithin(ctx, timeout, peer.Address, KindDigest, digestMessage{Root: mine.Root()})
 	if err != nil {
--- a/pkg/confsync/push.go
+++ b/pkg/confsync/push.go
@@ -139,7 +139,7 @@
 		for _, o := range part {
 			m.Versions = append(m.Versions, Version{Key: o.Key, Version: o.Version})
 		}
-		body, err := s.call(s.background, to, KindOffer, m)
+		body, err := s.callWithin(s.background, smallCallTimeout, to, KindOffer, m)
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/confsync/survivors_test.go
+++ b/pkg/confsync/survivors_test.go
@@ -113,4 +113,29 @@
 			return nil
 		})).To(Succeed())
 	})
+
+	// Guards against upstreams that get work after they have announced that they
+	// leave, because the offer of the change waits for a relay that was killed.
+	It("learn a change offered by another domain soon after their relay was killed", func() {
+		const bound = time.Second
+		synctest.Test(suite, func(*testing.T) {
+			const killed = 2 // the first relay of the domain fes
+			f := newFleetWith(func(d *daemon, c *confsync.Config) {
+				c.Thrifty, c.Cross = true, func() bool { return false }
+				c.Relays = func(domain string) []confsync.Peer { return d.f.relays(domain)[:1] }
+			})
+			time.Sleep(inForce)
+			f.kill(killed)
+			o, err := f.store.Create(context.Background(), "services/late", []byte("v"))
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(bound)
+			err = f.check(o)
+			for i, d := range f.daemons {
+				if d != nil {
+					f.kill(i)
+				}
+			}
+			Expect(err).NotTo(HaveOccurred())
+		})
+	})
 })
