Do not use a stale list of daemons where all is listed anew

The stale list now only tells how many daemons there are, and is used where all is not listed anew or that fails.

--- a/pkg/confsync/boot.go
+++ b/pkg/confsync/boot.go
@@ -150,13 +150,17 @@
 	for failures := 0; ctx.Err() == nil; failures++ {
 		objects, revision, err := s.config.Store.ListStale(ctx, s.config.Roster)
 		if err == nil {
-			s.config.Replica.Listed(s.config.Roster, objects, revision)
+			// The list may be seconds old. Where all is listed anew it is not used:
+			// daemons that have left would be relays and homes until forgotten.
+			alone := s.config.Alone > 0 && len(objects) <= s.config.Alone
+			if !alone || !s.listAll(ctx) {
+				s.config.Replica.Listed(s.config.Roster, objects, revision)
+			}
 			if s.config.OnRoster != nil {
 				s.config.OnRoster()
 			}
 			s.boot.setRostered()
-			if s.config.Alone > 0 && len(objects) <= s.config.Alone {
-				s.listAll(ctx)
+			if alone {
 				s.checkReady(ctx)
 			}
 			return
@@ -210,14 +214,16 @@
 	return len(own) + len(other), len(seen)
 }
 
-// listAll lists the platform once for each prefix. It pushes nothing: a daemon
-// that is not a relay does this only when many start at once.
-func (s *Syncer) listAll(ctx context.Context) {
+// listAll lists the platform once for each prefix, and reports whether all lists
+// were read. It pushes nothing: a daemon that is not a relay does this only when
+// many start at once.
+func (s *Syncer) listAll(ctx context.Context) bool {
 	for _, prefix := range s.config.Prefixes {
 		p := poller{syncer: s, prefix: prefix}
 		if _, err := p.list(ctx); err != nil {
 			s.platformErrors.Add(1)
-			return
+			return false
 		}
 	}
+	return true
 }
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,7 +79,8 @@
 	Reach    func(ctx context.Context) error
 	Detached func(bool)
 	// Alone is up to how many other daemons a starting daemon lists everything at
-	// the platform itself instead of waiting for peers. 0 means never.
+	// the platform itself instead of waiting for peers. 0 means never; otherwise
+	// Prefixes must hold Roster.
 	Alone int
 	// Cross says whether this daemon compares with other domains; nil means that
 	// it does.
@@ -132,10 +134,20 @@
 	pushErrors, digestErrors, dropped, platformErrors atomic.Uint64
 }
 
+func (c *Config) check() error {
+	if c.Replica == nil || c.Store == nil || c.Transport == nil || c.Peers == nil || c.Relays == nil || c.Rand == nil {
+		return errors.New("confsync: incomplete configuration")
+	}
+	if c.Alone > 0 && !slices.Contains(c.Prefixes, c.Roster) {
+		return errors.New("confsync: the list of daemons is not among the prefixes")
+	}
+	return nil
+}
+
 // New returns a Syncer that answers messages; Run makes it active.
 func New(c Config) (*Syncer, error) {
-	if c.Replica == nil || c.Store == nil || c.Transport == nil || c.Peers == nil || c.Relays == nil || c.Rand == nil {
-		return nil, errors.New("confsync: incomplete configuration")
+	if err := c.check(); err != nil {
+		return nil, err
 	}
 	if c.DigestInterval <= 0 {
 		c.DigestInterval = DefaultDigestInterval
