Know a daemon that starts again after it has left in order

After a clean restart of a host, some daemons left the new start out of homes, relays and address answers for over a minute. Cause: leaving removes the entry, so that the former start is not listed any more while it was heard a moment ago. The view took such a host for a newer start that had been met by its ping before the list showed it, and dropped the listed one; nothing lists it again. Only hosts that no list has shown are taken for newer now.

The test failed before.

--- a/pkg/membership/host.go
+++ b/pkg/membership/host.go
@@ -70,6 +70,8 @@
 	leaving     bool
 	detached    bool
 	listed      bool
+	// met is set while the host is known by its own ping and no roster has listed it.
+	met bool
 	// noted is set while the key is in View.notable.
 	noted bool
 	// downListed is set while the key is in View.down.
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -380,7 +380,7 @@
 		Domain: m.Contact.Domain, Address: m.Contact.Address, PeerAddress: m.Contact.PeerAddress,
 		Host: m.Contact.Host,
 	})
-	h.unlisted = v.now
+	h.unlisted, h.met = v.now, true
 	return h
 }
 
--- a/pkg/membership/restart_test.go
+++ b/pkg/membership/restart_test.go
@@ -47,6 +47,15 @@
 		Expect(known()).To(ConsistOf("h1.2", "h2.1"))
 	})
 
+	// Guards against homes on which daemons disagree for a minute and more: the new
+	// start of a daemon that had left in order was taken for a former one.
+	It("is known by the roster soon after its earlier start has left", func() {
+		view.Receive(start.Add(time.Millisecond), membership.Message{Kind: membership.Ping, Seq: 1, From: "h1.1", Leaving: true})
+		view.SetRoster(start.Add(time.Second), []platform.Member{daemonOn("h2", "h2.1", "b")})
+		view.SetRoster(start.Add(2*time.Second), []platform.Member{daemonOn("h1", "h1.2", "a"), daemonOn("h2", "h2.1", "b")})
+		Expect(known()).To(ConsistOf("h1.2", "h2.1"))
+	})
+
 	// Guards against the same while the roster lags: a ping shows the new start
 	// first.
 	It("takes the place of its earlier start by its first ping, also when the roster still lists that", func() {
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -156,7 +156,7 @@
 		v.replaceHost(key, m.Host)
 		h = v.add(key, m)
 	}
-	h.member, h.listed = m, true
+	h.member, h.listed, h.met = m, true, false
 	if m.State == platform.Leaving && !h.leaving {
 		h.leaving = true
 		v.announce(h)
@@ -168,7 +168,7 @@
 func (v *View) metOn(name string) bool {
 	return name != "" && slices.ContainsFunc(v.order, func(k uint64) bool {
 		h := v.hosts[k]
-		return h.member.Host == name && !h.listed && h.heard > 0 && v.now-h.heard < v.params.Suspicion
+		return h.member.Host == name && h.met && h.heard > 0 && v.now-h.heard < v.params.Suspicion
 	})
 }
 
