Bound the lookups by host and take the newest entry that is read

TLS proves only that a peer holds the key of its certificate; the id in it is the peer's own statement.

A daemon without a lookup no longer dereferences it, keys are looked at once all parts exist, and the reads are counted in a metric.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -71,8 +71,9 @@
 	registration *registration.Controller
 	// lookup is nil unless daemons enter themselves.
 	lookup *registration.Lookup
-	// rostered is set when the list of daemons was read. Handshakes may come
-	// before, and before the parts that hold the list exist.
+	// provisioned is set when all parts exist. Handshakes may come before.
+	provisioned atomic.Bool
+	// rostered is set when the list of daemons was read.
 	rostered atomic.Bool
 	// questions answer callers' questions on listeners of their own.
 	questions []*ingress.Server
@@ -123,6 +124,7 @@
 		return err
 	}
 	d.registerTotals()
+	d.provisioned.Store(true)
 	return d.provisionServers()
 }
 
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -2,6 +2,9 @@
 
 // registerTotals registers the totals that the parts of the daemon keep.
 func (d *Daemon) registerTotals() {
+	if d.lookup != nil {
+		d.metrics.RegisterTotal("entries_looked_up_total", "Reads of entries of refused daemons.", d.lookup.Reads)
+	}
 	for _, t := range []struct {
 		name, help string
 		value      func() uint64
--- a/pkg/daemon/trust.go
+++ b/pkg/daemon/trust.go
@@ -8,7 +8,7 @@
 
 // keyOf returns the registered key of a daemon, or an empty text.
 func (d *Daemon) keyOf(id string) string {
-	if !d.rostered.Load() {
+	if !d.provisioned.Load() {
 		return ""
 	}
 	if m, ok := d.catalog.Daemon(registration.HostOf(id)); ok && m.ID == id {
@@ -27,10 +27,13 @@
 // daemon may have started after the list of daemons was read here.
 func (d *Daemon) refusedPeer(id string) {
 	d.metrics.PeersRefused.Inc()
-	if !d.rostered.Load() {
+	if !d.provisioned.Load() {
 		return
 	}
-	d.lookup.Request(id)
+	// Before the list was read, all daemons of a fleet that starts refuse each other.
+	if d.lookup != nil && (d.rostered.Load() || d.syncer.Ready()) {
+		d.lookup.Request(id)
+	}
 	if d.refusedLog.Allow() {
 		held, _ := d.catalog.Daemon(registration.HostOf(id))
 		d.log.Warn().Str("peer", id).Str("held", held.ID).Uint64("held_version", held.Version).
--- a/pkg/registration/lookup_test.go
+++ b/pkg/registration/lookup_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -147,6 +148,54 @@
 	}
 }
 
+// TestLookupIsBoundedForAnEntryThatIsNotTaken guards against a read for each handshake
+// where a newer state of the entry is held than the one that is read.
+func TestLookupIsBoundedForAnEntryThatIsNotTaken(t *testing.T) {
+	a := newAsker()
+	a.enter("h1", "h1.now")
+	a.lookup.Apply = func(platform.Object) {}
+	a.during(t, func() {
+		for range 100 {
+			a.lookup.Request("h1.now")
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	if a.store.reads > 5 || len(a.found) > 0 {
+		t.Fatalf("%d reads in 5 s, found %v", a.store.reads, a.found)
+	}
+}
+
+// TestLookupIsBoundedForIDsOfOneHost guards against a peer that makes this daemon read
+// once for each id that it puts in a certificate.
+func TestLookupIsBoundedForIDsOfOneHost(t *testing.T) {
+	a := newAsker()
+	a.enter("h1", "h1.now")
+	a.during(t, func() {
+		for i := range 100 {
+			a.lookup.Request(fmt.Sprintf("h1.%d", i))
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	if a.store.reads > 5 {
+		t.Fatalf("%d reads in 5 s", a.store.reads)
+	}
+}
+
+// TestLookupTakesALaterStart guards against an entry that is thrown away because the
+// daemon has started once more since it was refused.
+func TestLookupTakesALaterStart(t *testing.T) {
+	a := newAsker()
+	a.hold("h1", "h1.former")
+	a.enter("h1", "h1.later")
+	a.during(t, func() {
+		a.lookup.Request("h1.now")
+		time.Sleep(time.Second)
+	})
+	if a.held["h1"] != "h1.later" || len(a.found) != 1 {
+		t.Fatalf("held %v, found %v", a.held, a.found)
+	}
+}
+
 // TestLookupReadsAgainAfterTheStoreFailed guards against a daemon that stays unknown
 // because one read failed.
 func TestLookupReadsAgainAfterTheStoreFailed(t *testing.T) {
