--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -174,8 +174,9 @@
 
 // homesAllowance is the part of a fleet's allowance of retries that the homes share.
 // What a killed home has spent is not known to the others, and daemons with different
-// views of the fleet have two sets of homes. Daemons that are no homes repeat only what the requests that they
-// serve pay for: a part for each of a hundred would exceed the allowance.
+// views of the fleet have two sets of homes. Daemons that are no homes repeat only what
+// the requests that they serve pay for: a part for each of a hundred would exceed the
+// allowance.
 const homesAllowance = 0.8
 
 func (s *Service) retryPolicyLocked() retry.Policy {
--- a/pkg/confsync/contact.go
+++ b/pkg/confsync/contact.go
@@ -12,9 +12,9 @@
 // contact is whether this daemon reaches others to compare with.
 type contact struct {
 	mu sync.Mutex
-	// failures counts the intervals without an answer since the last one with an
-	// answer, at answered, or since the start of the daemon.
+	// failures counts the intervals without an answer since answered.
 	failures int
+	// answered is when a peer answered last, or the start of the daemon.
 	answered time.Time
 }
 
--- a/pkg/confsync/fleet_test.go
+++ b/pkg/confsync/fleet_test.go
@@ -117,6 +117,15 @@
 	<-d.done
 }
 
+// killAll stops all daemons.
+func (f *fleet) killAll() {
+	for i, d := range f.daemons {
+		if d != nil {
+			f.kill(i)
+		}
+	}
+}
+
 func (f *fleet) peers() []confsync.Peer {
 	out := make([]confsync.Peer, 36)
 	for i := range out {
@@ -212,11 +221,7 @@
 		f := newFleet()
 		time.Sleep(inForce) // the fleet starts
 		err = scenario(f)
-		for i, d := range f.daemons {
-			if d != nil {
-				f.kill(i)
-			}
-		}
+		f.killAll()
 	})
 	return err
 }
--- a/pkg/confsync/survivors_test.go
+++ b/pkg/confsync/survivors_test.go
@@ -52,11 +52,7 @@
 		})
 		time.Sleep(inForce) // the fleet starts
 		err = scenario(f)
-		for i, d := range f.daemons {
-			if d != nil {
-				f.kill(i)
-			}
-		}
+		f.killAll()
 	})
 	return err
 }
@@ -130,11 +126,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			time.Sleep(bound)
 			err = f.check(o)
-			for i, d := range f.daemons {
-				if d != nil {
-					f.kill(i)
-				}
-			}
+			f.killAll()
 			Expect(err).NotTo(HaveOccurred())
 		})
 	})
--- a/pkg/daemon/trust.go
+++ b/pkg/daemon/trust.go
@@ -41,6 +41,8 @@
 	}
 }
 
+// provisionLookup prepares the lookup, which applies entries like those that other
+// daemons bring.
 func (d *Daemon) provisionLookup() {
 	d.lookup = &registration.Lookup{
 		Store: d.store, Log: d.log,
--- a/pkg/registration/doc.go
+++ b/pkg/registration/doc.go
@@ -11,7 +11,7 @@
 // Entries name the keys that daemons trust. Lookup reads the entry of a daemon
 // that was refused because its entry had not arrived by way of other daemons:
 //
-//	l := &registration.Lookup{Store: store, Held: held, Apply: apply, Log: log}
+//	l := &registration.Lookup{Store: store, Held: held, Apply: apply, Found: found, Log: log}
 //	go l.Run(ctx)
 //	l.Request(id)        // the id in the certificate of the refused daemon
 package registration
