Dial the administration API by the standard dialer

Operators saw a call of shallotctl fail and succeed when repeated. Calls to the platform use the standard dialer already; the address question of shallotctl now does too.

--- a/cmd/shallotctl/fleet.go
+++ b/cmd/shallotctl/fleet.go
@@ -6,6 +6,7 @@
 	"net/url"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
@@ -95,7 +96,7 @@
 		Use: "addresses SERVICE --from IP:PORT", Short: "Ask which addresses a caller should use", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			q := url.Values{"service": {args[0]}, "domain": {domain}, "failed": {failed}}
-			http, err := client.NewClient()
+			http, err := client.NewClient(client.WithDialer(standard.NewDialer()))
 			if err != nil {
 				return err
 			}
--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cockroachdb/errors"
 
@@ -27,7 +28,12 @@
 
 // NewClient returns a client of daemons' admin addresses (IP:port).
 func NewClient(addresses []string, key string) (*Client, error) {
-	http, err := client.NewClient(client.WithDialTimeout(2*time.Second), client.WithKeepAlive(false), client.WithClientReadTimeout(clientTimeout))
+	http, err := client.NewClient(
+		// The default dialer now and then reports a new connection as closed by the
+		// peer before it is used.
+		client.WithDialer(standard.NewDialer()),
+		client.WithDialTimeout(2*time.Second), client.WithKeepAlive(false), client.WithClientReadTimeout(clientTimeout),
+	)
 	if err != nil {
 		return nil, err
 	}
