Check the bound on repeats of a span in one place of the tests

Two properties of the retry budget held the same loop over spans. The draws, the bounds and the messages are unchanged.

--- a/pkg/retry/window_test.go
+++ b/pkg/retry/window_test.go
@@ -28,6 +28,24 @@
 	}
 	again := retry.Attempt{Verdict: verdict.MayHaveRun, Idempotent: true, Attempts: 1, MaxAttempts: 10, TimeLeft: time.Second}
 
+	// checkSpans compares the repeats of each span with what the users allow.
+	checkSpans := func(t *rapid.T, requests, repeats []time.Duration) {
+		within := func(list []time.Duration, from time.Duration) (n int) {
+			for _, x := range list {
+				if x >= from && x < from+span {
+					n++
+				}
+			}
+			return n
+		}
+		for from := time.Duration(0); from < 50*time.Second; from += 250 * time.Millisecond {
+			most := max(within(requests, from), within(requests, from-span), within(requests, from-span/2))
+			if n := within(repeats, from); float64(n) > ratio*float64(most)+allowance {
+				t.Fatalf("%d repeats from %v for %d requests", n, from, most)
+			}
+		}
+	}
+
 	// Guards against more repeated attempts in some span than the users allow, over
 	// all homes together and whatever the load does: saved-up retries would allow a
 	// second span's worth at its start.
@@ -55,20 +73,7 @@
 					}
 				}
 			}
-			within := func(list []time.Duration, from time.Duration) (n int) {
-				for _, x := range list {
-					if x >= from && x < from+span {
-						n++
-					}
-				}
-				return n
-			}
-			for from := time.Duration(0); from < 50*time.Second; from += 250 * time.Millisecond {
-				most := max(within(requests, from), within(requests, from-span), within(requests, from-span/2))
-				if n := within(repeats, from); float64(n) > ratio*float64(most)+allowance {
-					t.Fatalf("%d repeats from %v for %d requests", n, from, most)
-				}
-			}
+			checkSpans(t, requests, repeats)
 		})
 	})
 
@@ -125,20 +130,7 @@
 					}
 				}
 			}
-			within := func(list []time.Duration, from time.Duration) (n int) {
-				for _, x := range list {
-					if x >= from && x < from+span {
-						n++
-					}
-				}
-				return n
-			}
-			for from := time.Duration(0); from < 50*time.Second; from += 250 * time.Millisecond {
-				most := max(within(requests, from), within(requests, from-span), within(requests, from-span/2))
-				if n := within(repeats, from); float64(n) > ratio*float64(most)+allowance {
-					t.Fatalf("%d repeats from %v for %d requests", n, from, most)
-				}
-			}
+			checkSpans(t, requests, repeats)
 		})
 	})
 
