Choose the callers of a replaced fleet before daemons are added

The callers are now chosen before the goroutine starts, which also keeps the daemons that are added later out of their seeds.

--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -182,11 +182,12 @@
 		f := begin(6, 4, reads)
 		ctx, stop := context.WithCancel(context.Background())
 		load := standin.NewLoad()
+		callers := f.Callers("carver", 12)
 		var wg sync.WaitGroup
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			load.Run(ctx, f.Callers("carver", 12), 2*time.Millisecond, func(c *standin.Caller, _ int) standin.Outcome {
+			load.Run(ctx, callers, 2*time.Millisecond, func(c *standin.Caller, _ int) standin.Outcome {
 				return c.Do(context.Background(), "stone-catalogue", "GET", "/x", "", nil)
 			})
 		}()
