Keep the reads of the demo under the callers' rate limit

Step 9 of the demo failed once beside other load: 135 of 138 reads of wheel-roster were answered, three were 429 for the rate of their caller. A caller paused 10 ms after each answer, about 34 requests a second, while its account may send 20 a second and 20 at once: a step that took 1.4 s instead of 1 s used that up.

A caller now pauses 60 ms and stays under the lowest rate of the example documents however long a step lasts; there are 12 callers instead of four to six, so that as many requests are sent. The checks are unchanged.

--- a/internal/standin/demo.go
+++ b/internal/standin/demo.go
@@ -40,6 +40,14 @@
 	"stone-catalogue": "/catalogue/1", "wheel-roster": "/wheels/1", "batch-ledger": "/batches/1",
 }
 
+// readPause lies between two requests of a caller of the demo. Each caller is
+// an account of its own and stays under the lowest callerRate of the examples,
+// 20 requests a second, however long a step lasts on a slow host.
+const readPause = 60 * time.Millisecond
+
+// readCallers is how many callers read from one service at a time.
+const readCallers = 12
+
 // Run performs all steps and returns an error if one failed.
 func (d *Demo) Run(ctx context.Context) error {
 	if err := d.awaitReady(ctx); err != nil {
@@ -121,12 +129,12 @@
 	}
 }
 
-// loadFor runs callers on a service for a time.
-func (d *Demo) loadFor(ctx context.Context, service string, n int, length time.Duration) *Load {
+// loadFor runs readCallers callers on a service for a time.
+func (d *Demo) loadFor(ctx context.Context, service string, length time.Duration) *Load {
 	l := NewLoad()
 	ctx2, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
-	l.Run(ctx2, d.callers("reads-"+service, n), 10*time.Millisecond, func(c *Caller, _ int) Outcome {
+	l.Run(ctx2, d.callers("reads-"+service, readCallers), readPause, func(c *Caller, _ int) Outcome {
 		return c.Do(ctx, service, "GET", paths[service], "", nil)
 	})
 	return l
@@ -134,7 +142,7 @@
 
 func (d *Demo) reads(ctx context.Context) {
 	for _, service := range sorted(d.Upstreams) {
-		l := d.loadFor(ctx, service, 4, time.Second)
+		l := d.loadFor(ctx, service, time.Second)
 		ok := l.Sent > 0 && l.OK == l.Sent
 		d.Steps.Check("Reads of "+service, ok, "every answer 200, whole and the caller's own",
 			fmt.Sprintf("%d of %d at %d upstreams; wrong: %v", l.OK, l.Sent, len(l.ByUpstream), l.Wrong))
@@ -198,8 +206,8 @@
 		d.Steps.Check("An upstream falls sick", false, "mode set", err.Error())
 		return
 	}
-	during := d.loadFor(ctx, service, 6, 4*time.Second)
-	after := d.loadFor(ctx, service, 6, 2*time.Second)
+	during := d.loadFor(ctx, service, 4*time.Second)
+	after := d.loadFor(ctx, service, 2*time.Second)
 	share := float64(after.ByUpstream[name]) / float64(max(1, after.Sent))
 	d.Steps.Check("An upstream of "+service+" fails 60% of its work while its probes succeed", len(during.Wrong)+len(after.Wrong) == 0 && share < 0.05,
 		"no wrong answer, and after 4 s below 5% of the answers come from it",
@@ -225,9 +233,9 @@
 		d.Steps.Check("An upstream leaves", false, "mode set", err.Error())
 		return
 	}
-	d.loadFor(ctx, service, 6, 2*time.Second)
+	d.loadFor(ctx, service, 2*time.Second)
 	before, err1 := Executions(ctx, address)
-	l := d.loadFor(ctx, service, 6, 2*time.Second)
+	l := d.loadFor(ctx, service, 2*time.Second)
 	after, err2 := Executions(ctx, address)
 	ok := err1 == nil && err2 == nil && after.Served == before.Served && l.OK == l.Sent
 	d.Steps.Check("An upstream of "+service+" announces that it leaves", ok,
