Follow the platform where no other daemon answers

A ready daemon that is no relay got changes from other daemons only. While none of them answered it, because keys were refused in either direction or no path led to them, it kept its copies for good, although it reached the platform: callers would get 404 on new routes and be sent to upstreams that had left. The lookup of refused daemons does not help where the daemon's own entry could not be written, or where packets between daemons are lost.

A ready daemon that nobody has answered for 2 s now follows the platform as a relay does, until a comparison succeeds again. That removes the reliance on being reached, whatever the reason.

--- a/pkg/confsync/contact.go
+++ b/pkg/confsync/contact.go
@@ -9,6 +9,12 @@
 // logged as a lost contact.
 const contactFailures = 2
 
+// alonePatience is how long no peer has answered before a daemon follows the platform
+// by itself. It leaves time for the keys of daemons that have just started, which are
+// known about a second after their start, and is below the 3 s after which the users
+// take a daemon whose connections were disturbed for one that is in touch.
+const alonePatience = 2 * time.Second
+
 // contact is whether this daemon reaches others to compare with.
 type contact struct {
 	mu sync.Mutex
@@ -25,6 +31,14 @@
 	return c.failures > 0
 }
 
+// alone reports whether no peer has answered for so long that changes have to come
+// from the platform.
+func (c *contact) alone(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failures >= contactFailures && now.Sub(c.answered) >= alonePatience
+}
+
 // note takes whether a peer answered in an interval. It returns whether contact was
 // just lost or just regained, the number of intervals without an answer, and the
 // time since the last answer.
--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -39,21 +39,22 @@
 	relistInterval = time.Hour
 )
 
-// runRelay runs the pollers while the daemon is a relay of its domain and reaches
-// the platform.
+// runRelay runs the pollers while the daemon is a relay of its domain, or no other
+// daemon answers it, and it reaches the platform.
 func (s *Syncer) runRelay(ctx context.Context) {
 	var role relayRole
 	defer role.leave()
 	var nextCheck time.Time
 	for ctx.Err() == nil {
-		relay := s.isRelay()
+		alone := s.isAlone()
+		relay := alone || s.isRelay()
 		if now := s.config.Now(); (relay || !s.link.attached()) && !now.Before(nextCheck) {
 			s.check(ctx)
 			nextCheck = s.config.Now().Add(s.checkPause())
 		}
 		switch active := relay && s.link.attached(); {
 		case active && !role.taken() && s.link.failures == 0:
-			s.config.Log.Info().Str("domain", s.config.Self.Domain).Msg("confsync: relay role taken")
+			s.config.Log.Info().Str("domain", s.config.Self.Domain).Bool("alone", alone).Msg("confsync: relay role taken")
 			role.take(ctx, s)
 		case !active && role.taken():
 			s.config.Log.Info().Str("domain", s.config.Self.Domain).Msg("confsync: relay role left")
@@ -122,6 +123,11 @@
 	return false
 }
 
+// isAlone reports whether a ready daemon has to follow the platform itself, since no
+// other daemon answers: its relay may refuse it, be refused by it, or be unreachable
+// from here only. A starting daemon has its own ways, see checkReady.
+func (s *Syncer) isAlone() bool { return s.Ready() && s.contact.alone(s.config.Now()) }
+
 // poller follows one prefix at the platform.
 type poller struct {
 	syncer *Syncer
