Hand on lists of daemons in the order in which they were made

Two entries that change at the same time, such as one pushed and one looked up, each made a list of daemons and handed it to membership without a common lock. The list without the later change could come last: the view then went back to the former start of a daemon, took it for dead, and disagreed with others on homes and relays until the next entry changed. Callers would see requests sent to a start that has ended.

The list is now made and handed on under one lock, as that of upstreams is. The test failed before: the last list named one daemon of two.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -44,8 +44,9 @@
 	log     zerolog.Logger
 	metrics *telemetry.Metrics
 
-	// apply keeps lists of upstreams in the order in which they were made.
-	apply sync.Mutex
+	// apply keeps lists of upstreams in the order in which they were made, and
+	// applyDaemons those of daemons.
+	apply, applyDaemons sync.Mutex
 
 	mu sync.Mutex
 	// upstreams holds the members of each service by id.
@@ -239,11 +240,9 @@
 		c.upstreams[m.Service][id] = m
 		c.serviceOf[id] = m.Service
 	}
-	daemons := slices.Collect(maps.Values(c.daemons))
-	notify := c.onDaemons
 	c.mu.Unlock()
-	if notify != nil && (wasDaemon || m.Role == platform.RoleDaemon) {
-		notify(daemons)
+	if wasDaemon || m.Role == platform.RoleDaemon {
+		c.putDaemons()
 	}
 	if before != "" && before != m.Service {
 		c.putUpstreams(before)
@@ -257,6 +256,19 @@
 	}
 }
 
+// putDaemons hands on the list of daemons. Changes of several entries come at the same
+// time, and a list that is handed on late would bring back a former start.
+func (c *Catalog) putDaemons() {
+	c.applyDaemons.Lock()
+	defer c.applyDaemons.Unlock()
+	c.mu.Lock()
+	daemons, notify := slices.Collect(maps.Values(c.daemons)), c.onDaemons
+	c.mu.Unlock()
+	if notify != nil {
+		notify(daemons)
+	}
+}
+
 // putUpstreams gives the members of a membership name to the services that find
 // their upstreams there.
 func (c *Catalog) putUpstreams(membership string) {
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -223,3 +224,51 @@
 		Expect(standings(board, "s")).To(HaveKeyWithValue("u1", "normal"))
 	})
 })
+
+// TestListsOfDaemonsArriveInOrder guards against a daemon that holds the former start of
+// another one until the list changes again: with two changes at a time the list without
+// the later one was handed on last.
+func TestListsOfDaemonsArriveInOrder(t *testing.T) {
+	c := catalog.New(blackboard.New("d1", "fes"), zerolog.Nop(), telemetry.NewMetrics())
+	entry := func(host string, version uint64) platform.Object {
+		o := memberObject(platform.Member{ID: host, Role: platform.RoleDaemon, Version: version})
+		o.Key = platform.DaemonsPrefix + host
+		return o
+	}
+	var mu sync.Mutex
+	var last []string
+	entered, second := make(chan struct{}), make(chan struct{})
+	first := true
+	c.OnDaemons(func(members []platform.Member) {
+		mu.Lock()
+		waits := first
+		first = false
+		mu.Unlock()
+		if waits {
+			close(entered)
+			// The other change has this time to overtake the first one.
+			select {
+			case <-second:
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		last = last[:0]
+		for _, m := range members {
+			last = append(last, m.ID)
+		}
+	})
+	var changes sync.WaitGroup
+	changes.Go(func() { c.Changed(entry("h1", 1)) })
+	<-entered
+	changes.Go(func() {
+		c.Changed(entry("h2", 2))
+		close(second)
+	})
+	changes.Wait()
+	slices.Sort(last)
+	if !slices.Equal(last, []string{"h1", "h2"}) {
+		t.Fatalf("the last list names %v", last)
+	}
+}
