Read the entry of a refused daemon again without another refusal

A lookup whose read failed, or which came before the entry was written, was given up, and a request for a host that had been read less than a second ago was dropped. The daemon then stayed refused until it happened to call again, which the lookup exists to make needless. It shows where a host starts twice within a second, and where the platform refuses single reads.

A request now stays for up to three reads, a second apart, and a later start of the host takes its place. Requests that were read go to the end, so that ids without an entry do not hold up the others; the bounds on reads of a host and in total are as before. Two tests failed before, one bounds the reads of an id without an entry.

--- a/pkg/registration/lookup.go
+++ b/pkg/registration/lookup.go
@@ -29,6 +29,10 @@
 	// may not have entered itself yet. The id in a certificate is a statement of the
 	// peer alone, so that the limit is not by id.
 	lookupRetry = time.Second
+	// lookupReads is how often an entry is read for one request. The reads cover the
+	// two seconds within which a change must be in force; a refused daemon may not
+	// call again within them.
+	lookupReads = 3
 	// maxLookups bounds the hosts that wait for a read. Others ask again with the
 	// next handshake.
 	maxLookups = 64
@@ -50,14 +54,23 @@
 	Log   zerolog.Logger
 
 	mu sync.Mutex
-	// waiting holds ids in the order in which they were asked for, one for a host.
-	waiting []string
+	// waiting holds requests in the order in which they are served, one for a host.
+	waiting []request
 	// readAt is when the entry of a host was last read.
 	readAt map[string]time.Time
 	wake   chan struct{}
 	reads  atomic.Uint64
 }
 
+// request is a daemon whose entry is asked for.
+type request struct {
+	id string
+	// reads is how often the entry was read.
+	reads int
+}
+
+func (r request) host() string { return HostOf(r.id) }
+
 // Provision prepares the lookup.
 func (l *Lookup) Provision() {
 	l.wake = make(chan struct{}, 1)
@@ -67,16 +80,20 @@
 // Reads is how many entries were asked for at the platform.
 func (l *Lookup) Reads() uint64 { return l.reads.Load() }
 
-// Request asks for the entry of the daemon with the id. It does not block.
+// Request asks for the entry of the daemon with the id, in place of an earlier request
+// for the same host. It does not block.
 func (l *Lookup) Request(id string) {
-	host := HostOf(id)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	waits := slices.ContainsFunc(l.waiting, func(other string) bool { return HostOf(other) == host })
-	if waits || len(l.waiting) >= maxLookups || time.Since(l.readAt[host]) < lookupRetry {
+	i := slices.IndexFunc(l.waiting, func(r request) bool { return r.host() == HostOf(id) })
+	switch {
+	case i >= 0 && l.waiting[i].id != id:
+		l.waiting[i] = request{id: id}
+	case i >= 0 || len(l.waiting) >= maxLookups:
 		return
+	default:
+		l.waiting = append(l.waiting, request{id: id})
 	}
-	l.waiting = append(l.waiting, id)
 	select {
 	case l.wake <- struct{}{}:
 	default:
@@ -108,7 +125,8 @@
 	return len(l.waiting) > 0
 }
 
-// next returns the first id whose entry is not held by now.
+// next returns the first id whose entry is not held by now and may be read. Its request
+// goes to the end, so that daemons without an entry do not hold up the others.
 func (l *Lookup) next() (id string, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -117,16 +135,26 @@
 			delete(l.readAt, host)
 		}
 	}
-	for len(l.waiting) > 0 {
-		id, l.waiting = l.waiting[0], l.waiting[1:]
-		if host := HostOf(id); l.Held(host) != id {
-			l.readAt[host] = time.Now()
-			return id, true
+	l.waiting = slices.DeleteFunc(l.waiting, func(r request) bool { return r.reads >= lookupReads || l.Held(r.host()) == r.id })
+	for i, r := range l.waiting {
+		if _, tooSoon := l.readAt[r.host()]; tooSoon {
+			continue
 		}
+		r.reads++
+		l.readAt[r.host()] = time.Now()
+		l.waiting = append(slices.Delete(l.waiting, i, i+1), r)
+		return r.id, true
 	}
 	return "", false
 }
 
+// served ends the request for the daemon with the id.
+func (l *Lookup) served(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting = slices.DeleteFunc(l.waiting, func(r request) bool { return r.id == id })
+}
+
 // read reads the entry of the host of a daemon and applies it, also when the host
 // has started once more.
 func (l *Lookup) read(ctx context.Context, id string) {
@@ -149,6 +177,7 @@
 	l.Log.Info().Str("peer", id).Str("entry", m.ID).Str("held", held).Uint64("version", o.Version).
 		Msg("registration: entry of a refused daemon read")
 	if held == m.ID && held != before {
+		l.served(id)
 		l.Found(m)
 	}
 }
--- a/pkg/registration/lookup_test.go
+++ b/pkg/registration/lookup_test.go
@@ -212,3 +212,56 @@
 		t.Fatalf("held %v after %d reads", a.held, a.store.reads)
 	}
 }
+
+// TestLookupReadsAgainByItself guards against a daemon that refuses another one until
+// it happens to be called again: the first read failed, or came before the entry.
+func TestLookupReadsAgainByItself(t *testing.T) {
+	for name, missing := range map[string]bool{"read failed": false, "not entered yet": true} {
+		a := newAsker()
+		if !missing {
+			a.enter("h1", "h1.now")
+			a.store.fail = []error{platform.ErrUnavailable}
+		}
+		a.during(t, func() {
+			a.lookup.Request("h1.now")
+			time.Sleep(500 * time.Millisecond)
+			if missing {
+				a.enter("h1", "h1.now")
+			}
+			time.Sleep(1500 * time.Millisecond)
+		})
+		if a.held["h1"] != "h1.now" || a.store.reads != 2 {
+			t.Errorf("%s: held %v after %d reads", name, a.held, a.store.reads)
+		}
+	}
+}
+
+// TestLookupKeepsARequestThatComesTooSoon guards against a daemon that starts twice
+// within a second and stays refused until it happens to call again.
+func TestLookupKeepsARequestThatComesTooSoon(t *testing.T) {
+	a := newAsker()
+	a.enter("h1", "h1.first")
+	a.during(t, func() {
+		a.lookup.Request("h1.first")
+		time.Sleep(500 * time.Millisecond)
+		a.enter("h1", "h1.second")
+		a.lookup.Request("h1.second")
+		time.Sleep(1500 * time.Millisecond)
+	})
+	if a.held["h1"] != "h1.second" || a.store.reads != 2 {
+		t.Fatalf("held %v after %d reads", a.held, a.store.reads)
+	}
+}
+
+// TestLookupGivesUpAnIDWithoutEntry guards against reads without end for an id that a
+// peer made up, or for a daemon that has ended.
+func TestLookupGivesUpAnIDWithoutEntry(t *testing.T) {
+	a := newAsker()
+	a.during(t, func() {
+		a.lookup.Request("h1.now")
+		time.Sleep(time.Minute)
+	})
+	if a.store.reads < 2 || a.store.reads > 10 {
+		t.Fatalf("%d reads in a minute", a.store.reads)
+	}
+}
