Delete no entries because a stale list leaves them out

A daemon that starts in a large fleet, or as a list failed, took the stale list of daemons for complete at its revision. The users' pages do not say that the revision is that of the stale view, and the pages of one list may differ in age, where the revision of the first one counted. An entry between the view and the revision then became a tombstone newer than the entry: its daemon stayed refused, the lookup could not bring it back, and comparisons spread the tombstone to other daemons.

The entries of a stale list are now taken over, and nothing follows from what it leaves out. Lists of relays and comparisons bring deletions. The test failed before: the entry counted as deleted.

--- a/pkg/confsync/boot.go
+++ b/pkg/confsync/boot.go
@@ -148,13 +148,15 @@
 		return
 	}
 	for failures := 0; ctx.Err() == nil; failures++ {
-		objects, revision, err := s.config.Store.ListStale(ctx, s.config.Roster)
+		objects, _, err := s.config.Store.ListStale(ctx, s.config.Roster)
 		if err == nil {
 			// The list may be seconds old. Where all is listed anew it is not used:
 			// daemons that have left would be relays and homes until forgotten.
 			alone := s.config.Alone > 0 && len(objects) <= s.config.Alone
 			if !alone || !s.listAll(ctx) {
-				s.config.Replica.Listed(s.config.Roster, objects, revision)
+				// Nothing counts as deleted because a stale list leaves it out: its
+				// revision may be the present one, and its pages of different ages.
+				s.config.Replica.applyAll(objects)
 			}
 			if s.config.OnRoster != nil {
 				s.config.OnRoster()
--- a/pkg/confsync/boot_test.go
+++ b/pkg/confsync/boot_test.go
@@ -56,3 +56,45 @@
 		}
 	})
 }
+
+// staleView answers stale lists with the state of before all writes, under the
+// revision that the store has by now.
+type staleView struct{ *memstore.Store }
+
+func (s staleView) ListStale(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
+	_, revision, err := s.List(ctx, prefix)
+	return nil, revision, err
+}
+
+// TestStartDeletesNothingByAStaleList guards against a daemon that takes another one for
+// gone, and makes the others do so, since a list from seconds ago does not name it.
+func TestStartDeletesNothingByAStaleList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const roster = "daemons/"
+		store := memstore.New()
+		entry, err := store.Create(t.Context(), roster+"new", []byte("v"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		replica := confsync.NewReplica()
+		none := func() []confsync.Peer { return nil }
+		s, err := confsync.New(confsync.Config{
+			Prefixes: []string{roster}, Replica: replica, Transport: noTransport{}, Peers: none, Log: zerolog.Nop(),
+			Store: staleView{store}, Relays: func(string) []confsync.Peer { return nil }, Rand: rand.New(rand.NewPCG(1, 2)), Roster: roster,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { defer close(ended); s.Run(ctx) }()
+		time.Sleep(time.Second)
+		replica.Apply(entry) // A relay pushes the entry, or it is read at the platform.
+		_, held := replica.Get(entry.Key)
+		stop()
+		<-ended
+		if !held {
+			t.Fatalf("the entry at version %d counts as deleted", entry.Version)
+		}
+	})
+}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -114,8 +114,8 @@
 	// List returns the objects under prefix, sorted by key, without
 	// tombstones, and the store revision they were read at.
 	List(ctx context.Context, prefix string) ([]Object, uint64, error)
-	// ListStale is a cheaper List that may show the store as it was seconds ago,
-	// at the revision that it returns.
+	// ListStale is a cheaper List that may show the store as it was seconds ago.
+	// The revision that it returns may be later than that.
 	ListStale(ctx context.Context, prefix string) ([]Object, uint64, error)
 	// Watch waits for changes under prefix after the revision, for at most
 	// wait. It returns the latest state of each changed object, tombstones
