List a daemon once the start before it has fallen silent

The view keeps a daemon that called before a roster named it, and passes over the one that the roster names for the host, which may be a former start. It may also be a later one, where the host was killed twice within some seconds. That start then stayed unknown until an entry of any daemon changed again, and the ended one stayed a home and a relay in its place.

Daemons that were passed over are now kept, and listed when nothing has been heard from the other start for the time of a suspicion. The test failed before: the former start was known for good.

--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -37,6 +37,7 @@
 	v.lastTick = v.now
 	out := v.advanceProbes(rng)
 	v.expireSuspects()
+	v.listPassedOver()
 	for _, key := range v.urgent {
 		out = v.probe(out, key)
 	}
--- a/pkg/membership/restart_test.go
+++ b/pkg/membership/restart_test.go
@@ -56,6 +56,20 @@
 		Expect(known()).To(ConsistOf("h1.2", "h2.1"))
 	})
 
+	// Guards against a start that stays unknown until the roster changes again: an
+	// earlier one of the same host had called shortly before, and was killed at once.
+	It("is known by the roster when the start before it has fallen silent", func() {
+		view.Receive(start.Add(time.Millisecond), membership.Message{
+			Kind: membership.Ping, Seq: 1, From: "h1.2",
+			Contact: &membership.Contact{Domain: "a", Address: "h1:80", PeerAddress: "h1:81", Host: "h1"},
+		})
+		view.SetRoster(start.Add(time.Second), []platform.Member{daemonOn("h1", "h1.3", "a"), daemonOn("h2", "h2.1", "b")})
+		for at := time.Second; at < 2*membership.DomainParams().Suspicion; at += 200 * time.Millisecond {
+			view.Tick(start.Add(at), rng)
+		}
+		Expect(known()).To(ConsistOf("h1.3", "h2.1"))
+	})
+
 	// Guards against the same while the roster lags: a ping shows the new start
 	// first.
 	It("takes the place of its earlier start by its first ping, also when the roster still lists that", func() {
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -22,6 +22,8 @@
 	hosts       map[uint64]*host
 	// order holds the keys of hosts, sorted, for runs that can be repeated.
 	order []uint64
+	// passedOver are listed daemons in whose place one was heard that no roster listed.
+	passedOver []*platform.Member
 	// suspects and notable hold keys; entries that no longer apply are removed
 	// when they are met.
 	suspects []uint64
@@ -134,6 +136,7 @@
 	if len(listed) == 0 && len(v.order) > 0 {
 		return
 	}
+	v.passedOver = nil
 	for i := range members {
 		if key := KeyOf(members[i].ID); listed[key] {
 			v.list(key, &members[i])
@@ -151,7 +154,9 @@
 	h := v.hosts[key]
 	if h == nil {
 		if v.metOn(m.Host) {
-			return // The roster still shows the daemon's former start.
+			// The roster still shows the daemon's former start, or already a later one.
+			v.passedOver = append(v.passedOver, m)
+			return
 		}
 		v.replaceHost(key, m.Host)
 		h = v.add(key, m)
@@ -163,6 +168,15 @@
 	}
 }
 
+// listPassedOver lists daemons that were passed over for one that has fallen silent.
+func (v *View) listPassedOver() {
+	passedOver := v.passedOver
+	v.passedOver = nil
+	for _, m := range passedOver {
+		v.list(KeyOf(m.ID), m)
+	}
+}
+
 // metOn reports whether a daemon on the host that no roster shows yet was heard
 // a short time ago.
 func (v *View) metOn(name string) bool {
