--- a/pkg/daemon/restart_test.go
+++ b/pkg/daemon/restart_test.go
@@ -111,6 +111,14 @@
 // start starts the daemon of a host again, at its former address, and waits until
 // it serves callers.
 func (f *restartedFleet) start(t *testing.T, host string) *Daemon {
+	d := f.launch(t, host)
+	f.g.Eventually(d.Ready, 5*time.Second, 10*time.Millisecond).Should(BeTrue(), f.logged)
+	f.g.Expect(routes(d, firstPath)).To(BeTrue(), f.logged)
+	return d
+}
+
+// launch starts the daemon of a host at the address of its socket.
+func (f *restartedFleet) launch(t *testing.T, host string) *Daemon {
 	address := f.sockets[host].LocalAddr().String()
 	s, err := settings.Parse("test", fmt.Appendf(nil, restartSettings, host, address))
 	f.g.Expect(err).NotTo(HaveOccurred())
@@ -126,8 +134,6 @@
 		// Calls to hosts that are away may outlast the short grace.
 		t.Logf("%s left: %v", host, <-ended)
 	})
-	f.g.Eventually(d.Ready, 5*time.Second, 10*time.Millisecond).Should(BeTrue(), f.logged)
-	f.g.Expect(routes(d, firstPath)).To(BeTrue(), f.logged)
 	return d
 }
 
