Open a new connection to a daemon that has started again

A daemon that holds the new entry of another one takes it for alive at once, and still called it over the connection to its killed start, which sends no close: requests passed on to it got no reply and may-have-run until a call had timed out on that connection, a push was missed, and reports sent as datagrams were lost without a sign until then.

A new entry of a host now retires the connection to its address, so that the next call dials. Calls under way keep their connection.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -195,7 +195,7 @@
 	if d.adapter.Registers {
 		d.registration = &registration.Controller{Store: d.store, Self: d.self, Log: d.log}
 		d.registration.Provision()
-		d.catalog.OnEntry(d.registration.Seen)
+		d.catalog.OnEntry(d.entryChanged)
 		d.provisionLookup()
 	}
 	var err error
--- /dev/null
+++ b/pkg/daemon/reconnect_test.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"shallotglade/pkg/peer"
+	"shallotglade/pkg/platform"
+	"shallotglade/pkg/registration"
+)
+
+// answerTarget is how soon a daemon that runs answers a small call: the limit of a
+// comparison.
+const answerTarget = 300 * time.Millisecond
+
+// Guards against requests, pushes and reports that are sent to the ended start of a daemon, over a connection that
+// nobody answers, while its present start is known.
+func TestCallToADaemonThatRestartedUsesANewConnection(t *testing.T) {
+	hosts := []string{"fes-1", "fes-2"}
+	f := newRestartedFleet(t, hosts)
+	caller := f.start(t, hosts[0])
+	address := f.sockets[hosts[1]].LocalAddr().String()
+	f.g.Expect(f.sockets[hosts[1]].Close()).To(Succeed())
+	var killed atomic.Bool
+	begin := func(drop func(from, to string) bool) *peer.Node {
+		registered, err := peer.NewRegistered(registration.NewID(hosts[1]))
+		f.g.Expect(err).NotTo(HaveOccurred())
+		registered.KeyOf = func(string) string { return caller.self.PeerKey }
+		node, err := peer.Listen(peer.Config{Listen: address, Registered: registered, Drop: drop})
+		f.g.Expect(err).NotTo(HaveOccurred())
+		node.Handle("echo", func(_ context.Context, _ peer.Identity, body []byte) ([]byte, error) { return body, nil })
+		value, err := json.Marshal(platform.Member{
+			ID: node.ID(), Host: hosts[1], Role: platform.RoleDaemon, Address: address, PeerAddress: address,
+			Domain: restartDomain, State: platform.Live, PeerKey: registered.KeyHash(),
+		})
+		f.g.Expect(err).NotTo(HaveOccurred())
+		former, err := f.store.Get(t.Context(), registration.Key(hosts[1]))
+		f.g.Expect(err).NotTo(HaveOccurred())
+		entry, err := f.store.Update(t.Context(), former.Key, former.Version, value)
+		f.g.Expect(err).NotTo(HaveOccurred())
+		caller.replica.Apply(entry)
+		return node
+	}
+	end := func(node *peer.Node) {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		_ = node.Close(ctx) // Calls under way may be cut off.
+	}
+	call := func(limit time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		_, err := caller.node.Call(ctx, address, "echo", nil)
+		return err
+	}
+	former := begin(func(string, string) bool { return killed.Load() })
+	f.g.Eventually(call, inForceTarget).WithArguments(answerTarget).Should(Succeed(), f.logged)
+	killed.Store(true)
+	end(former)
+	present := begin(nil)
+	t.Cleanup(func() { end(present) })
+	f.g.Expect(call(answerTarget)).To(Succeed(), f.logged)
+}
--- a/pkg/daemon/trust.go
+++ b/pkg/daemon/trust.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"strings"
+
 	"shallotglade/pkg/confsync"
 	"shallotglade/pkg/platform"
 	"shallotglade/pkg/registration"
@@ -23,6 +25,15 @@
 	d.roster.refresh()
 }
 
+// entryChanged takes a change of a daemon's entry. A new entry tells that the daemon of
+// the host has started again: the connection to its former start leads nowhere.
+func (d *Daemon) entryChanged(o platform.Object) {
+	d.registration.Seen(o)
+	if m, ok := d.catalog.Daemon(strings.TrimPrefix(o.Key, platform.DaemonsPrefix)); ok && m.ID != d.self.ID {
+		d.node.Renew(m.PeerAddress)
+	}
+}
+
 // refusedPeer takes the id that the certificate of a refused daemon names. The
 // daemon may have started after the list of daemons was read here.
 func (d *Daemon) refusedPeer(id string) {
--- a/pkg/peer/outgoing.go
+++ b/pkg/peer/outgoing.go
@@ -149,6 +149,28 @@
 	c.retired = true
 }
 
+// Renew makes the next call to the address open a new connection, because another
+// process listens there by now. The end of the former one may have sent no packet, so
+// that its connection would count as open for up to maxSilence. Calls under way keep
+// their connection.
+func (n *Node) Renew(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.outgoing[address]
+	if c == nil || n.closed {
+		return
+	}
+	n.forget(c)
+	c.retired = true
+	if c.users == 0 {
+		n.tasks.Add(1)
+		go func() {
+			defer n.tasks.Done()
+			c.close("renewed")
+		}()
+	}
+}
+
 // takeIdle removes and returns the connections unused since the given time.
 func (n *Node) takeIdle(since time.Time) []*outgoing {
 	n.mu.Lock()
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -75,6 +75,34 @@
 		return listen(server), listen(client)
 	}
 
+	// Guards against a call that is cut because its connection is renewed, and against a
+	// connection that stays open after its last call.
+	It("renews a connection without cutting the calls under way", func() {
+		s, c := pair(peer.Config{}, peer.Config{})
+		entered, release := make(chan struct{}), make(chan struct{})
+		s.Handle("echo", echo)
+		s.Handle("wait", func(context.Context, peer.Identity, []byte) ([]byte, error) {
+			close(entered)
+			<-release
+			return []byte("done"), nil
+		})
+		waited := make(chan error, 1)
+		go func() {
+			_, err := c.Call(ctx, s.Addr(), "wait", nil)
+			waited <- err
+		}()
+		<-entered
+		c.Renew(s.Addr())
+		Expect(c.Call(ctx, s.Addr(), "echo", nil)).To(Equal([]byte("client:")))
+		Expect(c.Stats().Dials).To(BeEquivalentTo(2))
+		close(release)
+		Expect(<-waited).To(Succeed())
+		Eventually(func() int { return s.Stats().Incoming }).Should(Equal(1))
+		c.Renew(s.Addr())
+		c.Renew("127.0.0.1:9")
+		Eventually(func() int { return s.Stats().Incoming }).Should(Equal(0))
+	})
+
 	// Guards against replies that reach another call and against one
 	// connection per call.
 	It("gives each of many concurrent calls its own reply over one connection", func() {
