List the platform again when a daemon's lists at its start were refused

A daemon that starts in a fleet of up to 128 lists everything once. When one of the lists was refused, it waited for a ready peer, and without one that accepts its new key for 10 s before it listed again: with the whole fleet killed and the platform refusing single calls, callers would find no daemon ready for that time.

It now lists again, with the usual pauses between failed calls, until it is ready by that or by a peer.

--- a/pkg/confsync/boot.go
+++ b/pkg/confsync/boot.go
@@ -163,7 +163,7 @@
 			}
 			s.boot.setRostered()
 			if alone {
-				s.checkReady(ctx)
+				s.listUntilReady(ctx)
 			}
 			return
 		}
@@ -177,6 +177,20 @@
 	}
 }
 
+// listUntilReady lists the platform again until the daemon is ready by that or by its
+// peers. Peers do not answer while they refuse each other's new keys.
+func (s *Syncer) listUntilReady(ctx context.Context) {
+	for failures := 1; ; failures++ {
+		s.checkReady(ctx)
+		if s.Ready() || !sleep.For(ctx, backoff(failures, s.float())) {
+			return
+		}
+		if !s.Ready() {
+			s.listAll(ctx)
+		}
+	}
+}
+
 func (b *bootState) setRostered() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/confsync/boot_test.go
+++ b/pkg/confsync/boot_test.go
@@ -98,3 +98,45 @@
 		}
 	})
 }
+
+// failingOnce refuses the second list.
+type failingOnce struct {
+	*memstore.Store
+	lists *int
+}
+
+func (s failingOnce) List(ctx context.Context, prefix string) ([]platform.Object, uint64, error) {
+	*s.lists++
+	if *s.lists == 2 {
+		return nil, 0, platform.ErrUnavailable
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+// TestStartListsAgainAfterARefusedList guards against a daemon that is not ready for ten
+// seconds, since one of its lists was refused and its peers refuse its new key.
+func TestStartListsAgainAfterARefusedList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const roster = "daemons/"
+		lists := 0
+		s, err := confsync.New(confsync.Config{
+			Prefixes: []string{"services/", roster}, Replica: confsync.NewReplica(), Transport: noTransport{}, Log: zerolog.Nop(),
+			Peers: func() []confsync.Peer { return []confsync.Peer{{Address: "refusing", Domain: "fes"}} },
+			Store: failingOnce{memstore.New(), &lists}, Relays: func(string) []confsync.Peer { return nil },
+			Rand: rand.New(rand.NewPCG(1, 2)), Roster: roster, Alone: 10,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { defer close(ended); s.Run(ctx) }()
+		time.Sleep(time.Second)
+		ready := s.Ready()
+		stop()
+		<-ended
+		if !ready || lists > 4 {
+			t.Fatalf("ready %t after %d lists", ready, lists)
+		}
+	})
+}
