Ask for watches again after a call without an answer

A relay whose call to the platform got no answer asked again, found the platform reachable, and left its watches open. Their replies may have been lost at the same moment, and nothing more comes on such a connection, so that they waited for up to 10 s and the time of a read. With the replies lost at the relays of all domains, nobody learned the change meanwhile.

The first answer after a failure now ends the open watches, which go on from the revision that they had. A watch that loses its reply while all checks are answered still waits.

--- a/pkg/confsync/link.go
+++ b/pkg/confsync/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -30,9 +31,39 @@
 	failures int
 	// suspected asks for a call now, after another one has failed.
 	suspected chan struct{}
+
+	mu sync.Mutex
+	// renewed is closed when open watches are to be asked for again.
+	renewed chan struct{}
 }
 
-func newLink() *link { return &link{suspected: make(chan struct{}, 1)} }
+func newLink() *link { return &link{suspected: make(chan struct{}, 1), renewed: make(chan struct{})} }
+
+// renew ends the open watches, so that they are asked for again: where a call got no
+// answer, the answers to watches may have been lost as well, and nothing more comes
+// on their connections.
+func (l *link) renew() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.renewed)
+	l.renewed = make(chan struct{})
+}
+
+// untilRenewed returns a context that ends with ctx or when watches are renewed.
+func (l *link) untilRenewed(ctx context.Context) (context.Context, context.CancelFunc) {
+	l.mu.Lock()
+	renewed := l.renewed
+	l.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		select {
+		case <-renewed:
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
 
 // suspect asks for a call to the platform now.
 func (l *link) suspect() {
@@ -58,6 +89,9 @@
 		return
 	}
 	if err == nil {
+		if s.link.failures > 0 {
+			s.link.renew()
+		}
 		s.link.failures = 0
 		if s.link.detached.Swap(false) {
 			s.config.Log.Info().Msg("confsync: reaches the platform again")
--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -209,7 +209,12 @@
 	if s.config.Thrifty {
 		wait = thriftyWatchWait
 	}
-	objects, revision, err := s.config.Store.Watch(ctx, p.prefix, p.after, wait)
+	limited, cancel := s.link.untilRenewed(ctx)
+	defer cancel()
+	objects, revision, err := s.config.Store.Watch(limited, p.prefix, p.after, wait)
+	if err != nil && limited.Err() != nil && ctx.Err() == nil {
+		return nil, nil // The watch is asked for again.
+	}
 	if err != nil {
 		if !errors.Is(err, platform.ErrUnavailable) {
 			// The platform no longer knows the revision, or answers in a way
