Deny no request while the first configuration comes into force

Services came into being one by one before the routes were put in force, and a daemon counted as configured with the first of them: a request in between got 404 instead of 503, and so did one that was looked up before the first configuration and judged after it.

Whether anything is configured is now part of the table of routes, and asked before the route is looked up. A daemon that serves callers mostly holds a configuration by then, so that few requests would have met this.

--- a/pkg/blackboard/board.go
+++ b/pkg/blackboard/board.go
@@ -80,8 +80,10 @@
 	return document.Connections{}
 }
 
-// Configured reports whether any route is in force.
-func (b *Board) Configured() bool { return b.configuration.Load() != nil || len(b.services.all()) > 0 }
+// Configured reports whether a configuration or any document is in force. A caller
+// that denies a request for lack of a route asks this before it looks for the route:
+// the first configuration may come into force in between.
+func (b *Board) Configured() bool { return b.routes.Load().configured }
 
 // PutConfiguration puts all routes and services in force at once, unless a
 // newer configuration is. It reports whether it is in force now. Requests that
@@ -105,6 +107,7 @@
 			table.add(r)
 		}
 	}
+	table.configured = true
 	b.configured = version
 	b.configuration.Store(c)
 	b.routes.Store(table)
@@ -138,8 +141,9 @@
 func (b *Board) rebuildRoutes() {
 	b.rebuild.Lock()
 	defer b.rebuild.Unlock()
-	table := newRouteTable()
-	for _, s := range b.Services() {
+	table, services := newRouteTable(), b.Services()
+	table.configured = b.configuration.Load() != nil || len(services) > 0
+	for _, s := range services {
 		d, version := s.Document(), s.Version()
 		named, rules := d.Rule(), d.Rules()
 		if r, ok := newRoute(&named, version, b.services.get); ok {
--- a/pkg/blackboard/routes.go
+++ b/pkg/blackboard/routes.go
@@ -53,6 +53,8 @@
 	byHost map[string]map[string]*Route
 	// named holds the routes of requests that name their service.
 	named map[string]*Route
+	// configured is whether the routes are those of a configuration or of documents.
+	configured bool
 }
 
 func newRouteTable() *routeTable {
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -379,12 +379,13 @@
 
 // addresses answers a caller's question which addresses to use.
 func (d *Daemon) addresses(q dialect.AddressQuery) (dialect.AddressAnswer, *verdict.Error) {
+	configured := d.board.Configured()
 	if q.Service == "" {
 		q.Service = d.serviceAt(q.Host)
 	}
 	s, ok := d.board.Service(q.Service)
 	switch {
-	case !ok && !d.board.Configured():
+	case !ok && !configured:
 		return dialect.AddressAnswer{}, verdict.Refuse(503, "no-configuration", "The daemon has not learned any route yet.")
 	case !ok:
 		return dialect.AddressAnswer{}, verdict.Refuse(404, "unknown-service", "No service has this name.")
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -81,9 +81,10 @@
 
 // Serve brings back the answer to a request. It never returns nil.
 func (p *Proxy) Serve(ctx context.Context, in *Incoming) *Answer {
+	configured := p.Board.Configured()
 	route, service, ok := p.Board.Route(in.Service, in.Host, in.Path)
 	if !ok {
-		return p.finish(in, "", refused(p.noRoute()))
+		return p.finish(in, "", refused(noRoute(configured)))
 	}
 	in.idempotent = route.Idempotent(service.Document(), in.Method, in.Path)
 	in.configuration = route.Version
@@ -113,8 +114,8 @@
 
 // noRoute is the answer to a request that fits no route. A daemon that knows no
 // routes at all cannot say that the caller's is wrong.
-func (p *Proxy) noRoute() *verdict.Error {
-	if p.Board.Configured() {
+func noRoute(configured bool) *verdict.Error {
+	if configured {
 		return verdict.Refuse(404, "unknown-service", "No service has this name or route.")
 	}
 	e := verdict.Refuse(503, "no-configuration", "The daemon has not learned any route yet.")
