Test a change at a daemon whose entry could not be written

The whole daemon, where all others refuse it and it reads the platform only: the change is in force within the target. With the daemon's own reading of the platform taken out the test fails.

--- a/pkg/daemon/restart_test.go
+++ b/pkg/daemon/restart_test.go
@@ -30,6 +30,9 @@
 // the users' platform.
 const inForceTarget = 2 * time.Second
 
+// contactTime is how long a daemon has run undisturbed when that target holds for it.
+const contactTime = 3 * time.Second
+
 const (
 	restartDomain = "fes"
 	firstPath     = "/first"
@@ -54,6 +57,16 @@
 	// sockets keep the addresses of hosts whose daemons have not started again.
 	sockets map[string]net.PacketConn
 	log     *gbytes.Buffer
+	// unregistered is the host whose writes the platform refuses, if any.
+	unregistered string
+}
+
+// readOnlyStore is a platform that refuses the writes of a daemon.
+type readOnlyStore struct{ platform.Store }
+
+// Create implements platform.Store.
+func (readOnlyStore) Create(context.Context, string, []byte) (platform.Object, error) {
+	return platform.Object{}, platform.ErrUnavailable
 }
 
 // newRestartedFleet returns a fleet with the given hosts in one failure domain
@@ -102,10 +115,14 @@
 	f.g.Expect(err).NotTo(HaveOccurred())
 }
 
-func (f *restartedFleet) adapter(*settings.Settings, *platform.Caller, zerolog.Logger) Adapter {
-	return Adapter{
+func (f *restartedFleet) adapter(s *settings.Settings, _ *platform.Caller, _ zerolog.Logger) Adapter {
+	a := Adapter{
 		Store: f.store, Prefixes: catalog.ConfigurationPrefixes(), Dialect: dialect.Native(), Registers: true, DearDistance: true,
 	}
+	if s.Host == f.unregistered {
+		a.Store = readOnlyStore{f.store}
+	}
+	return a
 }
 
 // start starts the daemon of a host again, at its former address, and waits until
@@ -192,3 +209,17 @@
 		return routes(early, secondPath)
 	}, inForceTarget, 100*time.Millisecond).Should(BeTrue(), f.logged)
 }
+
+// Guards against an old configuration in force at a daemon that all others refuse, since its own entry could not be written.
+func TestChangeReachesADaemonWithoutEntry(t *testing.T) {
+	hosts := []string{"fes-1", "fes-2", "fes-3"}
+	relay, plain := splitRelay(hosts)
+	f := newRestartedFleet(t, hosts)
+	f.unregistered = plain[0]
+	f.start(t, relay)
+	refused := f.start(t, plain[0])
+	f.start(t, plain[1])
+	time.Sleep(contactTime)
+	f.configure(t.Context(), firstPath, secondPath)
+	f.g.Eventually(routes, inForceTarget, 10*time.Millisecond).WithArguments(refused, secondPath).Should(BeTrue(), f.logged)
+}
