Count retries by the steady clock

The budget counted repeats in parts of the time of day. Where that jumped forward by more than a part of the span, the repeats of the present span seemed to have left it, and the requests and the allowance paid for others once more: upstreams would get up to twice the repeats that their operators allow. A clock that went back was provided for.

The parts are now counted from the first use of the budget by the difference of times, which Go takes from the steady clock.

--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -11,12 +11,18 @@
 // whose requests may pay for repeats of the present one.
 const kept = 2*buckets + 1
 
+// originAge is how long before its first use the parts of a window are counted from, so
+// that their numbers stay positive for counts that are older than the window.
+const originAge = 365 * 24 * time.Hour
+
 // window counts requests and repeated attempts over a sliding span.
 type window struct {
 	span     time.Duration
 	requests [kept]float64
 	repeats  [kept]float64
-	// at is the number of the present part since the epoch of the clock.
+	// origin is where the parts begin, by the steady clock: the time of day may jump.
+	origin time.Time
+	// at is the number of the present part since the origin.
 	at int64
 }
 
@@ -26,7 +32,10 @@
 	if part <= 0 {
 		return
 	}
-	at := now.UnixNano() / part
+	if w.origin.IsZero() {
+		w.origin = now.Add(-originAge)
+	}
+	at := int64(now.Sub(w.origin)) / part
 	if gap := at - w.at; gap >= kept || gap < 0 {
 		// A clock that went back starts a new span, in which the repeats count
 		// as just made.
@@ -99,7 +108,7 @@
 	for age := range int64(kept) {
 		i := (w.at + kept - age) % kept
 		stays := min(stay, w.requests[i])
-		middle := time.Unix(0, (w.at-age)*int64(length)).Add(length / 2)
+		middle := w.origin.Add(time.Duration(w.at-age)*length + length/2)
 		p := Part{
 			AgeMs:    uint32(max(now.Sub(middle), 0).Milliseconds()),
 			Requests: (w.requests[i] - stays) / n, Repeats: w.repeats[i] / n,
@@ -116,7 +125,7 @@
 // add adds counts of another daemon.
 func (w *window) add(now time.Time, p Part) {
 	w.advance(now)
-	at := now.Add(-time.Duration(p.AgeMs)*time.Millisecond).UnixNano() / int64(w.span/buckets)
+	at := int64(now.Add(-time.Duration(p.AgeMs)*time.Millisecond).Sub(w.origin)) / int64(w.span/buckets)
 	if at <= w.at-kept {
 		return
 	}
--- a/pkg/retry/window_test.go
+++ b/pkg/retry/window_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+	"unsafe"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -200,4 +201,35 @@
 		Expect(spend(epoch.Add(-time.Second))).To(BeZero())
 		Expect(spend(epoch.Add(span + time.Second))).To(Equal(first))
 	})
+
+	// Guards against repeats of one span that are paid for twice, since the time of day
+	// has jumped forward and the first ones seem to have left the span.
+	It("is not given away twice by a time of day that jumps", func() {
+		b := retry.NewBudget(policy())
+		spend := func(now time.Time) (n int) {
+			for b.Decide(now, again).Retry {
+				n++
+			}
+			return n
+		}
+		now := time.Now()
+		Expect(spend(now)).To(BeNumerically(">", 0))
+		for _, jump := range []time.Duration{span / 2, 2 * span, time.Hour, -span, -time.Hour} {
+			jumped := jumpTimeOfDay(now.Add(time.Second), jump)
+			Expect(jumped.Sub(now)).To(Equal(time.Second))
+			Expect(jumped.Round(0).Sub(now.Round(0))).To(Equal(time.Second + jump))
+			Expect(spend(jumped)).To(BeZero(), "jump of %v", jump)
+		}
+	})
 })
+
+// jumpTimeOfDay returns a time whose time of day has jumped by whole seconds and whose
+// reading of the steady clock has not. Nothing in the library makes such a time; the
+// first word of a time with both readings holds the seconds of the day above 30 bits of
+// nanoseconds.
+func jumpTimeOfDay(t time.Time, jump time.Duration) time.Time {
+	const nanosecondBits = 30
+	wall := (*uint64)(unsafe.Pointer(&t))
+	*wall += uint64(int64(jump/time.Second) << nanosecondBits)
+	return t
+}
