--- a/pkg/confsync/boot.go
+++ b/pkg/confsync/boot.go
@@ -148,20 +148,22 @@
 		return
 	}
 	for failures := 0; ctx.Err() == nil; failures++ {
-		objects, revision, err := s.config.Store.ListStale(ctx, s.config.Roster)
+		objects, _, err := s.config.Store.ListStale(ctx, s.config.Roster)
 		if err == nil {
 			// The list may be seconds old. Where all is listed anew it is not used:
 			// daemons that have left would be relays and homes until forgotten.
 			alone := s.config.Alone > 0 && len(objects) <= s.config.Alone
 			if !alone || !s.listAll(ctx) {
-				s.config.Replica.Listed(s.config.Roster, objects, revision)
+				// Nothing counts as deleted because a stale list leaves it out: its
+				// revision may be the present one, and its pages of different ages.
+				s.config.Replica.applyAll(objects)
 			}
 			if s.config.OnRoster != nil {
 				s.config.OnRoster()
 			}
 			s.boot.setRostered()
 			if alone {
-				s.checkReady(ctx)
+				s.listUntilReady(ctx)
 			}
 			return
 		}
@@ -175,6 +177,20 @@
 	}
 }
 
+// listUntilReady lists the platform again until the daemon is ready by that or by its
+// peers. Peers do not answer while they refuse each other's new keys.
+func (s *Syncer) listUntilReady(ctx context.Context) {
+	for failures := 1; ; failures++ {
+		s.checkReady(ctx)
+		if s.Ready() || !sleep.For(ctx, backoff(failures, s.float())) {
+			return
+		}
+		if !s.Ready() {
+			s.listAll(ctx)
+		}
+	}
+}
+
 func (b *bootState) setRostered() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
