Compare digests with the whole domain when a relay takes its role

A daemon that has listed a change at its start, or got it before the push of the former relay was broken off, pushes it to nobody; its domain gets the change by the periodic comparisons only.

A new relay now compares digests with all daemons of its domain once it has listed the platform, through the same tree as a push: the first of each group is sent a digest, and then the rest of its group (new message "compare"). This replaces the push of what the first lists show as new to the own domain; each daemon is sent what it lacks and nothing else. Pushes of later changes are as before. It makes no difference how the relay came by the change.

Tests changed: the fleet of the confsync tests takes its size as a parameter; the interleavings also draw the comparison of a new relay; FuzzHandle covers the messages "offer" and "compare" too, and names the kind of each seed.

--- a/pkg/confsync/doc.go
+++ b/pkg/confsync/doc.go
@@ -9,7 +9,9 @@
 //   - A relay lists and then watches the platform. It pushes what it learns to
 //     the daemons of its failure domain and to one relay of each other domain,
 //     which pushes it on within its own domain. In a large domain the push goes
-//     through daemons that pass it on, so that a relay sends few copies.
+//     through daemons that pass it on, so that a relay sends few copies. When it
+//     takes its role it compares digests with its whole domain in the same way,
+//     since it may hold changes that were pushed to nobody.
 //   - Every daemon compares digests with one random peer each second, mostly
 //     of its own domain, and both sides end with the newer objects. When the
 //     peer does not answer, others are asked at once. What a daemon learns in
--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -96,7 +96,11 @@
 }
 
 func (s *Syncer) compareWith(ctx context.Context, peer Peer) bool {
-	ready, err := s.exchange(ctx, peer)
+	timeout := s.config.CallTimeout
+	if s.Ready() {
+		timeout = min(timeout, smallCallTimeout)
+	}
+	ready, err := s.exchange(ctx, peer.Address, timeout, spreadGossip)
 	if err != nil {
 		s.digestErrors.Add(1)
 		s.config.Log.Debug().Err(err).Str("peer", peer.Address).Msg("confsync: digest comparison failed")
@@ -148,14 +152,11 @@
 }
 
 // exchange brings the own replica and that of a peer to the newer of both, and
-// says whether the peer is ready.
-func (s *Syncer) exchange(ctx context.Context, peer Peer) (ready bool, err error) {
+// says whether the peer is ready. timeout limits the first call. onward is what the
+// peer does with the objects that it lacked.
+func (s *Syncer) exchange(ctx context.Context, peer string, timeout time.Duration, onward spread) (ready bool, err error) {
 	mine := s.config.Replica.Digest()
-	timeout := s.config.CallTimeout
-	if s.Ready() {
-		timeout = min(timeout, smallCallTimeout)
-	}
-	body, err := s.callWithin(ctx, timeout, peer.Address, KindDigest, digestMessage{Root: mine.Root()})
+	body, err := s.callWithin(ctx, timeout, peer, KindDigest, digestMessage{Root: mine.Root()})
 	if err != nil {
 		return false, err
 	}
@@ -174,7 +175,7 @@
 		if round == maxRounds {
 			return false, errors.Newf("confsync: replicas still differ after %d rounds", maxRounds)
 		}
-		done, err := s.exchangeBuckets(ctx, peer, buckets)
+		done, err := s.exchangeBuckets(ctx, peer, buckets, onward)
 		if err != nil {
 			return false, err
 		}
@@ -185,7 +186,7 @@
 
 // exchangeBuckets exchanges as many of the buckets as fit one message and
 // returns how many are done.
-func (s *Syncer) exchangeBuckets(ctx context.Context, peer Peer, buckets []uint16) (done int, err error) {
+func (s *Syncer) exchangeBuckets(ctx context.Context, peer string, buckets []uint16, onward spread) (done int, err error) {
 	var m versionsMessage
 	for _, b := range buckets {
 		versions := s.config.Replica.Versions(b)
@@ -195,7 +196,7 @@
 		m.Buckets = append(m.Buckets, b)
 		m.Versions = append(m.Versions, versions...)
 	}
-	body, err := s.call(ctx, peer.Address, KindVersions, m)
+	body, err := s.call(ctx, peer, KindVersions, m)
 	if err != nil {
 		return 0, err
 	}
@@ -207,7 +208,7 @@
 		return 0, err
 	}
 	s.gossip(s.config.Replica.applyAll(reply.Objects))
-	if err := s.sendWanted(ctx, peer, reply.Wanted); err != nil {
+	if err := s.sendWanted(ctx, peer, reply.Wanted, onward); err != nil {
 		return 0, err
 	}
 	if reply.More {
@@ -217,7 +218,7 @@
 }
 
 // sendWanted sends a peer the objects that it asked for.
-func (s *Syncer) sendWanted(ctx context.Context, peer Peer, keys []string) error {
+func (s *Syncer) sendWanted(ctx context.Context, peer string, keys []string, onward spread) error {
 	var objects []platform.Object
 	for _, key := range keys {
 		if o, ok := s.config.Replica.held(key); ok {
@@ -225,8 +226,8 @@
 		}
 	}
 	for _, batch := range batches(objects) {
-		m := objectsMessage{Objects: batch, Spread: spreadGossip}
-		if _, err := s.call(ctx, peer.Address, KindObjects, m); err != nil {
+		m := objectsMessage{Objects: batch, Spread: onward}
+		if _, err := s.call(ctx, peer, KindObjects, m); err != nil {
 			return err
 		}
 	}
--- a/pkg/confsync/fleet_test.go
+++ b/pkg/confsync/fleet_test.go
@@ -29,7 +29,10 @@
 
 var fleetDomains = []string{"tetouan", "rabat", "fes"}
 
-// fleet is 36 daemons, 2 relays in each of 3 domains, under a fake clock.
+// defaultSize is the number of daemons of a fleet.
+const defaultSize = 36
+
+// fleet is some daemons, 2 relays in each of 3 domains, under a fake clock.
 type fleet struct {
 	store   *memstore.Store
 	mu      sync.Mutex
@@ -57,8 +60,12 @@
 
 // newFleetWith returns a fleet whose daemons start with a changed configuration.
 func newFleetWith(launchWith func(*daemon, *confsync.Config)) *fleet {
+	return newFleetOf(defaultSize, launchWith)
+}
+
+func newFleetOf(size int, launchWith func(*daemon, *confsync.Config)) *fleet {
 	never := func(int, int) bool { return false }
-	f := &fleet{store: memstore.New(), daemons: make([]*daemon, 36), blocked: never, mute: never, launchWith: launchWith}
+	f := &fleet{store: memstore.New(), daemons: make([]*daemon, size), blocked: never, mute: never, launchWith: launchWith}
 	f.launchAll()
 	return f
 }
@@ -71,7 +78,7 @@
 }
 
 func (f *fleet) launchAll() {
-	for i := range 36 {
+	for i := range f.daemons {
 		d := f.launch(i)
 		f.set(func() { f.daemons[i] = d })
 	}
@@ -127,7 +134,7 @@
 }
 
 func (f *fleet) peers() []confsync.Peer {
-	out := make([]confsync.Peer, 36)
+	out := make([]confsync.Peer, len(f.daemons))
 	for i := range out {
 		out[i] = confsync.Peer{Address: fmt.Sprint(i), Domain: fleetDomains[i%3]}
 	}
--- a/pkg/confsync/interleaving_test.go
+++ b/pkg/confsync/interleaving_test.go
@@ -190,7 +190,7 @@
 func (w *world) step() {
 	ctx := context.Background()
 	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(w.t, "node")]
-	switch rapid.IntRange(0, 8).Draw(w.t, "step") {
+	switch rapid.IntRange(0, 9).Draw(w.t, "step") {
 	case 0, 1:
 		w.write()
 	case 2, 3:
@@ -211,6 +211,8 @@
 		domains := rapid.SampledFrom([]string{"a", "b", "c"})
 		link := [2]string{domains.Draw(w.t, "from"), domains.Draw(w.t, "to")}
 		w.cut[link] = !w.cut[link]
+	case 9:
+		n.syncer.LevelDomain()
 	}
 }
 
--- /dev/null
+++ b/pkg/confsync/level.go
@@ -0,0 +1,69 @@
+package confsync
+
+import (
+	"context"
+	"time"
+)
+
+// levelPause is how long a new relay waits after a first list for those of the
+// other prefixes. They are asked for at the same moment, and answers take some
+// milliseconds; more would be felt in the two seconds that a change may take.
+const levelPause = 50 * time.Millisecond
+
+// levelDomain compares copies with all daemons of the own domain once the prefixes
+// are listed, as listed tells. A relay that has just taken its role may hold changes
+// that no other daemon of its domain has: it may have listed them when it started, or
+// got them before the push of the former relay was broken off. Its lists show nothing
+// new then, and pushes alone would leave these changes to the periodic comparisons.
+func (s *Syncer) levelDomain(ctx context.Context, listed <-chan struct{}) {
+	for missing := len(s.config.Prefixes); missing > 0; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-listed:
+			missing--
+		}
+		pause := time.NewTimer(levelPause)
+		for waiting := true; waiting && missing > 0; {
+			select {
+			case <-ctx.Done():
+				waiting = false
+			case <-listed:
+				missing--
+			case <-pause.C:
+				waiting = false
+			}
+		}
+		pause.Stop()
+		s.compareTree(s.domainAddresses())
+	}
+}
+
+// compareTree compares copies with the daemons at the addresses: with the first of
+// each group, which then compares with the rest of the group.
+func (s *Syncer) compareTree(addresses []string) { s.eachGroup(addresses, s.compareGroup) }
+
+// compareGroup compares copies with one daemon, has it compare with the others, and
+// says whether it answered.
+func (s *Syncer) compareGroup(head string, others []string) bool {
+	_, err := s.exchange(s.background, head, s.config.CallTimeout, spreadForward)
+	if err == nil && len(others) > 0 {
+		_, err = s.call(s.background, head, KindCompare, compareMessage{With: others})
+	}
+	if err != nil {
+		s.pushFailed(head, err)
+	}
+	return err == nil
+}
+
+func (s *Syncer) handleCompare(body []byte) error {
+	var m compareMessage
+	if err := decode(body, &m); err != nil {
+		return err
+	}
+	if err := checkAddresses(m.With); err != nil {
+		return err
+	}
+	s.compareTree(m.With)
+	return nil
+}
--- a/pkg/confsync/message.go
+++ b/pkg/confsync/message.go
@@ -19,8 +19,15 @@
 	KindOffer = "offer"
 	// KindVersions exchanges the versions in differing buckets.
 	KindVersions = "versions"
+	// KindCompare asks a daemon to compare its copies with others of its domain.
+	KindCompare = "compare"
 )
 
+// Kinds returns the kinds of all messages.
+func Kinds() []string {
+	return []string{KindObjects, KindDigest, KindVersions, KindOffer, KindCompare}
+}
+
 // Limits of messages.
 const (
 	// MaxMessageBytes bounds an encoded message; it holds one object of the
@@ -93,6 +100,12 @@
 	Wanted []string `cbor:"1,keyasint,omitempty"`
 }
 
+// compareMessage is the body of KindCompare; the reply is empty.
+type compareMessage struct {
+	// With are addresses of the daemons to compare with.
+	With []string `cbor:"1,keyasint"`
+}
+
 // versionsReply answers KindVersions.
 type versionsReply struct {
 	// Objects are newer at the replying daemon.
--- a/pkg/confsync/message_test.go
+++ b/pkg/confsync/message_test.go
@@ -111,21 +111,28 @@
 // FuzzHandle guards against a message that crashes a daemon, brings in an
 // object that is not valid, or makes it send more than it may.
 func FuzzHandle(f *testing.F) {
-	kinds := []string{confsync.KindObjects, confsync.KindDigest, confsync.KindVersions}
+	kinds := confsync.Kinds()
 	object := map[int]any{1: prefix + "a", 2: 7, 3: []byte("v")}
-	for kind, message := range []any{
-		map[int]any{1: []any{object}, 2: 2, 3: []string{"10.0.0.1:7"}},
-		map[int]any{1: uint64(9)},
-		map[int]any{1: []int{0, 5}, 2: []any{map[int]any{1: prefix + "a", 2: 3}}},
-		map[int]any{1: []any{map[int]any{1: "claims/x", 2: 7}}},
-		map[int]any{1: []any{map[int]any{1: prefix + "a", 2: 7, 3: []byte("v"), 4: true}}},
+	version := map[int]any{1: prefix + "a", 2: 3}
+	for _, seed := range []struct {
+		kind    string
+		message any
+	}{
+		{confsync.KindObjects, map[int]any{1: []any{object}, 2: 2, 3: []string{"10.0.0.1:7"}}},
+		{confsync.KindDigest, map[int]any{1: uint64(9)}},
+		{confsync.KindVersions, map[int]any{1: []int{0, 5}, 2: []any{version}}},
+		{confsync.KindOffer, map[int]any{1: []any{version}}},
+		{confsync.KindCompare, map[int]any{1: []string{"10.0.0.1:7", ""}}},
+		{confsync.KindObjects, map[int]any{1: []any{map[int]any{1: "claims/x", 2: 7}}}},
+		{confsync.KindObjects, map[int]any{1: []any{map[int]any{1: prefix + "a", 2: 7, 3: []byte("v"), 4: true}}}},
 	} {
-		body, err := cbor.Marshal(message)
+		body, err := cbor.Marshal(seed.message)
 		if err != nil {
 			f.Fatal(err)
 		}
-		f.Add(uint8(kind), body)
-		f.Add(uint8(kind), body[:len(body)/2])
+		kind := uint8(slices.Index(kinds, seed.kind))
+		f.Add(kind, body)
+		f.Add(kind, body[:len(body)/2])
 	}
 	f.Fuzz(func(t *testing.T, kind uint8, body []byte) {
 		s, r := pair(&loop{})
--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -75,10 +75,12 @@
 
 func (r *relayRole) take(ctx context.Context, s *Syncer) {
 	ctx, r.stop = context.WithCancel(ctx)
+	listed := make(chan struct{}, len(s.config.Prefixes))
 	for _, prefix := range s.config.Prefixes {
-		p := &poller{syncer: s, prefix: prefix}
+		p := &poller{syncer: s, prefix: prefix, firstList: listed}
 		r.pollers.Go(func() { p.run(ctx) })
 	}
+	r.pollers.Go(func() { s.levelDomain(ctx, listed) })
 }
 
 func (r *relayRole) leave() {
@@ -131,6 +133,9 @@
 	// listedAt is when the prefix was listed; zero means that it must be.
 	listedAt time.Time
 	failures int
+	// firstList gets a value after the first list in the role of a relay, and is
+	// nil from then on.
+	firstList chan<- struct{}
 }
 
 func (p *poller) run(ctx context.Context) {
@@ -151,7 +156,13 @@
 	} else {
 		learned, err = p.watch(ctx)
 	}
-	s.pushAll(learned)
+	if err == nil && p.firstList != nil {
+		s.pushDomains(learned)
+		p.firstList <- struct{}{}
+		p.firstList = nil
+	} else {
+		s.pushAll(learned)
+	}
 	if err == nil {
 		p.failures = 0
 		p.collect(ctx, learned)
--- a/pkg/confsync/push.go
+++ b/pkg/confsync/push.go
@@ -75,6 +75,12 @@
 // pushAll sends objects that came from the platform to the own domain and to
 // one relay of each other domain.
 func (s *Syncer) pushAll(objects []platform.Object) {
+	s.pushDomains(objects)
+	s.pushDomain(objects)
+}
+
+// pushDomains sends objects to one relay of each other domain.
+func (s *Syncer) pushDomains(objects []platform.Object) {
 	if len(objects) == 0 {
 		return
 	}
@@ -87,18 +93,24 @@
 	for _, domain := range slices.Sorted(maps.Keys(domains)) {
 		s.pushRelay(domain, domains[domain], objects)
 	}
-	s.pushDomain(objects)
 }
 
 // pushDomain sends objects to all daemons of the own domain.
 func (s *Syncer) pushDomain(objects []platform.Object) {
+	if len(objects) > 0 {
+		s.pushTree(s.domainAddresses(), objects)
+	}
+}
+
+// domainAddresses returns the other daemons of the own domain, in random order.
+func (s *Syncer) domainAddresses() []string {
 	own, _ := s.others()
 	s.shuffle(own)
 	addresses := make([]string, len(own))
 	for i, p := range own {
 		addresses[i] = p.Address
 	}
-	s.pushTree(addresses, objects)
+	return addresses
 }
 
 // pushRelay sends objects to one relay of another domain. When none answers, a
@@ -191,13 +203,20 @@
 }
 
 // pushTree sends objects to the addresses: the first of each group gets them
-// with the rest of the group to pass them on to. When it does not answer, the
-// next of the group takes its place.
+// with the rest of the group to pass them on to.
 func (s *Syncer) pushTree(addresses []string, objects []platform.Object) {
+	s.eachGroup(addresses, func(head string, rest []string) bool {
+		return s.send(head, objects, spreadForward, rest)
+	})
+}
+
+// eachGroup splits the addresses into groups and has reach call the first of each,
+// with the rest of its group. When it does not answer, the next takes its place.
+func (s *Syncer) eachGroup(addresses []string, reach func(head string, rest []string) bool) {
 	for _, group := range groups(addresses, fanout) {
 		s.spawn(func() {
 			for i, head := range group {
-				if s.send(head, objects, spreadForward, group[i+1:]) {
+				if reach(head, group[i+1:]) {
 					return
 				}
 			}
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -246,6 +246,8 @@
 		return s.handleVersions(body)
 	case KindOffer:
 		return s.handleOffer(body)
+	case KindCompare:
+		return nil, s.handleCompare(body)
 	default:
 		return nil, errors.Wrapf(errMessage, "kind %.32q", kind)
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -233,7 +233,7 @@
 	if err != nil {
 		return err
 	}
-	for _, kind := range []string{confsync.KindObjects, confsync.KindDigest, confsync.KindVersions, confsync.KindOffer} {
+	for _, kind := range confsync.Kinds() {
 		d.node.Handle(kind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
 			return d.syncer.Handle(ctx, kind, body)
 		})
