Name host, path and configuration where no route fits a request

Whoever looked for the cause of a 404 found `request: refused` with status 404, an empty route and configuration 0: the log alone did not show which route was missing, nor in which configuration. The line is written before a route is known, and the lookup returned nothing where it found none.

Board.Route now returns the version that decided it also when no route fits: that of the configuration, or of the newest document, whose table was searched, so that a change at the same moment cannot give another version. The line has `host`, `path` and `asked_service`, the first 256 bytes of each since the caller chooses them, and `configuration`.

--- a/pkg/blackboard/board.go
+++ b/pkg/blackboard/board.go
@@ -53,7 +53,9 @@
 }
 
 // Route returns the route of a request and the service that is to serve it:
-// that of the service it names, else the one that fits host and path.
+// that of the service it names, else the one that fits host and path. If there is
+// none, the route has nothing but the version that decided it: that of the
+// configuration, or of the newest document, in force.
 func (b *Board) Route(name, host, path string) (*Route, *Service, bool) {
 	table := b.routes.Load()
 	r, ok := table.named[name]
@@ -61,7 +63,7 @@
 		r, ok = table.find(host, path)
 	}
 	if !ok {
-		return nil, nil, false
+		return &Route{Version: table.version}, nil, false
 	}
 	service, ok := r.next()
 	return r, service, ok
@@ -100,6 +102,7 @@
 		s.setGroup(groups[d.Service])
 	}
 	table := newRouteTable()
+	table.version = version
 	for i := range c.Routes {
 		if r, ok := newRoute(&c.Routes[i], version, b.services.get); ok {
 			table.add(r)
@@ -141,6 +144,7 @@
 	table := newRouteTable()
 	for _, s := range b.Services() {
 		d, version := s.Document(), s.Version()
+		table.version = max(table.version, version)
 		named, rules := d.Rule(), d.Rules()
 		if r, ok := newRoute(&named, version, b.services.get); ok {
 			table.named[s.Name] = r
--- a/pkg/blackboard/routes.go
+++ b/pkg/blackboard/routes.go
@@ -53,6 +53,9 @@
 	byHost map[string]map[string]*Route
 	// named holds the routes of requests that name their service.
 	named map[string]*Route
+	// version is the platform version of the configuration, or of the newest
+	// document, that the table is made from.
+	version uint64
 }
 
 func newRouteTable() *routeTable {
--- a/pkg/proxy/finish.go
+++ b/pkg/proxy/finish.go
@@ -9,6 +9,18 @@
 // a bounded log keeps before those of other requests.
 const failedStatus = 500
 
+// maxLoggedBytes bounds a value of the caller's in a log line. The longest host name
+// has 253 bytes, and a longer path shows enough in its beginning.
+const maxLoggedBytes = 256
+
+// loggable returns the beginning of a value that the caller chose.
+func loggable(value string) string {
+	if len(value) <= maxLoggedBytes {
+		return value
+	}
+	return value[:maxLoggedBytes] + "..."
+}
+
 // finish logs and counts the answer to a request.
 func (p *Proxy) finish(in *Incoming, service string, a *Answer) *Answer {
 	total := time.Since(in.Arrived)
@@ -31,6 +43,9 @@
 	if !in.Deadline.IsZero() {
 		line.Int64("left_ms", time.Until(in.Deadline).Milliseconds())
 	}
+	if in.unrouted {
+		line.Str("asked_service", loggable(in.Service)).Str("host", loggable(in.Host)).Str("path", loggable(in.Path))
+	}
 	if a.Refusal != nil {
 		line.Str("reason", a.Refusal.Reason).AnErr("cause", a.Refusal.Cause).Int("hops", in.Hops)
 		line.Msg("request: refused")
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -82,11 +82,12 @@
 // Serve brings back the answer to a request. It never returns nil.
 func (p *Proxy) Serve(ctx context.Context, in *Incoming) *Answer {
 	route, service, ok := p.Board.Route(in.Service, in.Host, in.Path)
+	in.configuration = route.Version
 	if !ok {
+		in.unrouted = true
 		return p.finish(in, "", refused(p.noRoute()))
 	}
 	in.idempotent = route.Idempotent(service.Document(), in.Method, in.Path)
-	in.configuration = route.Version
 	return p.serve(ctx, route.Rule, service, in)
 }
 
--- a/pkg/proxy/request.go
+++ b/pkg/proxy/request.go
@@ -55,9 +55,11 @@
 	// rule is the rule of the daemon that passed the request on.
 	rule *document.Rule
 	// route is the name of the request's rule, configuration the platform version
-	// that it is from, for logs.
+	// that it is from, or that had none for it, for logs.
 	route         string
 	configuration uint64
+	// unrouted means that no route fits the request.
+	unrouted bool
 	// idempotent is whether the request may run more than once, by its route.
 	idempotent bool
 }
