Call a daemon again that does not answer a push

Hosts that had been killed and had started again heard of upstreams' leaving up to 2.2 s after the others. Their process left connections behind at many other daemons; the first call of each of these goes to a process that is gone, and only its failure closes the connection. A push was sent once, so that the first push of each sender was lost, and another sender's next time; the periodic comparisons brought the change.

A daemon that does not answer a push, or the comparison of a new relay, within the first time limit is now called once more, over a new connection.

The two entries of "gets pushes from senders that were connected before" failed before: the daemon did not hold the change after 1 s. The fleet of the tests can now have connections that a former process left behind.

--- a/pkg/confsync/fleet_test.go
+++ b/pkg/confsync/fleet_test.go
@@ -42,6 +42,9 @@
 	blocked, mute func(from, to int) bool
 	// noPlatform is a domain that does not reach the platform.
 	noPlatform string
+	// stale holds pairs of caller and target whose next call goes to a connection that
+	// the target's former process has left behind, and is not answered.
+	stale map[[2]int]bool
 	// launchWith changes the configuration of a daemon that starts.
 	launchWith func(*daemon, *confsync.Config)
 }
@@ -152,8 +155,11 @@
 	time.Sleep(oneWay)
 	d.f.mu.Lock()
 	target, blocked, mute := d.f.daemons[i], d.f.blocked, d.f.mute
+	pair := [2]int{d.number, i}
+	stale := d.f.stale[pair]
+	delete(d.f.stale, pair)
 	d.f.mu.Unlock()
-	if target == nil || blocked(d.number, i) {
+	if target == nil || stale || blocked(d.number, i) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
--- a/pkg/confsync/level.go
+++ b/pkg/confsync/level.go
@@ -42,7 +42,11 @@
 // compareTree compares copies with the daemons at the addresses: with the first of
 // each group, which then compares with the rest of the group.
 func (s *Syncer) compareTree(addresses []string) {
-	s.callHeads(tree{patience: headPatience, reach: s.compareGroup}, groups(addresses, fanout))
+	s.callHeads(tree{
+		patience: headPatience,
+		reach:    s.compareGroup,
+		retry:    func(head string) { s.compareGroup(head, nil, s.config.CallTimeout) },
+	}, groups(addresses, fanout))
 }
 
 // compareGroup compares copies with one daemon, has it compare with the others, and
--- a/pkg/confsync/push.go
+++ b/pkg/confsync/push.go
@@ -268,6 +268,7 @@
 		reach: func(head string, rest []string, timeout time.Duration) bool {
 			return s.send(head, objects, spreadForward, rest, timeout)
 		},
+		retry: func(head string) { s.send(head, objects, spreadForward, nil, s.config.CallTimeout) },
 	}
 	s.callHeads(t, groups(addresses, fanout))
 }
@@ -292,6 +293,9 @@
 	// reach calls the first daemon of a group, which is to reach the rest of it, and
 	// says whether it answered.
 	reach func(head string, rest []string, timeout time.Duration) bool
+	// retry calls a daemon again that did not answer. The first call may have gone to
+	// a connection that a former process of its host left behind.
+	retry func(head string)
 }
 
 // callHeads calls the first daemon of each group. When it does not answer, a few others
@@ -302,6 +306,7 @@
 			head, rest := part[0], part[1:]
 			if !t.reach(head, rest, t.patience) {
 				s.callHeads(t, groups(rest, standInFanout))
+				t.retry(head)
 			}
 		})
 	}
--- a/pkg/confsync/takeover_test.go
+++ b/pkg/confsync/takeover_test.go
@@ -226,3 +226,32 @@
 		})).To(Succeed())
 	})
 })
+
+var _ = Describe("A daemon that was killed and has started again", func() {
+	// Guards against one that gets no push, because the first call of each sender goes
+	// to the connection with its former process: two such hosts heard of upstreams'
+	// leaving up to 2.2 s after the others.
+	DescribeTable("gets pushes from senders that were connected before", func(size int) {
+		const restarted = 9
+		Expect(inTakeover(size, 40, func(t *takeover) error {
+			t.take()
+			time.Sleep(watchTime)
+			t.replace(restarted)
+			<-t.daemons[restarted].syncer.ReadyC()
+			t.fleet.set(func() {
+				t.stale = map[[2]int]bool{}
+				for i := range t.daemons {
+					t.stale[[2]int{i, restarted}] = true
+				}
+			})
+			o, err := t.create()
+			if err != nil {
+				return err
+			}
+			time.Sleep(takeoverBound / 2)
+			return t.checkDomain(o)
+		})).To(Succeed())
+	},
+		Entry("in a domain of 12", 36),
+		Entry("in a domain of 50", 150))
+})
