Do not leave a domain to a relay that has just taken its role

A relay that was killed and had started again listed a change that its domain lacked, before the daemons there had its new key and accepted it.

A new relay now compares up to five times, 0.3 s apart, with daemons that fail. The answer to an offer says whether the daemon has been a relay for 1.5 s after its first lists; as long as it has not, the change is offered to other daemons of its domain as well, whose connections work.

--- a/pkg/confsync/level.go
+++ b/pkg/confsync/level.go
@@ -10,6 +10,18 @@
 // milliseconds; more would be felt in the two seconds that a change may take.
 const levelPause = 50 * time.Millisecond
 
+const (
+	// levelAttempts is how often a daemon that fails is compared with. One that has
+	// started again refuses this daemon, or is refused, until each has the other's new
+	// key: mostly within half a second, by its entry or registration.Lookup.
+	levelAttempts = 5
+	// levelRetry is the pause between two attempts.
+	levelRetry = 300 * time.Millisecond
+	// settleTime is how long after that a relay counts as new, so that other domains
+	// do not rely on what it says it holds: the time of all attempts.
+	settleTime = levelAttempts * levelRetry
+)
+
 // levelDomain compares copies with all daemons of the own domain once the prefixes
 // are listed, as listed tells. A relay that has just taken its role may hold changes
 // that no other daemon of its domain has: it may have listed them when it started, or
@@ -35,17 +47,18 @@
 			}
 		}
 		pause.Stop()
-		s.compareTree(s.domainAddresses())
+		s.compareTree(s.domainAddresses(), levelAttempts)
 	}
 }
 
 // compareTree compares copies with the daemons at the addresses: with the first of
-// each group, which then compares with the rest of the group.
-func (s *Syncer) compareTree(addresses []string) {
+// each group, which then compares with the rest of the group. Those that fail are
+// compared with up to attempts times.
+func (s *Syncer) compareTree(addresses []string, attempts int) {
 	s.callHeads(tree{
 		patience: headPatience,
 		reach:    s.compareGroup,
-		retry:    func(head string) { s.compareGroup(head, nil, s.config.CallTimeout) },
+		retry:    func(head string) { s.retryCompare(head, attempts-1) },
 	}, groups(addresses, fanout))
 }
 
@@ -62,6 +75,24 @@
 	return err == nil
 }
 
+// retryCompare compares copies with a daemon that failed, after a pause, up to attempts
+// times.
+func (s *Syncer) retryCompare(address string, attempts int) {
+	if attempts <= 0 {
+		return
+	}
+	time.AfterFunc(levelRetry, func() {
+		if s.background.Err() != nil {
+			return
+		}
+		s.spawn(func() {
+			if !s.compareGroup(address, nil, s.config.CallTimeout) {
+				s.retryCompare(address, attempts-1)
+			}
+		})
+	})
+}
+
 func (s *Syncer) handleCompare(body []byte) error {
 	var m compareMessage
 	if err := decode(body, &m); err != nil {
@@ -73,6 +104,6 @@
 	if len(m.With) == 0 {
 		m.With = s.domainAddresses()
 	}
-	s.compareTree(m.With)
+	s.compareTree(m.With, levelAttempts)
 	return nil
 }
--- a/pkg/confsync/message.go
+++ b/pkg/confsync/message.go
@@ -98,6 +98,9 @@
 type offerReply struct {
 	// Wanted are the keys that are newer at the offering daemon.
 	Wanted []string `cbor:"1,keyasint,omitempty"`
+	// Settled says that the domain of the replying daemon has what it holds, as far as
+	// it can be reached: it has been the relay for some time.
+	Settled bool `cbor:"2,keyasint,omitempty"`
 }
 
 // compareMessage is the body of KindCompare; the reply is empty.
--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -80,7 +80,14 @@
 		p := &poller{syncer: s, prefix: prefix, firstList: listed}
 		r.pollers.Go(func() { p.run(ctx) })
 	}
-	r.pollers.Go(func() { s.levelDomain(ctx, listed) })
+	r.pollers.Go(func() {
+		defer s.settled.Store(false)
+		s.levelDomain(ctx, listed)
+		if sleep.For(ctx, settleTime) {
+			s.settled.Store(true)
+			<-ctx.Done()
+		}
+	})
 }
 
 func (r *relayRole) leave() {
--- a/pkg/confsync/push.go
+++ b/pkg/confsync/push.go
@@ -144,7 +144,7 @@
 			return
 		}
 		for _, p := range relays {
-			if _, ok := s.offerAny([]Peer{p}, objects); ok {
+			if a, ok := s.offerAny([]Peer{p}, objects); ok && a.settled {
 				return
 			}
 		}
@@ -152,9 +152,10 @@
 	})
 }
 
-// offerStandIns offers objects to daemons of a domain whose relays do not answer. One
-// that holds them already has passed them on to a few daemons only, as whoever learns
-// something by a comparison, and is asked to compare copies with its whole domain.
+// offerStandIns offers objects to daemons of a domain whose relays do not answer, or
+// have just taken their role and may not reach their domain yet. One that holds them
+// already has passed them on to a few daemons only, as whoever learns something by a
+// comparison, and is asked to compare copies with its whole domain.
 func (s *Syncer) offerStandIns(standIns []Peer, objects []platform.Object) {
 	a, ok := s.offerAny(standIns, objects)
 	if !ok || len(a.wanted) > 0 {
@@ -167,9 +168,10 @@
 
 // offerAnswer is what a daemon said of an offer.
 type offerAnswer struct {
-	from   string
-	wanted []platform.Object
-	err    error
+	from    string
+	wanted  []platform.Object
+	settled bool
+	err     error
 }
 
 // offerAny offers objects to peers at the same time and sends the first that answers
@@ -217,6 +219,7 @@
 		if a.err = decode(body, &reply); a.err != nil {
 			return a
 		}
+		a.settled = reply.Settled
 		for _, o := range part {
 			if slices.Contains(reply.Wanted, o.Key) {
 				a.wanted = append(a.wanted, o)
@@ -231,7 +234,7 @@
 	if err := decode(body, &m); err != nil {
 		return nil, err
 	}
-	var reply offerReply
+	reply := offerReply{Settled: s.settled.Load()}
 	for _, v := range m.Versions {
 		if !validKey(v.Key, s.config.Prefixes) {
 			return nil, errors.Wrapf(errMessage, "key %.64q", v.Key)
--- a/pkg/confsync/survivors_test.go
+++ b/pkg/confsync/survivors_test.go
@@ -166,4 +166,32 @@
 	},
 		Entry("when a ninth of all daemons was killed", 11),
 		Entry("when nearly half of all daemons were killed", 42))
+
+	// Guards against a change that is late in a domain whose relay has started again:
+	// it holds the change, so that other relays leave the domain to it, while the
+	// daemons there still refuse its new key.
+	It("learn a change from another domain while they refuse their new relay", func() {
+		const relay, bound = 2, time.Second
+		var err error
+		synctest.Test(suite, func(*testing.T) {
+			f := newFleetOf(96, func(d *daemon, c *confsync.Config) {
+				c.DigestInterval = noComparisons
+				c.Thrifty, c.BootPeers, c.BootDomains = true, 1, 1
+				c.Relays = func(domain string) []confsync.Peer { return d.f.relays(domain)[:1] }
+			})
+			time.Sleep(inForce)
+			f.set(func() {
+				f.blocked = func(from, to int) bool { return inFes(from) && inFes(to) && (from == relay || to == relay) }
+			})
+			f.replace(relay)
+			time.Sleep(watchTime)
+			var o platform.Object
+			if o, err = f.store.Create(context.Background(), "services/late", []byte("v")); err == nil {
+				time.Sleep(bound)
+				err = f.check(o)
+			}
+			f.killAll()
+		})
+		Expect(err).NotTo(HaveOccurred())
+	})
 })
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -128,6 +128,8 @@
 	randMu sync.Mutex
 	boot   *bootState
 	link   *link
+	// settled means that this daemon has been a relay for settleTime.
+	settled atomic.Bool
 	// contact is whether comparisons with other daemons succeed.
 	contact contact
 
--- a/pkg/confsync/takeover_test.go
+++ b/pkg/confsync/takeover_test.go
@@ -175,6 +175,25 @@
 		})).To(Succeed())
 	})
 
+	// Guards against a relay that has started again with a new key and is refused by
+	// daemons of its domain until they have it: one heard of an upstream's leaving
+	// 2.1 s after the other domains.
+	It("brings it to those that refuse the relay at first", func() {
+		const refused = 600 * time.Millisecond
+		Expect(inTakeover(150, 40, func(t *takeover) error {
+			t.fleet.set(func() { t.blocked = func(from, _ int) bool { return from == 0 } })
+			o, err := t.create(0)
+			if err != nil {
+				return err
+			}
+			t.take()
+			time.Sleep(refused)
+			t.fleet.set(func() { t.blocked = func(int, int) bool { return false } })
+			time.Sleep(takeoverBound - refused)
+			return t.checkDomain(o)
+		})).To(Succeed())
+	})
+
 	// Guards against a takeover that costs more than its use: objects that all hold
 	// must not be sent again, and no daemon may send a message to each of a large
 	// domain.
