--- a/pkg/blackboard/routes.go
+++ b/pkg/blackboard/routes.go
@@ -55,6 +55,9 @@
 	named map[string]*Route
 	// configured is whether the routes are those of a configuration or of documents.
 	configured bool
+	// version is the platform version of the configuration, or of the newest
+	// document, that the table is made from.
+	version uint64
 }
 
 func newRouteTable() *routeTable {
--- a/pkg/confsync/fleet_test.go
+++ b/pkg/confsync/fleet_test.go
@@ -29,7 +29,10 @@
 
 var fleetDomains = []string{"tetouan", "rabat", "fes"}
 
-// fleet is 36 daemons, 2 relays in each of 3 domains, under a fake clock.
+// defaultSize is the number of daemons of a fleet.
+const defaultSize = 36
+
+// fleet is some daemons, 2 relays in each of 3 domains, under a fake clock.
 type fleet struct {
 	store   *memstore.Store
 	mu      sync.Mutex
@@ -39,6 +42,9 @@
 	blocked, mute func(from, to int) bool
 	// noPlatform is a domain that does not reach the platform.
 	noPlatform string
+	// stale holds pairs of caller and target whose next call goes to a connection that
+	// the target's former process has left behind, and is not answered.
+	stale map[[2]int]bool
 	// launchWith changes the configuration of a daemon that starts.
 	launchWith func(*daemon, *confsync.Config)
 }
@@ -57,8 +63,12 @@
 
 // newFleetWith returns a fleet whose daemons start with a changed configuration.
 func newFleetWith(launchWith func(*daemon, *confsync.Config)) *fleet {
+	return newFleetOf(defaultSize, launchWith)
+}
+
+func newFleetOf(size int, launchWith func(*daemon, *confsync.Config)) *fleet {
 	never := func(int, int) bool { return false }
-	f := &fleet{store: memstore.New(), daemons: make([]*daemon, 36), blocked: never, mute: never, launchWith: launchWith}
+	f := &fleet{store: memstore.New(), daemons: make([]*daemon, size), blocked: never, mute: never, launchWith: launchWith}
 	f.launchAll()
 	return f
 }
@@ -71,7 +81,7 @@
 }
 
 func (f *fleet) launchAll() {
-	for i := range 36 {
+	for i := range f.daemons {
 		d := f.launch(i)
 		f.set(func() { f.daemons[i] = d })
 	}
@@ -127,7 +137,7 @@
 }
 
 func (f *fleet) peers() []confsync.Peer {
-	out := make([]confsync.Peer, 36)
+	out := make([]confsync.Peer, len(f.daemons))
 	for i := range out {
 		out[i] = confsync.Peer{Address: fmt.Sprint(i), Domain: fleetDomains[i%3]}
 	}
@@ -145,8 +155,11 @@
 	time.Sleep(oneWay)
 	d.f.mu.Lock()
 	target, blocked, mute := d.f.daemons[i], d.f.blocked, d.f.mute
+	pair := [2]int{d.number, i}
+	stale := d.f.stale[pair]
+	delete(d.f.stale, pair)
 	d.f.mu.Unlock()
-	if target == nil || blocked(d.number, i) {
+	if target == nil || stale || blocked(d.number, i) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
--- a/pkg/confsync/message.go
+++ b/pkg/confsync/message.go
@@ -19,8 +19,15 @@
 	KindOffer = "offer"
 	// KindVersions exchanges the versions in differing buckets.
 	KindVersions = "versions"
+	// KindCompare asks a daemon to compare its copies with others of its domain.
+	KindCompare = "compare"
 )
 
+// Kinds returns the kinds of all messages.
+func Kinds() []string {
+	return []string{KindObjects, KindDigest, KindVersions, KindOffer, KindCompare}
+}
+
 // Limits of messages.
 const (
 	// MaxMessageBytes bounds an encoded message; it holds one object of the
@@ -91,6 +98,16 @@
 type offerReply struct {
 	// Wanted are the keys that are newer at the offering daemon.
 	Wanted []string `cbor:"1,keyasint,omitempty"`
+	// Settled says that the domain of the replying daemon has what it holds, as far as
+	// it can be reached: it has been the relay for some time.
+	Settled bool `cbor:"2,keyasint,omitempty"`
+}
+
+// compareMessage is the body of KindCompare; the reply is empty.
+type compareMessage struct {
+	// With are addresses of the daemons to compare with; none means all of the
+	// receiver's domain.
+	With []string `cbor:"1,keyasint,omitempty"`
 }
 
 // versionsReply answers KindVersions.
--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -76,10 +76,19 @@
 
 func (r *relayRole) take(ctx context.Context, s *Syncer) {
 	ctx, r.stop = context.WithCancel(ctx)
+	listed := make(chan struct{}, len(s.config.Prefixes))
 	for _, prefix := range s.config.Prefixes {
-		p := &poller{syncer: s, prefix: prefix}
+		p := &poller{syncer: s, prefix: prefix, firstList: listed}
 		r.pollers.Go(func() { p.run(ctx) })
 	}
+	r.pollers.Go(func() {
+		defer s.settled.Store(false)
+		s.levelDomain(ctx, listed)
+		if sleep.For(ctx, settleTime) {
+			s.settled.Store(true)
+			<-ctx.Done()
+		}
+	})
 }
 
 func (r *relayRole) leave() {
@@ -137,6 +146,9 @@
 	// listedAt is when the prefix was listed; zero means that it must be.
 	listedAt time.Time
 	failures int
+	// firstList gets a value after the first list in the role of a relay, and is
+	// nil from then on.
+	firstList chan<- struct{}
 }
 
 func (p *poller) run(ctx context.Context) {
@@ -157,7 +169,13 @@
 	} else {
 		learned, err = p.watch(ctx)
 	}
-	s.pushAll(learned)
+	if err == nil && p.firstList != nil {
+		s.pushDomains(learned)
+		p.firstList <- struct{}{}
+		p.firstList = nil
+	} else {
+		s.pushAll(learned)
+	}
 	if err == nil {
 		p.failures = 0
 		p.collect(ctx, learned)
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -128,6 +128,8 @@
 	randMu sync.Mutex
 	boot   *bootState
 	link   *link
+	// settled means that this daemon has been a relay for settleTime.
+	settled atomic.Bool
 	// contact is whether comparisons with other daemons succeed.
 	contact contact
 
@@ -246,6 +248,8 @@
 		return s.handleVersions(body)
 	case KindOffer:
 		return s.handleOffer(body)
+	case KindCompare:
+		return nil, s.handleCompare(body)
 	default:
 		return nil, errors.Wrapf(errMessage, "kind %.32q", kind)
 	}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -83,11 +83,12 @@
 func (p *Proxy) Serve(ctx context.Context, in *Incoming) *Answer {
 	configured := p.Board.Configured()
 	route, service, ok := p.Board.Route(in.Service, in.Host, in.Path)
+	in.configuration = route.Version
 	if !ok {
+		in.unrouted = true
 		return p.finish(in, "", refused(noRoute(configured)))
 	}
 	in.idempotent = route.Idempotent(service.Document(), in.Method, in.Path)
-	in.configuration = route.Version
 	return p.serve(ctx, route.Rule, service, in)
 }
 
