--- a/pkg/daemon/restart_test.go
+++ b/pkg/daemon/restart_test.go
@@ -186,3 +186,23 @@
 		return routes(early, secondPath)
 	}, inForceTarget, 100*time.Millisecond).Should(BeTrue(), f.logged)
 }
+
+// Guards against changes that are late because the only relay that watches the platform is lost for good, and the next
+// one waits until all agree that it is dead.
+func TestChangeAfterTheOnlyRelayIsLost(t *testing.T) {
+	hosts := []string{"fes-1", "fes-2", "fes-3"}
+	relay, plain := splitRelay(hosts)
+	f := newRestartedFleet(t, hosts)
+	lost := f.start(t, relay)
+	rest := []*Daemon{f.start(t, plain[0]), f.start(t, plain[1])}
+	// The daemons know each other once membership has probed for some periods.
+	time.Sleep(4 * time.Second)
+	ctx, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer stop()
+	t.Logf("connections of %s closed: %v", relay, lost.node.Close(ctx))
+	f.configure(t.Context(), firstPath, secondPath)
+	deadline := time.Now().Add(inForceTarget)
+	for _, d := range rest {
+		f.g.Eventually(routes, time.Until(deadline), 10*time.Millisecond).WithArguments(d, secondPath).Should(BeTrue(), f.logged)
+	}
+}
