Promise "not run" only where no attempt may have run

Callers saw 503 with Retry-After for idempotent requests that an upstream had worked on in an earlier attempt. In the users' protocol the status alone is the promise: not run, and never will be.

Cause: the status came from the last attempt and the verdict from all of them. After an attempt that may have run, the answer was 503 when the retry found all slots taken until the deadline, found no upstream, was shed, or could not connect. A daemon that served a request itself after its home was lost started from not-run, and a home's 503 was passed on whatever its verdict.

Each refusal now passes one function that takes away a promise that the verdict does not cover, and a daemon that serves a request after a lost home joins what that home may have done.

--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -27,8 +27,9 @@
 // home, so that the home's own verdict arrives before the time is over.
 const forwardMargin = 20 * time.Millisecond
 
-// forwardToHome passes the request to a home. sent is false if no home could
-// be reached, so that this daemon serves the request itself.
+// forwardToHome passes the request to a home. sent is false if this daemon serves
+// the request itself: no home could be reached, or one was lost, and answer says
+// what that one may have done.
 func (p *Proxy) forwardToHome(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming) (answer *Answer, sent bool) {
 	homes := p.Directory.Homes(service.Name)
 	for _, home := range homes[:min(len(homes), forwardTries)] {
@@ -212,10 +213,12 @@
 		Replayed: m.Replayed, Waited: time.Duration(m.WaitedUS) * time.Microsecond,
 	}
 	if m.Refused {
-		a.Refusal = &verdict.Error{
+		refusal := refused(&verdict.Error{
 			Verdict: a.Verdict, Status: m.Status, Reason: m.Reason, Detail: m.Detail,
 			RetryAfter: time.Duration(m.RetryAfterMS) * time.Millisecond,
-		}
+		})
+		refusal.Waited = a.Waited
+		return refusal, nil
 	}
 	return a, nil
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -186,10 +186,19 @@
 // route serves the request here or passes it to a home.
 func (p *Proxy) route(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming) *Answer {
 	if in.Hops == 0 && (!service.IsHome() || !service.Reachable()) {
-		if answer, sent := p.forwardToHome(ctx, rule, service, in); sent {
+		answer, sent := p.forwardToHome(ctx, rule, service, in)
+		if sent {
 			return answer
 		}
+		if answer != nil {
+			return p.serveHere(ctx, rule, service, in).after(answer.Verdict)
+		}
 	}
+	return p.serveHere(ctx, rule, service, in)
+}
+
+// serveHere admits the request and sends it to upstreams of this daemon.
+func (p *Proxy) serveHere(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming) *Answer {
 	fp := in.fingerprint(service.Name)
 	if len(in.Poison) > 0 {
 		service.MergePoison(time.Now(), in.Poison)
--- a/pkg/proxy/request.go
+++ b/pkg/proxy/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"shallotglade/pkg/document"
@@ -85,10 +86,31 @@
 	Waited time.Duration
 }
 
+// refused is the answer that states err. A status that promises that the request
+// has not run is replaced where that is not known: callers that go by the status
+// alone would take the promise for true.
 func refused(err *verdict.Error) *Answer {
+	if err.Verdict != verdict.NotRun && verdict.Promises(err.Status) {
+		told := *err
+		told.Status, told.RetryAfter = http.StatusBadGateway, 0
+		err = &told
+	}
 	return &Answer{Status: err.Status, Verdict: err.Verdict, Refusal: err}
 }
 
+// after adds to a refusal what is known of the attempts before it. An answer of an
+// upstream stands as it is.
+func (a *Answer) after(earlier verdict.Verdict) *Answer {
+	if a.Refusal == nil || earlier == verdict.NotRun {
+		return a
+	}
+	err := *a.Refusal
+	err.Verdict = verdict.Join(earlier, err.Verdict)
+	joined := refused(&err)
+	joined.Waited = a.Waited
+	return joined
+}
+
 func answered(r *upstream.Response, v verdict.Verdict, id string) *Answer {
 	return &Answer{Status: r.Status, Headers: r.Headers, Body: r.Body, Verdict: v, Upstream: id}
 }
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -6,6 +6,8 @@
 package verdict
 
 import (
+	"net/http"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -64,6 +66,16 @@
 	}
 }
 
+// Promises reports whether the status code alone tells a caller that its request
+// has not run and never will.
+func Promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Of returns the verdict that err carries, or MayHaveRun if it carries none.
 // A nil error is Ran.
 func Of(err error) Verdict {
