Deliver the failure that an upstream answered when no attempt is left

Callers of idempotent requests got a refusal of the daemon, lately 502 with the verdict "ran" and no answer, although an upstream had answered the request with a whole 500: it was thrown away once a repeat had been decided.

Cause: a failure was passed on only if it ended the last attempt. When the repeat found no slot until the deadline, found no upstream or timed out, nothing of the first answer was left.

The exchange now keeps the latest whole failure and answers with it where it would refuse. "Ran" then always comes with what the upstream said.

Evidence: the three new cases failed before.

--- a/pkg/proxy/attempts.go
+++ b/pkg/proxy/attempts.go
@@ -165,6 +165,9 @@
 	if r.Verdict == verdict.NotRun {
 		x.launched--
 	}
+	if r.Kind == upstream.Failure && r.Response != nil {
+		x.failed = answered(r.Response, verdict.Ran, e.attempt.Upstream.ID)
+	}
 	switch {
 	case r.Kind == upstream.Success:
 		return answered(r.Response, verdict.Ran, e.attempt.Upstream.ID)
@@ -179,10 +182,7 @@
 	if d.Retry {
 		return nil
 	}
-	if r.Kind == upstream.Failure && r.Response != nil {
-		return answered(r.Response, verdict.Ran, e.attempt.Upstream.ID)
-	}
-	return refused(x.failure(r, statusOf(r.Kind)))
+	return x.unanswered(x.failure(r, statusOf(r.Kind)))
 }
 
 // decide says whether the request is sent to another upstream after an attempt
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -36,6 +36,8 @@
 	hedged bool
 	// sofar joins the verdicts of the attempts that have ended.
 	sofar verdict.Verdict
+	// failed is the latest whole answer of an upstream that states a failure.
+	failed *Answer
 	// own is time spent neither at upstreams nor at the platform.
 	own time.Duration
 }
@@ -93,6 +95,15 @@
 		Verdict: x.sofar, Status: 503, Reason: choice.Reason.String(),
 		Detail: "No upstream of the service can take the request.", RetryAfter: shedRetryAfter,
 	}
+	return x.unanswered(e)
+}
+
+// unanswered is the answer when no attempt succeeded and none is left: the failure
+// that an upstream answered last, or the refusal e.
+func (x *exchange) unanswered(e *verdict.Error) *Answer {
+	if x.failed != nil {
+		return x.failed
+	}
 	return refused(e)
 }
 
--- a/pkg/proxy/promise_test.go
+++ b/pkg/proxy/promise_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -62,11 +61,7 @@
 		for range 4 * 3 {
 			service().Begin(time.Now(), blackboard.AttemptRequest{Route: "other"})
 		}
-		var fewer []blackboard.Upstream
-		for i := range 4 {
-			fewer = append(fewer, blackboard.Upstream{ID: fmt.Sprintf("w%d", i), Address: fmt.Sprintf("127.0.0.1:%d", i+1), Domain: "fes", Slots: 1})
-		}
-		service().SetUpstreams(time.Now(), fewer)
+		service().SetUpstreams(time.Now(), upstreams(1))
 	}
 
 	// Guards against "not run" about a request that ran in an earlier attempt: the
@@ -91,6 +86,27 @@
 		Entry("when the next upstreams cannot be reached", []step{{upstream.Truncated, true}, {upstream.Unreachable, false}, {upstream.Unreachable, false}, {upstream.Unreachable, false}, {upstream.Unreachable, false}, {upstream.Unreachable, false}}, func() {}),
 	)
 
+	// Guards against an answer of an upstream that is thrown away when the request can
+	// not be repeated after all: the caller learns nothing, not even that it ran.
+	DescribeTable("is not given where an upstream has answered, if only with a failure",
+		func(script []step, meanwhile func()) {
+			sender.script = script
+			sender.before = func(call int) {
+				if call == len(script)-1 {
+					meanwhile()
+				}
+			}
+			a := p.Serve(context.Background(), request("GET", "", "x"))
+			Expect(a.Refusal).To(BeNil())
+			Expect(a.Status).To(Equal(500))
+			Expect(a.Verdict).To(Equal(verdict.Ran))
+			Expect(a.Upstream).NotTo(BeEmpty())
+		},
+		Entry("while all slots are taken until its deadline", []step{{upstream.Failure, true}}, func() { occupy() }),
+		Entry("when no upstream is left", []step{{upstream.Failure, true}}, func() { service().SetUpstreams(time.Now(), nil) }),
+		Entry("when the second attempt brings nothing", []step{{upstream.Failure, true}, {upstream.Timeout, true}}, func() { service().SetUpstreams(time.Now(), nil) }),
+	)
+
 	// Guards against a promise by a daemon that serves a request itself after the
 	// home that it was passed to was lost, and cannot run it.
 	It("makes no promise about a request that a lost home may have run", func() {
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -94,6 +94,15 @@
 func (quiet) ShareNow(context.Context, *blackboard.Service)  {}
 func (quiet) Probe(*blackboard.Service, blackboard.Upstream) {}
 
+// upstreams returns four upstreams of some slots each.
+func upstreams(slots int) []blackboard.Upstream {
+	var list []blackboard.Upstream
+	for i := range 4 {
+		list = append(list, blackboard.Upstream{ID: fmt.Sprintf("w%d", i), Address: fmt.Sprintf("127.0.0.1:%d", i+1), Domain: "fes", Slots: slots})
+	}
+	return list
+}
+
 func newProxy(self, text string, store *memstore.Store, sender upstream.Sender, d *directory) *proxy.Proxy {
 	doc, problems := document.Parse("d", []byte(text))
 	Expect(problems).To(BeEmpty())
@@ -101,11 +110,7 @@
 	Expect(board.PutDocument(doc, 1, nil)).To(BeTrue())
 	s, _ := board.Service(doc.Service)
 	s.SetHomes(time.Now(), []routing.Home{{ID: "home-1", Domain: "fes"}, {ID: "home-2", Domain: "fes"}})
-	var list []blackboard.Upstream
-	for i := range 4 {
-		list = append(list, blackboard.Upstream{ID: fmt.Sprintf("w%d", i), Address: fmt.Sprintf("127.0.0.1:%d", i+1), Domain: "fes", Slots: 3})
-	}
-	s.SetUpstreams(time.Now(), list)
+	s.SetUpstreams(time.Now(), upstreams(3))
 	ledger, err := claims.New(claims.Config{Store: store})
 	Expect(err).NotTo(HaveOccurred())
 	return &proxy.Proxy{
