Do not wait for the slot of a second attempt while the first may answer

Callers of idempotent requests whose answer was ready waited for it until their deadline while all slots were taken.

Cause: when a second attempt beside a slow first one was due, the request waited for a free slot and looked at nothing else meanwhile. The answer of the first lay ready until a slot was found, often the one that the first had just left; the second attempt then began at that moment and was cancelled at once.

The request now looks for a free slot every 5 ms, as before, and takes what the first attempt brings in between. A second attempt goes to another upstream only.

--- a/pkg/proxy/attempts.go
+++ b/pkg/proxy/attempts.go
@@ -58,23 +58,24 @@
 			}
 			running++
 		case <-hedge:
-			x.hedged = true
-			if x.decide(ctx, upstream.Result{Kind: upstream.Timeout, Verdict: verdict.MayHaveRun}).Retry && x.launch(ctx, ended) == nil {
-				x.proxy.Metrics.Hedges.WithLabelValues(x.service.Name).Inc()
+			if x.hedge(ctx, ended) {
 				running++
 			}
 		}
 	}
 }
 
-// hedgeTimer returns a channel that fires when a second attempt is due, and a
-// function that releases it.
+// hedgeTimer returns a channel that fires when a second attempt is due, or when one
+// that is due looks for a free slot again, and a function that releases it.
 func (x *exchange) hedgeTimer(ctx context.Context, running int) (<-chan time.Time, func()) {
 	_, after := x.service.Latency(x.rule.Name)
-	if !x.idempotent() || x.alone || x.hedged || running != 1 || after == 0 || x.rule.Attempts < 2 {
+	if !x.idempotent() || x.alone || x.hedged && !x.paid || running != 1 || after == 0 || x.rule.Attempts < 2 {
 		return nil, func() {}
 	}
 	due := x.launchedAt.Add(after)
+	if x.paid {
+		due = time.Now().Add(busyPause)
+	}
 	if !due.Before(deadlineOf(ctx)) {
 		return nil, func() {}
 	}
@@ -82,6 +83,27 @@
 	return timer.C, func() { timer.Stop() }
 }
 
+// hedge starts a second attempt beside the first if it may be made and a slot is
+// free. It does not wait for one: the answer of the first may come meanwhile.
+func (x *exchange) hedge(ctx context.Context, ended chan endedAttempt) bool {
+	mark := time.Now()
+	if !x.hedged {
+		x.hedged = true
+		x.paid = x.decide(ctx, upstream.Result{Kind: upstream.Timeout, Verdict: verdict.MayHaveRun}).Retry
+	}
+	if !x.paid || len(ended) > 0 {
+		return false
+	}
+	attempt, choice, ok := x.choose(mark, x.tried)
+	if !ok {
+		return false
+	}
+	x.paid = false
+	x.proxy.Metrics.Hedges.WithLabelValues(x.service.Name).Inc()
+	x.start(ctx, mark, attempt, choice, ended)
+	return true
+}
+
 // launch starts an attempt, or returns the answer when there is no upstream.
 func (x *exchange) launch(ctx context.Context, ended chan<- endedAttempt) *Answer {
 	mark := time.Now()
@@ -89,6 +111,12 @@
 	if !ok {
 		return x.noUpstream(choice)
 	}
+	x.start(ctx, mark, attempt, choice, ended)
+	return nil
+}
+
+// start sends an attempt that was chosen since mark.
+func (x *exchange) start(ctx context.Context, mark time.Time, attempt *blackboard.Attempt, choice routing.Choice, ended chan<- endedAttempt) {
 	x.tried = append(x.tried, attempt.Upstream.ID)
 	x.launched++
 	x.launchedAt = time.Now()
@@ -100,7 +128,6 @@
 		x.end(ctx, attempt, result)
 		ended <- endedAttempt{attempt, result}
 	}()
-	return nil
 }
 
 // begin chooses an upstream. While all have their slots taken it waits, until the
@@ -108,10 +135,7 @@
 func (x *exchange) begin(ctx context.Context, now time.Time) (*blackboard.Attempt, routing.Choice, bool) {
 	tried := x.tried
 	for {
-		attempt, choice, ok := x.service.Begin(now, blackboard.AttemptRequest{
-			Route: x.rule.Name, Idempotent: x.idempotent(), Repeatable: x.repeatable(), MayWait: x.mayWait(now),
-			First: len(x.tried) == 0, Tried: tried, Fingerprint: x.fingerprint, Alone: x.alone,
-		})
+		attempt, choice, ok := x.choose(now, tried)
 		hopeless := choice.Reason == routing.NoUpstream || choice.Reason == routing.AllTried && x.launched == 0
 		if ok || hopeless || !sleep.For(ctx, busyPause) {
 			return attempt, choice, ok
@@ -123,6 +147,14 @@
 	}
 }
 
+// choose chooses an upstream with a free slot and counts the attempt as in flight.
+func (x *exchange) choose(now time.Time, tried []string) (*blackboard.Attempt, routing.Choice, bool) {
+	return x.service.Begin(now, blackboard.AttemptRequest{
+		Route: x.rule.Name, Idempotent: x.idempotent(), Repeatable: x.repeatable(), MayWait: x.mayWait(now),
+		First: len(x.tried) == 0, Tried: tried, Fingerprint: x.fingerprint, Alone: x.alone,
+	})
+}
+
 // repeatable reports whether the request can be sent again if the next attempt
 // fails.
 func (x *exchange) repeatable() bool {
@@ -180,6 +212,7 @@
 	d := x.decide(ctx, r)
 	x.logFailure(e, d)
 	if d.Retry {
+		x.paid = false
 		return nil
 	}
 	return x.unanswered(x.failure(r, statusOf(r.Kind)))
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -32,8 +32,9 @@
 	// is when the latest began.
 	launched   int
 	launchedAt time.Time
-	// hedged means that a second attempt beside the first was considered.
-	hedged bool
+	// hedged means that a second attempt beside the first was considered, and paid
+	// that the retry budget was charged for it and it was not made yet.
+	hedged, paid bool
 	// sofar joins the verdicts of the attempts that have ended.
 	sofar verdict.Verdict
 	// failed is the latest whole answer of an upstream that states a failure.
