Count the attempt that a lost home may have made

A request could run at more upstreams than its route allows: after its home was lost, the daemon that took it sent it to as many as if it had never left, and for a route of one attempt the repeat was decided by the service's limit instead of the route's.

The repeat now goes by the route's limit, and the attempts of this daemon begin at one. How many the lost home made is not known; one is the least that it may have made.

--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -28,8 +28,8 @@
 	claimed bool
 
 	tried []string
-	// launched counts the attempts that run, ran or may have run, and launchedAt
-	// is when the latest began.
+	// launched counts the attempts that run, ran or may have run, one of a lost
+	// home included, and launchedAt is when the latest began here.
 	launched   int
 	launchedAt time.Time
 	// hedged means that a second attempt beside the first was considered, and paid
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -38,7 +38,7 @@
 			return answer, true
 		}
 		if !errors.Is(err, ErrNotSent) {
-			return p.afterLostHome(ctx, service, in, answer)
+			return p.afterLostHome(ctx, rule, service, in, answer)
 		}
 	}
 	p.Metrics.Forwards.WithLabelValues("served-here").Inc()
@@ -47,10 +47,10 @@
 
 // afterLostHome serves an idempotent request here after a home did not answer,
 // as far as the retry budget allows; any other request may have run.
-func (p *Proxy) afterLostHome(ctx context.Context, service *blackboard.Service, in *Incoming, answer *Answer) (*Answer, bool) {
+func (p *Proxy) afterLostHome(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming, answer *Answer) (*Answer, bool) {
 	d := service.DecideRetry(time.Now(), retry.Attempt{
 		Verdict: verdict.MayHaveRun, Idempotent: in.idempotent,
-		Attempts: 1, EarlierMayHaveRun: true, TimeLeft: time.Until(deadlineOf(ctx)),
+		Attempts: 1, MaxAttempts: rule.Attempts, EarlierMayHaveRun: true, TimeLeft: time.Until(deadlineOf(ctx)),
 	}, in.fingerprint(service.Name))
 	return answer, !d.Retry
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -191,14 +191,15 @@
 			return answer
 		}
 		if answer != nil {
-			return p.serveHere(ctx, rule, service, in).after(answer.Verdict)
+			return p.serveHere(ctx, rule, service, in, 1).after(answer.Verdict)
 		}
 	}
-	return p.serveHere(ctx, rule, service, in)
+	return p.serveHere(ctx, rule, service, in, 0)
 }
 
-// serveHere admits the request and sends it to upstreams of this daemon.
-func (p *Proxy) serveHere(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming) *Answer {
+// serveHere admits the request and sends it to upstreams of this daemon. launched
+// counts the attempts that a lost home may have made.
+func (p *Proxy) serveHere(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming, launched int) *Answer {
 	fp := in.fingerprint(service.Name)
 	if len(in.Poison) > 0 {
 		service.MergePoison(time.Now(), in.Poison)
@@ -220,7 +221,7 @@
 		return refused(asVerdict(err))
 	}
 	defer permit.Release()
-	x := &exchange{proxy: p, service: service, rule: rule, document: service.Document(), in: in, fingerprint: fp, alone: alone}
+	x := &exchange{proxy: p, service: service, rule: rule, document: service.Document(), in: in, fingerprint: fp, alone: alone, launched: launched}
 	answer = x.run(ctx)
 	answer.Waited += time.Since(start) - x.own
 	return answer
