Do not pass a request on when its time is shorter than the margin of the hop

A caller whose request came with less than 20 ms left, at a daemon that is not a home, got 400 for a proper request. No request is sent again after 400.

Cause: a home gets 20 ms less than the time left, so that its verdict arrives in time. The rest was negative then, and the home refused the message as malformed.

Such a request is not passed on now; the daemon admits or refuses it as one whose homes cannot be reached.

Evidence: the new test failed before with 400. Found by reading.

--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -72,10 +72,14 @@
 // forward passes the request to one home. An error of ErrNotSent means that it
 // certainly did not arrive.
 func (p *Proxy) forward(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming, home Peer) (*Answer, error) {
+	left := time.Until(deadlineOf(ctx)) - forwardMargin
+	if left <= 0 {
+		return nil, errors.Mark(errors.New("no time left for the way to the home"), ErrNotSent)
+	}
 	passed := *in
 	passed.Service, passed.Hops, passed.rule = service.Name, in.Hops+1, rule
 	passed.Poison = service.AboutPoison(time.Now(), in.fingerprint(service.Name))
-	answer, err := p.Forwarder.Forward(ctx, home, &passed, time.Until(deadlineOf(ctx))-forwardMargin)
+	answer, err := p.Forwarder.Forward(ctx, home, &passed, left)
 	result := "answered"
 	switch {
 	case errors.Is(err, ErrNotSent):
--- a/pkg/proxy/lost_home_test.go
+++ b/pkg/proxy/lost_home_test.go
@@ -14,7 +14,7 @@
 	"shallotglade/pkg/upstream"
 )
 
-var _ = Describe("A request whose home was lost", func() {
+var _ = Describe("A request whose home cannot be used", func() {
 	var (
 		sender *scriptedSender
 		d      *directory
@@ -44,7 +44,7 @@
 
 	// Guards against a request that runs at more upstreams than its route allows: the
 	// lost home may have sent it to one.
-	DescribeTable("has used one of the attempts of its route",
+	DescribeTable("has used one of the attempts of its route when the home was lost",
 		func(attempts, left int) {
 			route(attempts)
 			d.forward = func(*proxy.Incoming) (*proxy.Answer, error) { return nil, errors.New("no reply") }
@@ -54,6 +54,23 @@
 		},
 		Entry("of one", 1, 0), Entry("of two", 2, 1), Entry("of three", 3, 2),
 	)
+
+	// Guards against a 400, after which no caller sends a request again, for one that
+	// comes when its time is nearly over.
+	It("is not taken for malformed when the time left is shorter than the hop", func() {
+		route(3)
+		home := newProxy("home-1", orders, memstore.New(), sender, &directory{})
+		d.forward = func(in *proxy.Incoming) (*proxy.Answer, error) {
+			body, err := proxy.EncodeForward(in, d.left)
+			Expect(err).NotTo(HaveOccurred())
+			reply, err := home.HandleForward(context.Background(), body)
+			Expect(err).NotTo(HaveOccurred())
+			return proxy.DecodeForwardAnswer(reply)
+		}
+		in := routed("x")
+		in.Deadline = in.Arrived.Add(15 * time.Millisecond)
+		Expect(p.Serve(context.Background(), in).Status).NotTo(Equal(400))
+	})
 })
 
 // routed returns an idempotent request that its path routes.
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -77,11 +77,14 @@
 type directory struct {
 	homes   []proxy.Peer
 	forward func(*proxy.Incoming) (*proxy.Answer, error)
+	// left is the time left that the latest request was passed on with.
+	left time.Duration
 }
 
 func (d *directory) Homes(string) []proxy.Peer { return d.homes }
 
-func (d *directory) Forward(_ context.Context, _ proxy.Peer, in *proxy.Incoming, _ time.Duration) (*proxy.Answer, error) {
+func (d *directory) Forward(_ context.Context, _ proxy.Peer, in *proxy.Incoming, left time.Duration) (*proxy.Answer, error) {
+	d.left = left
 	return d.forward(in)
 }
 
