Admit for slots in the reserve only what may run there in time

Callers whose time ends before the target latency of their route were held until it was too late for them and then refused, although the queue knew when it took them that no slot would come.

Cause: a ticket runs in the reserve, at upstreams that probably fail it, from its Settle on. Admission counted those slots for each ticket with a Settle, also where that is not before its latest start. Such a ticket never runs there.

Evidence: the new test failed before: one slot of 25 ms and ten in reserve admitted 100 of 100 requests of 500 ms that never settle, of which 15 can run. With the change 15 are admitted and the others refused at once, as without a reserve.

--- a/pkg/limits/policy.go
+++ b/pkg/limits/policy.go
@@ -81,7 +81,7 @@
 	Target time.Time
 	// Settle is from when on it runs at an upstream that probably fails it, if
 	// no other one has a free slot: an attempt there is worth more than a refusal.
-	// Zero means never.
+	// Zero means never, as does a time that is not before the latest start.
 	Settle time.Time
 	// Takes is how long a request of its kind usually runs; zero means unknown,
 	// and the measured service time counts.
--- a/pkg/limits/queue.go
+++ b/pkg/limits/queue.go
@@ -82,7 +82,7 @@
 	latest := q.latestStart(now, t)
 	if wait > 0 {
 		any := wait
-		if q.reserve > 0 && !t.Settle.IsZero() {
+		if q.reserve > 0 && !t.Settle.IsZero() && t.Settle.Before(latest) {
 			any = q.expectedWait(now, c, t, q.capacity+q.reserve)
 		}
 		if late := any - time.Duration(admitShare*float64(latest.Sub(now))); late > 0 {
--- a/pkg/limits/reserve_test.go
+++ b/pkg/limits/reserve_test.go
@@ -108,3 +108,25 @@
 		Expect(inTarget).To(BeNumerically(">=", inTargetWithout))
 	})
 })
+
+var _ = Describe("A ticket that does not settle before its latest start", func() {
+	// Guards against requests that are held until it is too late for them and then
+	// refused: they were admitted for slots in the reserve that they never run in.
+	It("is not admitted for slots in the reserve", func() {
+		admitted := func(reserve int, settle time.Duration) (n int) {
+			q := limits.NewQueue(limits.DefaultPolicy(), 1)
+			q.SetCapacity(epoch, 1, reserve)
+			for id := range uint64(100) {
+				t := asked(id, 2*time.Second, 500*time.Millisecond, 25*time.Millisecond)
+				t.Settle = epoch.Add(settle)
+				if q.Offer(epoch, t).Action != limits.Refuse {
+					n++
+				}
+			}
+			return n
+		}
+		without := admitted(0, 475*time.Millisecond)
+		Expect(admitted(10, 475*time.Millisecond)).To(Equal(without))
+		Expect(admitted(10, 100*time.Millisecond)).To(BeNumerically(">", without))
+	})
+})
