Let a request settle for a doubtful upstream before its own time is over

Callers whose time ends before the target latency of their route, or who wait for less than a route without a target allows, waited until their time was over and were refused beside free slots.

Cause: a request that is not repeated waits for an upstream that probably serves it while it can still meet its target, or for a quarter of the route's time limit. The caller's own deadline did not count, so that the wait ended after it.

Such a request now waits for a quarter of the time until its latest start, and then takes a free slot at an upstream that probably fails it.

--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -242,17 +242,21 @@
 	return in.Arrived.Add(rule.Target)
 }
 
-// waitShare is the part of the time limit for which a request without a target
-// latency waits for a better upstream.
+// waitShare is the part of the time until its latest start for which a request
+// without a target latency before its deadline waits for a better upstream.
 const waitShare = 0.25
 
 // settleOf is until when a request waits for an upstream that probably serves it:
 // as long as it can still be answered within its target latency.
 func settleOf(service *blackboard.Service, rule *document.Rule, in *Incoming) time.Time {
-	if rule.Target == 0 {
-		return in.Arrived.Add(time.Duration(waitShare * float64(rule.Timeout)))
-	}
 	median, _ := service.Latency(rule.Name)
+	limit := rule.Timeout
+	if !in.Deadline.IsZero() {
+		limit = min(limit, in.Deadline.Sub(in.Arrived))
+	}
+	if rule.Target == 0 || rule.Target >= limit {
+		return in.Arrived.Add(time.Duration(waitShare * float64(limit-median)))
+	}
 	return in.Arrived.Add(rule.Target - median)
 }
 
