Drain in a test only once its request is being handled

Cause: the test slept for 10 ms and took the request for being handled. A daemon that has not read the first byte by then takes the connection for idle, and may end it: the caller counts the request as not read.

The test now waits until the upstream works on the request, and lets it answer only after the drain. It is stricter: the request was nearly over before.

--- a/pkg/proxy/server_test.go
+++ b/pkg/proxy/server_test.go
@@ -23,10 +23,21 @@
 )
 
 // slowSender echoes the body after a delay that the body's length decides, so
-// that answers end in another order than requests began.
-type slowSender struct{ scriptedSender }
+// that answers end in another order than requests began. It reports when a request
+// with the body heldBody begins, and holds it until it is released.
+type slowSender struct {
+	scriptedSender
+	begun, release chan struct{}
+}
+
+const heldBody = "held"
 
 func (s *slowSender) Do(ctx context.Context, t upstream.Target, r *upstream.Request) upstream.Result {
+	if string(r.Body) == heldBody {
+		close(s.begun)
+		<-s.release
+		return s.scriptedSender.Do(ctx, t, r)
+	}
 	select {
 	case <-time.After(time.Duration(len(r.Body)%7) * 5 * time.Millisecond):
 	case <-ctx.Done():
@@ -38,11 +49,12 @@
 var _ = Describe("Server", func() {
 	var address string
 	var server *proxy.Server
+	var sender *slowSender
 	BeforeEach(func() {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		address = ln.Addr().String()
-		sender := &slowSender{scriptedSender{runs: map[string]int{}}}
+		sender = &slowSender{scriptedSender: scriptedSender{runs: map[string]int{}}, begun: make(chan struct{}), release: make(chan struct{})}
 		p := newProxy("home-1", orders+"requests: {key: optional}\ntimeouts: {request: 200ms}\n", memstore.New(), sender, &directory{})
 		server = proxy.NewServer(ln, func() settings.Callers {
 			return settings.Callers{
@@ -162,10 +174,10 @@
 		busy, err := net.Dial("tcp", address)
 		Expect(err).NotTo(HaveOccurred())
 		defer busy.Close()
-		body := strings.Repeat("a", 6)
-		_, _ = fmt.Fprintf(busy, "POST /x HTTP/1.1\r\nHost: x\r\nShallotglade-Service: orders\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		time.Sleep(10 * time.Millisecond)
+		_, _ = fmt.Fprintf(busy, "POST /x HTTP/1.1\r\nHost: x\r\nShallotglade-Service: orders\r\nContent-Length: %d\r\n\r\n%s", len(heldBody), heldBody)
+		Eventually(sender.begun, 5*time.Second).Should(BeClosed())
 		server.Drain()
+		close(sender.release)
 		r, err := http.ReadResponse(bufio.NewReader(busy), nil)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.StatusCode).To(Equal(200))
