--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -27,8 +27,9 @@
 // home, so that the home's own verdict arrives before the time is over.
 const forwardMargin = 20 * time.Millisecond
 
-// forwardToHome passes the request to a home. sent is false if no home could
-// be reached, so that this daemon serves the request itself.
+// forwardToHome passes the request to a home. sent is false if this daemon serves
+// the request itself: no home could be reached, or one was lost, and answer says
+// what that one may have done.
 func (p *Proxy) forwardToHome(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming) (answer *Answer, sent bool) {
 	homes := p.Directory.Homes(service.Name)
 	for _, home := range homes[:min(len(homes), forwardTries)] {
@@ -37,7 +38,7 @@
 			return answer, true
 		}
 		if !errors.Is(err, ErrNotSent) {
-			return p.afterLostHome(ctx, service, in, answer)
+			return p.afterLostHome(ctx, rule, service, in, answer)
 		}
 	}
 	p.Metrics.Forwards.WithLabelValues("served-here").Inc()
@@ -46,10 +47,10 @@
 
 // afterLostHome serves an idempotent request here after a home did not answer,
 // as far as the retry budget allows; any other request may have run.
-func (p *Proxy) afterLostHome(ctx context.Context, service *blackboard.Service, in *Incoming, answer *Answer) (*Answer, bool) {
+func (p *Proxy) afterLostHome(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming, answer *Answer) (*Answer, bool) {
 	d := service.DecideRetry(time.Now(), retry.Attempt{
 		Verdict: verdict.MayHaveRun, Idempotent: in.idempotent,
-		Attempts: 1, EarlierMayHaveRun: true, TimeLeft: time.Until(deadlineOf(ctx)),
+		Attempts: 1, MaxAttempts: rule.Attempts, EarlierMayHaveRun: true, TimeLeft: time.Until(deadlineOf(ctx)),
 	}, in.fingerprint(service.Name))
 	return answer, !d.Retry
 }
@@ -71,10 +72,14 @@
 // forward passes the request to one home. An error of ErrNotSent means that it
 // certainly did not arrive.
 func (p *Proxy) forward(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming, home Peer) (*Answer, error) {
+	left := time.Until(deadlineOf(ctx)) - forwardMargin
+	if left <= 0 {
+		return nil, errors.Mark(errors.New("no time left for the way to the home"), ErrNotSent)
+	}
 	passed := *in
 	passed.Service, passed.Hops, passed.rule = service.Name, in.Hops+1, rule
 	passed.Poison = service.AboutPoison(time.Now(), in.fingerprint(service.Name))
-	answer, err := p.Forwarder.Forward(ctx, home, &passed, time.Until(deadlineOf(ctx))-forwardMargin)
+	answer, err := p.Forwarder.Forward(ctx, home, &passed, left)
 	result := "answered"
 	switch {
 	case errors.Is(err, ErrNotSent):
@@ -212,10 +217,12 @@
 		Replayed: m.Replayed, Waited: time.Duration(m.WaitedUS) * time.Microsecond,
 	}
 	if m.Refused {
-		a.Refusal = &verdict.Error{
+		refusal := refused(&verdict.Error{
 			Verdict: a.Verdict, Status: m.Status, Reason: m.Reason, Detail: m.Detail,
 			RetryAfter: time.Duration(m.RetryAfterMS) * time.Millisecond,
-		}
+		})
+		refusal.Waited = a.Waited
+		return refusal, nil
 	}
 	return a, nil
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -188,10 +188,20 @@
 // route serves the request here or passes it to a home.
 func (p *Proxy) route(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming) *Answer {
 	if in.Hops == 0 && (!service.IsHome() || !service.Reachable()) {
-		if answer, sent := p.forwardToHome(ctx, rule, service, in); sent {
+		answer, sent := p.forwardToHome(ctx, rule, service, in)
+		if sent {
 			return answer
 		}
+		if answer != nil {
+			return p.serveHere(ctx, rule, service, in, 1).after(answer.Verdict)
+		}
 	}
+	return p.serveHere(ctx, rule, service, in, 0)
+}
+
+// serveHere admits the request and sends it to upstreams of this daemon. launched
+// counts the attempts that a lost home may have made.
+func (p *Proxy) serveHere(ctx context.Context, rule *document.Rule, service *blackboard.Service, in *Incoming, launched int) *Answer {
 	fp := in.fingerprint(service.Name)
 	if len(in.Poison) > 0 {
 		service.MergePoison(time.Now(), in.Poison)
@@ -213,7 +223,7 @@
 		return refused(asVerdict(err))
 	}
 	defer permit.Release()
-	x := &exchange{proxy: p, service: service, rule: rule, document: service.Document(), in: in, fingerprint: fp, alone: alone}
+	x := &exchange{proxy: p, service: service, rule: rule, document: service.Document(), in: in, fingerprint: fp, alone: alone, launched: launched}
 	answer = x.run(ctx)
 	answer.Waited += time.Since(start) - x.own
 	return answer
@@ -234,17 +244,21 @@
 	return in.Arrived.Add(rule.Target)
 }
 
-// waitShare is the part of the time limit for which a request without a target
-// latency waits for a better upstream.
+// waitShare is the part of the time until its latest start for which a request
+// without a target latency before its deadline waits for a better upstream.
 const waitShare = 0.25
 
 // settleOf is until when a request waits for an upstream that probably serves it:
 // as long as it can still be answered within its target latency.
 func settleOf(service *blackboard.Service, rule *document.Rule, in *Incoming) time.Time {
-	if rule.Target == 0 {
-		return in.Arrived.Add(time.Duration(waitShare * float64(rule.Timeout)))
-	}
 	median, _ := service.Latency(rule.Name)
+	limit := rule.Timeout
+	if !in.Deadline.IsZero() {
+		limit = min(limit, in.Deadline.Sub(in.Arrived))
+	}
+	if rule.Target == 0 || rule.Target >= limit {
+		return in.Arrived.Add(time.Duration(waitShare * float64(limit-median)))
+	}
 	return in.Arrived.Add(rule.Target - median)
 }
 
