--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -1,12 +1,13 @@
 // Package netconn gives TCP connections the form that the HTTP library's codec
 // wants, on the Go runtime's poller.
 //
-// The buffers are those of the library's own network package. Its client
+// The output buffer is that of the library's own network package. Its client
 // connections now and then report a new connection as closed when many are
 // opened and closed; see docs/decisions/request-path.md.
 package netconn
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"os"
@@ -27,7 +28,7 @@
 // on at the same time, but only one of each.
 type Conn struct {
 	net.Conn
-	in  netpoll.Reader
+	in  input
 	out netpoll.Writer
 	raw syscall.RawConn
 	// end is the error that ended reading.
@@ -82,7 +83,7 @@
 // Wrap gives an open connection the buffers.
 func Wrap(nc net.Conn) (*Conn, error) {
 	c := &Conn{Conn: nc, out: netpoll.NewWriter(nc)}
-	c.in = netpoll.NewReader(received{c})
+	c.in.from = received{c}
 	if s, ok := nc.(syscall.Conn); ok {
 		raw, err := s.SyscallConn()
 		if err != nil {
@@ -131,13 +132,6 @@
 	return n, err
 }
 
-func normalized(err error) error {
-	if errors.Is(err, netpoll.ErrEOF) {
-		return io.EOF
-	}
-	return err
-}
-
 // Read implements io.Reader.
 func (s *Conn) Read(p []byte) (int, error) {
 	if s.in.Len() == 0 && len(p) >= directRead {
@@ -147,24 +141,24 @@
 		return 0, nil
 	}
 	if _, err := s.in.Peek(1); err != nil {
-		return 0, normalized(err)
+		return 0, err
 	}
-	part, err := s.in.Next(min(len(p), s.in.Len()))
+	part, err := s.in.Peek(min(len(p), s.in.Len()))
 	if err != nil {
 		return 0, err
 	}
 	n := copy(p, part)
+	if err := s.in.Skip(n); err != nil {
+		return n, err
+	}
 	return n, s.in.Release()
 }
 
 // Peek implements network.Reader.
-func (s *Conn) Peek(n int) ([]byte, error) {
-	b, err := s.in.Peek(n)
-	return b, normalized(err)
-}
+func (s *Conn) Peek(n int) ([]byte, error) { return s.in.Peek(n) }
 
 // Skip implements network.Reader.
-func (s *Conn) Skip(n int) error { return normalized(s.in.Skip(n)) }
+func (s *Conn) Skip(n int) error { return s.in.Skip(n) }
 
 // Release implements network.Reader.
 func (s *Conn) Release() error { return s.in.Release() }
@@ -174,14 +168,21 @@
 
 // ReadByte implements network.Reader.
 func (s *Conn) ReadByte() (byte, error) {
-	b, err := s.in.ReadByte()
-	return b, normalized(err)
+	b, err := s.in.Peek(1)
+	if err != nil {
+		return 0, err
+	}
+	first := b[0]
+	return first, s.in.Skip(1)
 }
 
 // ReadBinary implements network.Reader.
 func (s *Conn) ReadBinary(n int) ([]byte, error) {
-	b, err := s.in.ReadBinary(n)
-	return b, normalized(err)
+	b, err := s.in.Peek(n)
+	if err != nil {
+		return nil, err
+	}
+	return bytes.Clone(b), s.in.Skip(n)
 }
 
 // Malloc implements network.Writer.
