Bound the head of an upstream's answer and check it while it arrives

What callers saw: an upstream that sends bytes which are no answer held an attempt until its time limit, although the first bytes said so. An answer of status 102 or 103 was taken for the final one, and so reached the caller with status 103.

Cause: the HTTP library waits for the end of a head without a bound, reads it from the start again after each read, takes any first word for HTTP/1.0, passes over one interim answer of status 100 only, and moves what is behind a folded field in the buffer. Its errors quote all that had arrived.

Why it works: a head is scanned line by line while it arrives. It fails at the first byte that fits no status line and at the first line that is no header field, and when it does not end within 64 KiB, interim answers included. The library then reads exactly these bytes, and the head is refused if it finds another end. Such an attempt counts as a failure that may have run.

--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"time"
 
@@ -170,10 +169,7 @@
 }
 
 func (c *conn) readOne(nc *netconn.Conn, rs *protocol.Response) error {
-	if err := resp.ReadHeaders(rs, nc); err != nil {
-		if errors.Is(err, io.ErrUnexpectedEOF) {
-			return errors.Mark(err, errCut)
-		}
+	if err := readHead(nc, rs); err != nil {
 		return err
 	}
 	unframed := rs.Header.ContentLength() == unframedBody && !rs.MustSkipBody()
