Hold the answers of upstreams in a bounded memory

What callers saw: a daemon with several answers that come without end, or a few large ones, goes beyond the memory of its host and is killed, with every request in flight. A chunk line or trailers without end held an attempt until its time limit. A slow answer that states 30 MB took them before a byte had arrived.

Cause: 64 MiB were allowed for each body, whatever else was arriving, and a body lay in memory up to four times. Lines of a chunked body had no bound.

Why it works: a body grows only as its bytes arrive, and takes its memory from 46 MB that all arriving answers share, a quarter of the 184 MB of the smallest host. When they are used up the largest answer ends, which is one without end before long; whoever wants memory waits until it is free. A body is read into the memory in which it is passed on. Chunk lines are bounded by 4 KiB, trailers and long chunk lines by 64 KiB. Chunk extensions are now accepted, as the protocol has them. A length that no daemon can hold, and an answer without a length where nothing tells whether it is whole, end the attempt at once.

The largest body is 34.5 MB in place of 64 MiB.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -20,6 +20,7 @@
 // Client is the Sender that speaks HTTP/1.1.
 type Client struct {
 	dialect *dialect.Dialect
+	memory  *memory
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -31,7 +32,7 @@
 
 // NewClient returns a client; Close releases it.
 func NewClient(d *dialect.Dialect) *Client {
-	c := &Client{dialect: d, pools: map[string]*pool{}, stop: make(chan struct{}), done: make(chan struct{})}
+	c := &Client{dialect: d, memory: newMemory(), pools: map[string]*pool{}, stop: make(chan struct{}), done: make(chan struct{})}
 	go c.expireLoop()
 	return c
 }
@@ -55,7 +56,7 @@
 	if err != nil {
 		return Result{Kind: Refused, Verdict: verdict.NotRun, Err: err}
 	}
-	// The result holds copies only, so both go back to the library's pool.
+	// The result holds nothing of their memory, so both go back to the library's pool.
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
@@ -63,7 +64,9 @@
 	resp.SkipBody = request.Method == "HEAD"
 	stop := context.AfterFunc(ctx, conn.close)
 	reused := conn.used
-	whole, err := conn.exchange(req, resp, request.ID)
+	held := c.memory.open(conn)
+	defer held.close()
+	whole, err := conn.exchange(req, resp, request.ID, held)
 	stop()
 	result := c.judge(ctx, request, resp, err)
 	result.Latency, result.Reused = time.Since(start), reused
@@ -207,7 +210,8 @@
 
 func (c *Client) copyResponse(resp *protocol.Response) *Response {
 	r := &Response{Status: resp.StatusCode(), Headers: make([]Header, 0, resp.Header.Len())}
-	r.Body = append([]byte(nil), resp.Body()...)
+	// The body belongs to this answer alone, see body.
+	r.Body = resp.Body()
 	r.Leaving = c.dialect.Leaving != "" && string(resp.Header.Peek(c.dialect.Leaving)) == "true"
 	resp.Header.VisitAll(func(key, value []byte) {
 		if name := string(key); !IsHopHeader(name) {
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -7,7 +7,6 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cockroachdb/errors"
 
 	"shallotglade/internal/netconn"
@@ -15,9 +14,6 @@
 )
 
 const (
-	// maxResponseBytes is the largest answer body. Answers are held whole before
-	// a byte of them goes to the caller.
-	maxResponseBytes = 64 << 20
 	// unacknowledged is how long an upstream's host may leave sent bytes
 	// unacknowledged: some ten round trips with their resends between failure
 	// domains. A path that drops everything is found without waiting for the
@@ -108,7 +104,7 @@
 
 // exchange sends the request and reads the answer to the request id. whole means
 // that the connection can carry another request.
-func (c *conn) exchange(rq *protocol.Request, rs *protocol.Response, id string) (whole bool, err error) {
+func (c *conn) exchange(rq *protocol.Request, rs *protocol.Response, id string, s *share) (whole bool, err error) {
 	nc, err := c.dial()
 	if err != nil {
 		return false, err
@@ -124,7 +120,7 @@
 	} else {
 		go write()
 	}
-	if err := c.read(nc, rs, id); err != nil {
+	if err := c.read(nc, rs, id, s); err != nil {
 		// Closing ends a write that still waits for the upstream to read.
 		c.close()
 		<-written
@@ -151,9 +147,9 @@
 
 // read reads the answer to the present request. Answers to earlier requests,
 // which can only come first on a connection that was used, are skipped.
-func (c *conn) read(nc *netconn.Conn, rs *protocol.Response, id string) error {
+func (c *conn) read(nc *netconn.Conn, rs *protocol.Response, id string, s *share) error {
 	for stray := 0; ; stray++ {
-		if err := c.readOne(nc, rs); err != nil {
+		if err := c.readOne(nc, rs, s); err != nil {
 			return err
 		}
 		got := string(rs.Header.Peek(c.dialect.RequestID))
@@ -168,23 +164,15 @@
 	}
 }
 
-func (c *conn) readOne(nc *netconn.Conn, rs *protocol.Response) error {
+func (c *conn) readOne(nc *netconn.Conn, rs *protocol.Response, s *share) error {
 	if err := readHead(nc, rs); err != nil {
 		return err
 	}
-	unframed := rs.Header.ContentLength() == unframedBody && !rs.MustSkipBody()
-	if err := resp.ReadRespBody(rs, nc, maxResponseBytes); err != nil {
-		return errors.Mark(err, errCut)
-	}
-	if unframed {
-		rs.SetConnectionClose()
-		if !c.dialect.Unframed || !nc.CleanEnd() {
-			return errors.Mark(errors.New("the answer has no length and its connection gives no clean end"), errCut)
+	if err := c.readBody(nc, rs, s); err != nil {
+		if s.ended() {
+			err = errCrowded
 		}
+		return errors.Mark(err, errCut)
 	}
-	return nil
+	return nc.Release()
 }
-
-// unframedBody is the content length that the HTTP library gives an answer that
-// ends with the connection.
-const unframedBody = -2
--- a/pkg/upstream/endless_test.go
+++ b/pkg/upstream/endless_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -113,7 +114,13 @@
 	return peak
 }
 
-const okHead = "HTTP/1.1 200 OK\r\n"
+const (
+	okHead      = "HTTP/1.1 200 OK\r\n"
+	chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+	// large is the size in bytes of an answer that a daemon of the smallest host can
+	// hold.
+	large = 32 << 20
+)
 
 // An upstream that sends bytes without end holds a connection, memory and a
 // caller for as long as the daemon reads them.
@@ -162,34 +169,63 @@
 		Entry("lines with a name that is none", okHead, "noise noise: noise\r\n", upstream.Failure),
 		Entry("a length that is no number", okHead+"Content-Length: 99999999999999999999\r\n\r\n", "x", upstream.Failure),
 		Entry("a switch of protocols", "HTTP/1.1 101 Switching Protocols\r\n\r\n", "x", upstream.Failure),
+		Entry("a chunk size that is no number", chunkedHead, "x", upstream.Truncated),
 	)
 
-	DescribeTable("that could still become an answer end the attempt at a bound of memory when fast, by its time limit when slow",
-		func(head, unit string, fast upstream.Kind) {
-			for _, pause := range []time.Duration{0, trickle} {
-				limit, kind, by := patient, fast, patient/2
-				if pause > 0 {
-					limit, kind, by = short, upstream.Timeout, late
-				}
-				e := newEndless(head, unit, pause)
-				var got upstream.Result
-				peak := heapPeak(func() { got = attempt(e, limit) })
-				GinkgoWriter.Printf("pause %v: %v after %v, heap %d KiB, err %.200v\n", pause, got.Kind, got.Latency, peak>>10, got.Err)
-				Expect(got.Kind.String()).To(Equal(kind.String()))
-				Expect(got.Latency).To(BeNumerically("<", by))
-				Expect(peak).To(BeNumerically("<", smallestHost))
-				ends(e, got)
+	// What could still become an answer, without end, and how the attempt ends.
+	unfinished := []struct {
+		name, head, unit string
+		kind             upstream.Kind
+	}{
+		{"header fields", okHead, "A: b\r\n", upstream.Failure},
+		{"one header field", okHead + "A: ", "b", upstream.Failure},
+		{"one header name", okHead, "a", upstream.Failure},
+		{"a reason in the status line", "HTTP/1.1 200 ", "O", upstream.Failure},
+		{"a folded header field", okHead + "A: b\r\n", " c\r\n", upstream.Failure},
+		{"100 Continue", "", "HTTP/1.1 100 Continue\r\n\r\n", upstream.Failure},
+		{"102 Processing", "", "HTTP/1.1 102 Processing\r\n\r\n", upstream.Failure},
+		{"103 Early Hints", "", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", upstream.Failure},
+		{"chunks", chunkedHead, "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n", upstream.Truncated},
+		{"a chunk size", chunkedHead, "0", upstream.Truncated},
+		{"blanks after a chunk size", chunkedHead + "3", " ", upstream.Truncated},
+		{"a chunk extension", chunkedHead + "3;a=", "b", upstream.Truncated},
+		{"one large chunk", chunkedHead + "1500000\r\n", strings.Repeat("x", 32) + "\r\n", upstream.Truncated},
+		{"chunks with long extensions", chunkedHead, "1;a=" + strings.Repeat("b", 1000) + "\r\nx\r\n", upstream.Truncated},
+		{"trailers", chunkedHead + "3\r\nabc\r\n0\r\n", "A: b\r\n", upstream.Truncated},
+		{"one trailer", chunkedHead + "3\r\nabc\r\n0\r\nA: ", "b", upstream.Truncated},
+		{"a body that ends with the connection", okHead + "\r\n", "x", upstream.Truncated},
+	}
+
+	for _, c := range unfinished {
+		It("that could still become an answer end the attempt at a bound of memory when fast: "+c.name, func() {
+			e := newEndless(c.head, c.unit, 0)
+			var got upstream.Result
+			peak := heapPeak(func() { got = attempt(e, patient) })
+			GinkgoWriter.Printf("%v after %v, heap %d KiB, err %.200v\n", got.Kind, got.Latency, peak>>10, got.Err)
+			Expect(got.Kind.String()).To(Equal(c.kind.String()))
+			Expect(got.Latency).To(BeNumerically("<", patient/2))
+			Expect(peak).To(BeNumerically("<", smallestHost))
+			ends(e, got)
+		})
+	}
+
+	It("that could still become an answer end the attempt by its time limit when slow", func() {
+		senders, results := make([]*endless, len(unfinished)), make([]upstream.Result, len(unfinished))
+		peak := heapPeak(func() {
+			var wg sync.WaitGroup
+			for i, c := range unfinished {
+				senders[i] = newEndless(c.head, c.unit, trickle)
+				wg.Go(func() { results[i] = attempt(senders[i], short) })
 			}
-		},
-		Entry("header fields", okHead, "A: b\r\n", upstream.Failure),
-		Entry("one header field", okHead+"A: ", "b", upstream.Failure),
-		Entry("one header name", okHead, "a", upstream.Failure),
-		Entry("a reason in the status line", "HTTP/1.1 200 ", "O", upstream.Failure),
-		Entry("a folded header field", okHead+"A: b\r\n", " c\r\n", upstream.Failure),
-		Entry("100 Continue", "", "HTTP/1.1 100 Continue\r\n\r\n", upstream.Failure),
-		Entry("102 Processing", "", "HTTP/1.1 102 Processing\r\n\r\n", upstream.Failure),
-		Entry("103 Early Hints", "", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", upstream.Failure),
-	)
+			wg.Wait()
+		})
+		Expect(peak).To(BeNumerically("<", 16<<20), "little has arrived")
+		for i, got := range results {
+			Expect(got.Kind.String()).To(Equal(upstream.Timeout.String()), unfinished[i].name)
+			Expect(got.Latency).To(BeNumerically("<", late), unfinished[i].name)
+			ends(senders[i], got)
+		}
+	})
 
 	// Guards against limits that cut what an upstream may send.
 	DescribeTable("are told from a long head and from interim answers", func(text string, headers int) {
@@ -208,4 +244,89 @@
 		Entry("interim answers", "HTTP/1.1 100 Continue\r\n\r\n"+strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 20)+whole("0123456789"), 0),
 		Entry("the older version", "HTTP/1.0 200\nContent-Length: 10\n\n0123456789", 0),
 	)
+
+	// Guards against bounds that cut a large answer, and against one that ends early
+	// and looks whole.
+	DescribeTable("are told from a large body", func(text func() string, size int, kind upstream.Kind) {
+		got := attempt(&endless{target: serve(func(int, *http.Request) string { return text() })}, patient)
+		Expect(got.Kind.String()).To(Equal(kind.String()))
+		if kind != upstream.Success {
+			Expect(got.Response).To(BeNil())
+			Expect(got.Verdict).To(Equal(verdict.MayHaveRun))
+			return
+		}
+		Expect(got.Response.Body).To(HaveLen(size))
+		Expect(strings.Trim(string(got.Response.Body), "x")).To(BeElementOf("", "CUT"))
+	},
+		Entry("of a stated length", func() string { return whole(strings.Repeat("x", large)) }, large, upstream.Success),
+		Entry("in one chunk", func() string {
+			return chunkedHead + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", large, strings.Repeat("x", large))
+		}, large, upstream.Success),
+		Entry("in chunks with extensions and a trailer", func() string { return chunkedHead + strings.Repeat("3;a=b\r\nxxx\r\n", 1000) + "0\r\nA: b\r\n\r\n" }, 3000, upstream.Success),
+		Entry("in chunks with a cut behind the last", func() string { return chunkedHead + "1 \r\nx\r\n0\r\nCUT" }, 1, upstream.Success),
+		Entry("in chunks with a broken end", func() string { return chunkedHead + "3\r\nxxxx\r\n0\r\n\r\n" }, 3, upstream.Truncated),
+		Entry("in chunks with a sign before a size", func() string { return chunkedHead + "+3\r\nxxx\r\n0\r\n\r\n" }, 3, upstream.Truncated),
+		Entry("that ends with the connection", func() string {
+			return okHead + "Connection: close\r\n\r\n" + strings.Repeat("x", large) + "CUT"
+		}, large+3, upstream.Success),
+		Entry("of a stated length and cut", func() string { return okHead + "Content-Length: 100\r\n\r\n" + strings.Repeat("x", 90) + "CUT" }, 100, upstream.Truncated),
+	)
+
+	It("that end with the connection end the attempt at once where nothing can tell whether they are whole", func() {
+		native.Unframed = false
+		e := newEndless(okHead+"\r\n", "x", trickle)
+		got := attempt(e, patient)
+		Expect(got.Kind).To(Equal(upstream.Truncated))
+		Expect(got.Latency).To(BeNumerically("<", soon))
+		ends(e, got)
+	})
+
+	It("a body of a stated length that no daemon can hold ends the attempt at once", func() {
+		for _, length := range []string{
+			"Content-Length: 1000000000000\r\n\r\n", "Content-Length: 922337203685477580\r\n\r\n",
+			"Transfer-Encoding: chunked\r\n\r\n100000000\r\n", "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n",
+		} {
+			e := newEndless(okHead+length, "x", trickle)
+			got := attempt(e, patient)
+			Expect(got.Kind).To(Equal(upstream.Truncated))
+			Expect(got.Latency).To(BeNumerically("<", soon))
+			ends(e, got)
+		}
+	})
+
+	// A host has memory for a few answers of tens of megabytes at a time, not for
+	// one at each of its connections.
+	It("share one bound of memory, which the largest answer leaves first", func() {
+		bodies := []string{okHead + "\r\n", chunkedHead + "1500000\r\n", okHead + "Content-Length: 20000000\r\n\r\n"}
+		const each = 6
+		var wrong atomic.Int32
+		small := make(chan upstream.Result, 1)
+		peak := heapPeak(func() {
+			var wg sync.WaitGroup
+			for _, head := range bodies {
+				e := newEndless(head, "x", 0)
+				for range each {
+					wg.Go(func() {
+						got := attempt(e, patient)
+						truthful := got.Response == nil && got.Verdict == verdict.MayHaveRun || got.Response != nil && len(got.Response.Body) == 20000000
+						if !truthful || got.Latency > patient/2 {
+							wrong.Add(1)
+						}
+					})
+				}
+			}
+			t := serve(func(_ int, r *http.Request) string {
+				time.Sleep(trickle)
+				return whole(strings.Repeat("y", 100<<10))
+			})
+			wg.Go(func() {
+				small <- client.Do(context.Background(), t, &upstream.Request{ID: "r1", Method: "GET", URI: "/"})
+			})
+			wg.Wait()
+		})
+		GinkgoWriter.Printf("heap %d MiB\n", peak>>20)
+		Expect(peak).To(BeNumerically("<", smallestHost))
+		Expect((<-small).Kind).To(Equal(upstream.Success))
+		Expect(wrong.Load()).To(BeZero())
+	})
 })
