Bound the replies of the platform

What was seen: a reply of the platform that comes without end, or states a large length, takes the memory of the daemon. A stated length of 10^12 bytes ends the process at once with "fatal error: runtime: out of memory". Calls are bounded in time only, by 5 s and the wait of a watch.

Cause: the HTTP library sets a stated length aside before a byte has arrived, and bounds neither the head, nor the body, nor the lines of a chunked one.

Why it works: a connection to the platform takes at most 8 MiB after each call it sends, eight times the largest value and the largest page of the users' store, and the library refuses longer bodies before it sets memory aside. The head must arrive whole within 64 KiB, by the check that upstreams' answers have, which moves to internal/netconn. A call that ends so is one without a usable reply: unavailable for a read, of unknown outcome for a write. Over TLS only the bound of the body holds, as the standard dialer opens these connections.

--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -33,6 +33,8 @@
 	raw syscall.RawConn
 	// end is the error that ended reading.
 	end error
+	// maxReply is DialConfig.MaxReply, and received what counts toward it.
+	maxReply, received int
 }
 
 var (
@@ -51,8 +53,13 @@
 	// connection is still there; 0 means never. The connection fails after two
 	// questions without an answer, half a Silence apart.
 	Silence time.Duration
+	// MaxReply is the most bytes that may arrive after a flush; 0 means no bound.
+	MaxReply int
 }
 
+// ErrTooMuch means that more bytes arrived than DialConfig.MaxReply.
+var ErrTooMuch = errors.New("more bytes arrived than a reply may have")
+
 // silenceProbes is how many unanswered questions end a connection: one may get
 // lost.
 const silenceProbes = 2
@@ -77,7 +84,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return Wrap(nc)
+	wrapped, err := Wrap(nc)
+	if err != nil {
+		return nil, err
+	}
+	wrapped.maxReply = c.MaxReply
+	return wrapped, nil
 }
 
 // Wrap gives an open connection the buffers.
@@ -122,7 +134,13 @@
 
 // Read implements io.Reader.
 func (r received) Read(p []byte) (int, error) {
+	if r.conn.maxReply > 0 && r.conn.received >= r.conn.maxReply {
+		return 0, ErrTooMuch
+	}
 	n, err := r.conn.Conn.Read(p)
+	if r.conn.maxReply > 0 {
+		r.conn.received += n
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		r.conn.end = err
 	}
@@ -196,6 +214,9 @@
 	if s.out.MallocLen() == 0 {
 		return nil
 	}
+	if s.maxReply > 0 {
+		s.received = 0
+	}
 	return s.out.Flush()
 }
 
--- a/pkg/platform/caller.go
+++ b/pkg/platform/caller.go
@@ -128,6 +128,8 @@
 		client.WithMaxConnsPerHost(clientMaxConns),
 		client.WithMaxIdleConnDuration(idleConnection),
 		client.WithDisablePathNormalizing(true),
+		// Without it the library sets a stated length aside, whatever it is.
+		config.ClientOption{F: func(o *config.ClientOptions) { o.MaxResponseBodySize = maxReplyBytes }},
 	)
 	return h, errors.Wrap(err, "platform client")
 }
--- a/pkg/platform/dialer.go
+++ b/pkg/platform/dialer.go
@@ -17,6 +17,14 @@
 	// nothing for long.
 	silence        = time.Second
 	unacknowledged = 1500 * time.Millisecond
+	// maxReplyBytes bounds a reply, with its head and all framing: eight times the
+	// largest value, and eight times the largest page that the users' platform
+	// sends. A daemon has 184 MB in all, and a reply takes up to four times its
+	// size for a moment.
+	maxReplyBytes = 8 * MaxValueBytes
+	// maxHeadBytes bounds the head of a reply. The library reads a head from its
+	// start again after each read, and keeps many times its size.
+	maxHeadBytes = 64 << 10
 )
 
 // dialError marks an error from before the request was sent.
@@ -31,12 +39,40 @@
 
 func newDialer() network.Dialer { return dialer{standard.NewDialer()} }
 
+// checkedConn reads the head of a reply only once it has arrived, within its bound.
+type checkedConn struct {
+	*netconn.Conn
+	// asked means that a call was sent and no byte of its reply was read.
+	asked bool
+}
+
+// Flush implements network.Writer.
+func (c *checkedConn) Flush() error {
+	c.asked = true
+	return c.Conn.Flush()
+}
+
+// Peek implements network.Reader.
+func (c *checkedConn) Peek(n int) ([]byte, error) {
+	if c.asked {
+		c.asked = false
+		if _, err := c.AwaitHead(maxHeadBytes); err != nil {
+			return nil, err
+		}
+	}
+	return c.Conn.Peek(n)
+}
+
 // DialConnection implements network.Dialer.
 func (d dialer) DialConnection(n, address string, timeout time.Duration, tlsConfig *tls.Config) (network.Conn, error) {
 	var conn network.Conn
 	var err error
 	if tlsConfig == nil {
-		conn, err = netconn.Dial(address, netconn.DialConfig{Timeout: timeout, Unacknowledged: unacknowledged, Silence: silence})
+		var plain *netconn.Conn
+		plain, err = netconn.Dial(address, netconn.DialConfig{
+			Timeout: timeout, Unacknowledged: unacknowledged, Silence: silence, MaxReply: maxReplyBytes,
+		})
+		conn = &checkedConn{Conn: plain}
 	} else {
 		conn, err = d.Dialer.DialConnection(n, address, timeout, tlsConfig)
 	}
--- /dev/null
+++ b/pkg/platform/endless_test.go
@@ -0,0 +1,167 @@
+package platform_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"shallotglade/pkg/platform"
+)
+
+// endlessStore answers each call with head and then sends unit again and again
+// until the connection is closed.
+type endlessStore struct {
+	url         string
+	calls, open atomic.Int32
+}
+
+func newEndlessStore(head, unit string, pause time.Duration) *endlessStore {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(ln.Close)
+	s := &endlessStore{url: "http://" + ln.Addr().String()}
+	if pause == 0 {
+		unit = strings.Repeat(unit, 1+(32<<10)/len(unit))
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.open.Add(1)
+			go s.serve(c, head, unit, pause)
+		}
+	}()
+	return s
+}
+
+func (s *endlessStore) serve(c net.Conn, head, unit string, pause time.Duration) {
+	defer s.open.Add(-1)
+	defer c.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	s.calls.Add(1)
+	_, err := fmt.Fprint(c, head)
+	for err == nil {
+		_, err = fmt.Fprint(c, unit)
+		time.Sleep(pause)
+	}
+}
+
+// heapPeak runs a task and returns the most heap that it added.
+func heapPeak(task func()) int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	before, peak := int64(m.HeapAlloc), int64(0)
+	done, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			runtime.ReadMemStats(&m)
+			peak = max(peak, int64(m.HeapAlloc)-before)
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}()
+	task()
+	close(done)
+	<-stopped
+	return peak
+}
+
+var _ = Describe("Replies without end", func() {
+	const (
+		// readTimeout and dialTimeout are those of the calls; together they bound
+		// a call.
+		readTimeout = 200 * time.Millisecond
+		dialTimeout = 100 * time.Millisecond
+		// margin is far more than ending a call takes.
+		margin = 2 * time.Second
+		// smallestHost is the memory of the smallest host in bytes.
+		smallestHost = 184 << 20
+		okHead       = "HTTP/1.1 200 OK\r\n"
+		chunkedHead  = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+	)
+	// Guards against a daemon that is killed for its memory, or holds connections
+	// and goroutines, because the platform sends without end.
+	DescribeTable("end the call within its time and a bound of memory, fast and slow", func(head, unit string) {
+		for _, pause := range []time.Duration{0, 50 * time.Millisecond} {
+			store := newEndlessStore(head, unit, pause)
+			caller, err := platform.NewCaller(platform.CallerConfig{URLs: []string{store.url}, ReadTimeout: readTimeout, DialTimeout: dialTimeout})
+			Expect(err).NotTo(HaveOccurred())
+			client := platform.NewClient(caller)
+			var read, written error
+			start := time.Now()
+			peak := heapPeak(func() {
+				_, read = client.Get(context.Background(), "k")
+				_, written = client.Update(context.Background(), "k", 1, []byte("v"))
+			})
+			GinkgoWriter.Printf("pause %v: %v, heap %d KiB, %.200v, %.200v\n", pause, time.Since(start), peak>>10, read, written)
+			Expect(time.Since(start)).To(BeNumerically("<", 2*(readTimeout+dialTimeout)+margin))
+			Expect(peak).To(BeNumerically("<", smallestHost))
+			Expect(read).To(MatchError(platform.ErrUnavailable))
+			Expect(written).To(MatchError(platform.ErrUnknownOutcome))
+			Expect(len(written.Error())).To(BeNumerically("<", 1<<10), "the error quotes the bytes")
+			Expect(store.calls.Load()).To(BeNumerically("<=", 3), "a read may be sent twice, a write once")
+			Eventually(store.open.Load, margin, time.Millisecond).Should(BeZero())
+			caller.Close()
+		}
+	},
+		Entry("no line", "", "noise"),
+		Entry("lines", "", "noise\n"),
+		Entry("header fields", okHead, "A: b\r\n"),
+		Entry("one header field", okHead+"A: ", "b"),
+		Entry("chunks", chunkedHead, "3\r\nabc\r\n"),
+		Entry("large chunks", chunkedHead, "8000\r\n"+strings.Repeat("x", 32<<10)+"\r\n"),
+		Entry("blanks after a chunk size", chunkedHead+"3", " "),
+		Entry("one trailer", chunkedHead+"0\r\nA: ", "b"),
+		Entry("a body that ends with the connection", okHead+"\r\n", "x"),
+		Entry("a body of a huge length", okHead+"Content-Length: 1000000000000\r\n\r\n", "x"),
+		Entry("a body of a large length", okHead+"Content-Length: 500000000\r\n\r\n", "x"),
+	)
+
+	// Guards against a bound that cuts what the platform may say: a list of the
+	// size that the users name, many times over.
+	It("are told from a long reply", func() {
+		const size = 6 << 20
+		for _, text := range []string{
+			fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", okHead, size, strings.Repeat("x", size)),
+			fmt.Sprintf("%s%x\r\n%s\r\n0\r\n\r\n", chunkedHead, size, strings.Repeat("x", size)),
+		} {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(ln.Close)
+			go func() {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					fmt.Fprint(c, text)
+				}
+			}()
+			caller, err := platform.NewCaller(platform.CallerConfig{URLs: []string{"http://" + ln.Addr().String()}})
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(caller.Close)
+			Expect(caller.Call(context.Background(), platform.Call{Method: http.MethodGet, Path: "/x"}, func(r platform.Reply) error {
+				Expect(r.Body).To(HaveLen(size))
+				return nil
+			})).To(Succeed())
+		}
+	})
+})
--- a/pkg/upstream/body.go
+++ b/pkg/upstream/body.go
@@ -186,7 +186,6 @@
 // skipTrailers reads the trailers behind the last chunk. The body is whole without
 // them, so that the connection may end in their place.
 func skipTrailers(nc *netconn.Conn) error {
-	var h head
 	for left := maxHeadBytes; ; {
 		line, err := readLine(nc, left)
 		if errors.Is(err, io.ErrUnexpectedEOF) {
@@ -196,7 +195,7 @@
 			return err
 		}
 		left -= len(line) + len(lineEnd)
-		if err := h.field(line); err != nil {
+		if err := netconn.CheckField(line); err != nil {
 			return err
 		}
 	}
