Close idle connections on which an upstream goes on sending

What was seen: an upstream that sends bytes behind its answer, once its connection is kept, kept that connection and its place among those to the upstream for up to half a minute if no request came, with what it sent in the receive buffer of the host, which counts toward a daemon's memory.

Cause: whether bytes are unread was asked only when the connection was to be kept and when it was to be used. Connections that the upstream had closed stayed in the same way.

The new spec for it fails on the commit before: the connection is still open 7 s after the answer where the upstream says that it keeps connections for 30 s. The round that closes connections which have waited too long, every 4 s, now asks the system whether anything arrived, and closes the connection then.

The specs about bytes behind a whole answer show what held before: no further request is sent on such a connection. On a trial without the question whether bytes are unread all three fail; further answers reached other requests.

--- a/pkg/upstream/endless_test.go
+++ b/pkg/upstream/endless_test.go
@@ -34,6 +34,8 @@
 	short = 300 * time.Millisecond
 	// late is by when an attempt with the limit short must have ended.
 	late = short + time.Second
+	// idleCheck is how often a daemon looks at connections that carry no request.
+	idleCheck = 4 * time.Second
 	// trickle is the pause of a slow sender, of which each read makes progress.
 	trickle = 50 * time.Millisecond
 )
@@ -76,16 +78,18 @@
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return
 	}
-	if _, err := fmt.Fprint(c, head); err != nil {
-		return
+	if pause > 0 {
+		_, _ = fmt.Fprint(c, head) // the next write fails as well
+		head = ""
 	}
 	for {
-		n, err := c.Write([]byte(unit))
-		e.sent.Add(int64(n))
+		time.Sleep(pause)
+		n, err := c.Write([]byte(head + unit))
 		if err != nil {
 			return
 		}
-		time.Sleep(pause)
+		e.sent.Add(int64(n))
+		head = ""
 	}
 }
 
@@ -329,4 +333,34 @@
 		Expect((<-small).Kind).To(Equal(upstream.Success))
 		Expect(wrong.Load()).To(BeZero())
 	})
+
+	// Guards against bytes of one answer in another caller's.
+	DescribeTable("behind a whole answer close the connection, which carries no other request", func(unit string) {
+		for _, pause := range []time.Duration{0, trickle} {
+			e := newEndless(whole("first"), unit, pause)
+			for range 2 {
+				before := e.sent.Load()
+				got := attempt(e, patient)
+				Expect(got.Kind).To(Equal(upstream.Success))
+				Expect(got.Reused).To(BeFalse())
+				Expect(string(got.Response.Body)).To(Equal("first"))
+				if pause > 0 {
+					Eventually(e.sent.Load, soon, time.Millisecond).Should(BeNumerically(">", before))
+				}
+			}
+			Expect(e.opened.Load()).To(BeEquivalentTo(2))
+		}
+	},
+		Entry("noise", "noise"),
+		Entry("further answers", whole("another")),
+		Entry("empty lines", "\r\n"),
+	)
+
+	// An upstream that says that it keeps connections long held one, and the receive
+	// buffer of the host, for half a minute if no request came.
+	It("behind a whole answer end the connection soon also when no request follows", func() {
+		e := newEndless(whole("first", "Keep-Alive: timeout=30\r\n"), "noise", trickle)
+		Expect(attempt(e, patient).Kind).To(Equal(upstream.Success))
+		Eventually(e.open.Load, idleCheck+soon, trickle).Should(BeZero())
+	})
 })
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -101,12 +101,20 @@
 	p.open--
 }
 
-// expire closes the kept connections that have waited too long, and reports
+// expire closes the kept connections that have waited too long, and those that the
+// upstream has closed or on which it has sent bytes behind its answer. It reports
 // whether the pool is empty.
 func (p *pool) expire(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dropExpired(now)
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		spoiled := !c.reusable()
+		if spoiled {
+			p.closeLocked(c)
+		}
+		return spoiled
+	})
 	return p.open == 0
 }
 
