Spread requests that may run once at all times

Cause, from the logs of all daemons: 33 of 76 upstreams were unused, and the last request sent to each of them had failed, up to 11 s before. An upstream that has failed gets work again only by spreading, and bookings were spread only while 8% of the requests fail. Here 1.7% did until the power failure, and the service has few other requests.

Requests that may run once are now spread at all times: while few requests fail, only to upstreams believed to fail less than 0.4 of their requests, the least doubtful first, later than repeatable ones, and from the upstream's own failure domain first. Where a service has enough repeatable requests, these do the work. When an upstream was last used is now known in one place, from what this home sent and any home saw.

--- a/pkg/blackboard/attempt.go
+++ b/pkg/blackboard/attempt.go
@@ -85,10 +85,7 @@
 		c := &s.candidates[i]
 		c.Own, c.PausedUntil = s.inFlight.Own(c.ID), s.pausedUntil[c.ID]
 		c.Failing = s.reliability.Failing(now, c.ID)
-		c.Seen = s.reliability.Seen(c.ID)
-		if c.Used = s.usedAt[c.ID]; c.Seen.After(c.Used) {
-			c.Used = c.Seen
-		}
+		c.Seen, c.Used = s.reliability.Seen(c.ID), s.usedAt[c.ID]
 	}
 	choice, ok := s.chooseLocked(now, r)
 	if !ok {
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -37,7 +37,7 @@
 	// Listed is when the upstream was listed, Seen when a home saw its last
 	// outcome, zero if none was seen since.
 	Listed, Seen time.Time
-	// Used is when a home is known to have sent it a request, zero if none did.
+	// Used is when this home last sent it a request, zero if it did not.
 	Used time.Time
 	// ColdUntil is until when the upstream is slow after its start.
 	ColdUntil time.Time
@@ -73,8 +73,8 @@
 	// that is less likely to fail.
 	MayWait bool
 	// Spread asks for work at most upstreams, since many requests fail: a belief
-	// that leaves few upstreams in use may be wrong. Repeatable requests are spread
-	// without it, unless further attempts are scarce.
+	// that leaves few upstreams in use may be wrong. Without it, repeatable requests are
+	// spread unless further attempts are scarce, and others over less doubtful upstreams.
 	Spread bool
 	// Tried lists the upstreams that earlier attempts of this request used.
 	Tried []string
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -114,7 +114,9 @@
 // of them got some. Upstreams that have just failed do not count. Requests that can be
 // repeated are spread at all times: a loss of many requests, as by a power failure of
 // the hosts, cannot be foreseen, and old beliefs are corrected at the cost of a repeat.
-// Other requests are spread only while many fail.
+// Other requests are spread too, since a service may have hardly any that can be
+// repeated; while few requests fail they go only to upstreams that more likely work
+// than fail them.
 const (
 	// spreadAfter is below the two seconds of the rule, and spreadShare above its
 	// share of 0.7.
@@ -130,6 +132,16 @@
 	// spreadAlwaysValue is that of a repeatable attempt while few requests fail. It
 	// outweighs spreadCertain and farCost, and is below exploreValue.
 	spreadAlwaysValue = 0.18
+	// spreadOnceAlwaysValue is that of an attempt that cannot be repeated while few
+	// requests fail. It is what is believed of an upstream about seven seconds after a
+	// failure; with 0.3, upstreams that work again stay without requests for longer.
+	spreadOnceAlwaysValue = 0.4
+	// spreadOnceAfter and spreadFarAfter are from when on attempts that cannot be
+	// repeated are spread, from the upstream's own failure domain and from others.
+	// Requests that can be repeated go first, and homes that all try an upstream at
+	// the same moment would lose a request each.
+	spreadOnceAfter = 1550 * time.Millisecond
+	spreadFarAfter  = 1750 * time.Millisecond
 )
 
 // hopelessMargin is how much better an upstream must be for a request to wait
@@ -223,10 +235,14 @@
 		return 0
 	case req.Spread && req.Repeatable:
 		return spreadValue
-	case req.Spread:
-		return spreadOnceValue
 	case req.Repeatable && !req.Scarce && !c.Seen.IsZero():
 		return spreadAlwaysValue
+	case req.Repeatable || c.rest(req) < spreadOnceAfter || !c.near(req) && c.rest(req) < spreadFarAfter:
+		return 0
+	case req.Spread:
+		return spreadOnceValue
+	case !c.Seen.IsZero():
+		return spreadOnceAlwaysValue
 	}
 	return 0
 }
@@ -253,7 +269,15 @@
 
 // unused reports whether no home has work there, or had some a moment ago.
 func (c *Candidate) unused(req *Request) bool {
-	return c.Own == 0 && c.Others < 0.5 && req.Now.Sub(c.Used) >= spreadAfter
+	return c.Own == 0 && c.Others < 0.5 && c.rest(req) >= spreadAfter
+}
+
+// rest is for how long no request is known to have been sent to the candidate.
+func (c *Candidate) rest(req *Request) time.Duration {
+	if c.Seen.After(c.Used) {
+		return req.Now.Sub(c.Seen)
+	}
+	return req.Now.Sub(c.Used)
 }
 
 // fewInUse reports whether too few of the upstreams that have not just failed are
