--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -133,7 +133,7 @@
 	// outweighs spreadCertain and farCost, and is below exploreValue.
 	spreadAlwaysValue = 0.18
 	// spreadOnceAlwaysValue is that of an attempt that cannot be repeated while few
-	// requests fail. It is what is believed of an upstream about seven seconds after a
+	// requests fail. As much is believed of an upstream about ten seconds after a
 	// failure; with 0.3, upstreams that work again stay without requests for longer.
 	spreadOnceAlwaysValue = 0.4
 	// spreadOnceAfter and spreadFarAfter are from when on attempts that cannot be
