Use one server without end in the tests

Four test files had their own server that sends until its connection is closed, and two their own measure of the heap. Both stand in internal/testkit now. The checks are unchanged.

--- a/pkg/health/endless_test.go
+++ b/pkg/health/endless_test.go
@@ -1,21 +1,16 @@
 package health_test
 
 import (
-	"bufio"
 	"context"
-	"fmt"
-	"net"
-	"net/http"
 	"slices"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"shallotglade/internal/testkit"
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/document"
@@ -27,44 +22,6 @@
 	"shallotglade/pkg/upstream"
 )
 
-// probedUpstream answers each probe with text, and then sends unit again and again
-// until the connection is closed.
-type probedUpstream struct {
-	address string
-	open    atomic.Int32
-}
-
-func newProbedUpstream(text, unit string, pause time.Duration) *probedUpstream {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(ln.Close)
-	u := &probedUpstream{address: ln.Addr().String()}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			u.open.Add(1)
-			go func() {
-				defer u.open.Add(-1)
-				defer c.Close()
-				for r := bufio.NewReader(c); ; {
-					if _, err := http.ReadRequest(r); err != nil {
-						return
-					}
-					_, err := fmt.Fprint(c, text)
-					for unit != "" && err == nil {
-						time.Sleep(pause)
-						_, err = fmt.Fprint(c, unit)
-					}
-				}
-			}()
-		}
-	}()
-	return u
-}
-
 // recorder keeps how the probes of each address ended.
 type recorder struct {
 	upstream.Sender
@@ -90,10 +47,10 @@
 // the answer to a probe comes without end.
 var _ = DescribeTable("A probe whose answer comes without end has failed and ends in time", func(text, unit string) {
 	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-	upstreams := map[string]*probedUpstream{
-		"fast":  newProbedUpstream(text, strings.Repeat(unit, 4096), 0),
-		"slow":  newProbedUpstream(text, unit, 50*time.Millisecond),
-		"sound": newProbedUpstream(sound, "", 0),
+	upstreams := map[string]*testkit.EndlessServer{
+		"fast":  testkit.NewEndlessServer(text, unit, 0),
+		"slow":  testkit.NewEndlessServer(text, unit, 50*time.Millisecond),
+		"sound": testkit.NewEndlessServer(sound, "", 0),
 	}
 	const (
 		attempt = 300 * time.Millisecond // the time limit of a probe
@@ -111,7 +68,7 @@
 	s.SetHomes(time.Now(), []routing.Home{{ID: "d1", Domain: "fes"}})
 	var list []blackboard.Upstream
 	for id, u := range upstreams {
-		list = append(list, blackboard.Upstream{ID: id, Address: u.address, Domain: "fes", Slots: 3})
+		list = append(list, blackboard.Upstream{ID: id, Address: u.Address, Domain: "fes", Slots: 3})
 	}
 	s.SetUpstreams(time.Now(), list)
 	c := &health.Controller{
@@ -124,8 +81,8 @@
 	go func() { defer close(done); c.Run(ctx) }()
 	DeferCleanup(func() { cancel(); <-done; c.Cleanup() })
 	for id, u := range upstreams {
-		Eventually(func() int { return len(sender.results(u.address)) }, 10*time.Second, 20*time.Millisecond).Should(BeNumerically(">=", 2), id)
-		for _, r := range sender.results(u.address) {
+		Eventually(func() int { return len(sender.results(u.Address)) }, 10*time.Second, 20*time.Millisecond).Should(BeNumerically(">=", 2), id)
+		for _, r := range sender.results(u.Address) {
 			if id == "sound" {
 				Expect(r.Kind).To(Equal(upstream.Success))
 				continue
@@ -139,7 +96,7 @@
 	s.SetUpstreams(time.Now(), nil)
 	for id, u := range upstreams {
 		if id != "sound" {
-			Eventually(u.open.Load, attempt+margin, time.Millisecond).Should(BeZero(), id)
+			Eventually(u.Open.Load, attempt+margin, time.Millisecond).Should(BeZero(), id)
 		}
 	}
 },
--- a/pkg/platform/endless_test.go
+++ b/pkg/platform/endless_test.go
@@ -6,84 +6,16 @@
 	"fmt"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"shallotglade/internal/testkit"
 	"shallotglade/pkg/platform"
 )
 
-// endlessStore answers each call with head and then sends unit again and again
-// until the connection is closed.
-type endlessStore struct {
-	url         string
-	calls, open atomic.Int32
-}
-
-func newEndlessStore(head, unit string, pause time.Duration) *endlessStore {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(ln.Close)
-	s := &endlessStore{url: "http://" + ln.Addr().String()}
-	if pause == 0 {
-		unit = strings.Repeat(unit, 1+(32<<10)/len(unit))
-	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			s.open.Add(1)
-			go s.serve(c, head, unit, pause)
-		}
-	}()
-	return s
-}
-
-func (s *endlessStore) serve(c net.Conn, head, unit string, pause time.Duration) {
-	defer s.open.Add(-1)
-	defer c.Close()
-	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-		return
-	}
-	s.calls.Add(1)
-	_, err := fmt.Fprint(c, head)
-	for err == nil {
-		_, err = fmt.Fprint(c, unit)
-		time.Sleep(pause)
-	}
-}
-
-// heapPeak runs a task and returns the most heap that it added.
-func heapPeak(task func()) int64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	before, peak := int64(m.HeapAlloc), int64(0)
-	done, stopped := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(stopped)
-		for {
-			runtime.ReadMemStats(&m)
-			peak = max(peak, int64(m.HeapAlloc)-before)
-			select {
-			case <-done:
-				return
-			case <-time.After(time.Millisecond):
-			}
-		}
-	}()
-	task()
-	close(done)
-	<-stopped
-	return peak
-}
-
 var _ = Describe("Replies without end", func() {
 	const (
 		// readTimeout and dialTimeout are those of the calls; together they bound
@@ -101,13 +33,13 @@
 	// and goroutines, because the platform sends without end.
 	DescribeTable("end the call within its time and a bound of memory, fast and slow", func(head, unit string) {
 		for _, pause := range []time.Duration{0, 50 * time.Millisecond} {
-			store := newEndlessStore(head, unit, pause)
-			caller, err := platform.NewCaller(platform.CallerConfig{URLs: []string{store.url}, ReadTimeout: readTimeout, DialTimeout: dialTimeout})
+			store := testkit.NewEndlessServer(head, unit, pause)
+			caller, err := platform.NewCaller(platform.CallerConfig{URLs: []string{"http://" + store.Address}, ReadTimeout: readTimeout, DialTimeout: dialTimeout})
 			Expect(err).NotTo(HaveOccurred())
 			client := platform.NewClient(caller)
 			var read, written error
 			start := time.Now()
-			peak := heapPeak(func() {
+			peak := testkit.HeapPeak(func() {
 				_, read = client.Get(context.Background(), "k")
 				_, written = client.Update(context.Background(), "k", 1, []byte("v"))
 			})
@@ -117,8 +49,8 @@
 			Expect(read).To(MatchError(platform.ErrUnavailable))
 			Expect(written).To(MatchError(platform.ErrUnknownOutcome))
 			Expect(len(written.Error())).To(BeNumerically("<", 1<<10), "the error quotes the bytes")
-			Expect(store.calls.Load()).To(BeNumerically("<=", 3), "a read may be sent twice, a write once")
-			Eventually(store.open.Load, margin, time.Millisecond).Should(BeZero())
+			Expect(store.Requests.Load()).To(BeNumerically("<=", 3), "a read may be sent twice, a write once")
+			Eventually(store.Open.Load, margin, time.Millisecond).Should(BeZero())
 			caller.Close()
 		}
 	},
--- a/pkg/proxy/endless_test.go
+++ b/pkg/proxy/endless_test.go
@@ -1,13 +1,9 @@
 package proxy_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"net"
-	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"shallotglade/internal/testcerts"
+	"shallotglade/internal/testkit"
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/peer"
@@ -24,53 +21,6 @@
 	"shallotglade/pkg/verdict"
 )
 
-// wireUpstream answers each request with text, and then sends unit again and again
-// until the connection is closed. Without a unit it keeps the connection.
-type wireUpstream struct {
-	address    string
-	runs, open atomic.Int32
-}
-
-func newWireUpstream(text, unit string, pause time.Duration) *wireUpstream {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(ln.Close)
-	u := &wireUpstream{address: ln.Addr().String()}
-	if unit != "" && pause == 0 {
-		unit = strings.Repeat(unit, 1+(32<<10)/len(unit))
-	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			u.open.Add(1)
-			go u.serve(c, text, unit, pause)
-		}
-	}()
-	return u
-}
-
-func (u *wireUpstream) serve(c net.Conn, text, unit string, pause time.Duration) {
-	defer u.open.Add(-1)
-	defer c.Close()
-	for r := bufio.NewReader(c); ; {
-		if _, err := http.ReadRequest(r); err != nil {
-			return
-		}
-		u.runs.Add(1)
-		_, err := fmt.Fprint(c, text)
-		for unit != "" && err == nil {
-			time.Sleep(pause)
-			_, err = fmt.Fprint(c, unit)
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
 // peerForwarder passes requests on over the peer transport.
 type peerForwarder struct {
 	node *peer.Node
@@ -132,12 +82,12 @@
 		f := peerForwarder{node: frontNode, home: proxy.Peer{ID: "home-1", Address: homeNode.Addr()}}
 		front.Directory, front.Forwarder = f, f
 	})
-	use := func(upstreams ...*wireUpstream) *blackboard.Service {
+	use := func(upstreams ...*testkit.EndlessServer) *blackboard.Service {
 		s, _ := home.Board.Service("orders")
 		uses++
 		var list []blackboard.Upstream
 		for i, u := range upstreams {
-			list = append(list, blackboard.Upstream{ID: fmt.Sprintf("u%d-%d", uses, i), Address: u.address, Domain: "fes", Slots: 3})
+			list = append(list, blackboard.Upstream{ID: fmt.Sprintf("u%d-%d", uses, i), Address: u.Address, Domain: "fes", Slots: 3})
 		}
 		s.SetUpstreams(time.Now(), list)
 		return s
@@ -161,19 +111,19 @@
 	DescribeTable("has its idempotent requests served elsewhere, here and over a second hop", func(head, unit string) {
 		for _, pause := range []time.Duration{0, 50 * time.Millisecond} {
 			for _, p := range []*proxy.Proxy{home, front} {
-				bad, sound := newWireUpstream(head, unit, pause), newWireUpstream(good, "", 0)
+				bad, sound := testkit.NewEndlessServer(head, unit, pause), testkit.NewEndlessServer(good, "", 0)
 				use(sound)
 				for i := range 5 {
 					Expect(serve(home, request("GET", "", fmt.Sprint("warm", i))).Status).To(Equal(200)) // pays for retries
 				}
-				for i := 0; bad.runs.Load() == 0 && i < 40; i++ {
+				for i := 0; bad.Requests.Load() == 0 && i < 40; i++ {
 					use(sound, bad)
 					a := serve(p, request("GET", "", fmt.Sprint("x", i)))
 					Expect(a.Status).To(Equal(200), "%v", a.Refusal)
 					Expect(string(a.Body)).To(Equal("good"))
 				}
-				Expect(bad.runs.Load()).To(BeEquivalentTo(1))
-				Eventually(bad.open.Load, late, time.Millisecond).Should(BeZero())
+				Expect(bad.Requests.Load()).To(BeEquivalentTo(1))
+				Eventually(bad.Open.Load, late, time.Millisecond).Should(BeZero())
 			}
 		}
 	}, kinds)
@@ -183,7 +133,7 @@
 	DescribeTable("gets an order once, which may have run, and counts as failing, here and over a second hop", func(head, unit string) {
 		for _, pause := range []time.Duration{0, 50 * time.Millisecond} {
 			for _, p := range []*proxy.Proxy{home, front} {
-				bad, sound := newWireUpstream(head, unit, pause), newWireUpstream(good, "", 0)
+				bad, sound := testkit.NewEndlessServer(head, unit, pause), testkit.NewEndlessServer(good, "", 0)
 				s := use(bad)
 				a := serve(p, request("POST", "", "order"))
 				s.Refresh(time.Now())
@@ -195,8 +145,8 @@
 				Expect(a.Verdict).To(Equal(verdict.MayHaveRun))
 				Expect(a.Refusal).NotTo(BeNil())
 				Expect(a.Body).To(BeEmpty())
-				Eventually(bad.open.Load, late, time.Millisecond).Should(BeZero())
-				Expect(bad.runs.Load() + sound.runs.Load()).To(BeEquivalentTo(1))
+				Eventually(bad.Open.Load, late, time.Millisecond).Should(BeZero())
+				Expect(bad.Requests.Load() + sound.Requests.Load()).To(BeEquivalentTo(1))
 			}
 		}
 	}, kinds)
@@ -204,14 +154,14 @@
 	// Guards against work that goes on for a caller that has left.
 	It("sees the end when the caller leaves, here and over a second hop", func() {
 		for _, p := range []*proxy.Proxy{home, front} {
-			bad := newWireUpstream(head, "A: b\r\n", 50*time.Millisecond)
+			bad := testkit.NewEndlessServer(head, "A: b\r\n", 50*time.Millisecond)
 			use(bad)
 			ctx, cancel := context.WithCancel(context.Background())
 			ended := make(chan *proxy.Answer, 1)
 			go func() { ended <- p.Serve(ctx, request("GET", "", "left")) }()
-			Eventually(bad.runs.Load, late, time.Millisecond).Should(BeEquivalentTo(1))
+			Eventually(bad.Requests.Load, late, time.Millisecond).Should(BeEquivalentTo(1))
 			cancel()
-			Eventually(bad.open.Load, 450*time.Millisecond, time.Millisecond).Should(BeZero())
+			Eventually(bad.Open.Load, 450*time.Millisecond, time.Millisecond).Should(BeZero())
 			Eventually(ended, late).Should(Receive())
 		}
 	})
@@ -219,7 +169,7 @@
 	// Guards against a bound that cuts a large answer on its way.
 	DescribeTable("is told from one with a large answer, here and over a second hop", func(size int) {
 		body := strings.Repeat("x", size)
-		use(newWireUpstream(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, size, body), "", 0))
+		use(testkit.NewEndlessServer(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, size, body), "", 0))
 		for _, p := range []*proxy.Proxy{home, front} {
 			a := serve(p, request("POST", "", "large"))
 			Expect(a.Status).To(Equal(200), "%v", a.Refusal)
--- a/pkg/upstream/endless_test.go
+++ b/pkg/upstream/endless_test.go
@@ -1,12 +1,9 @@
 package upstream_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
-	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -16,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"shallotglade/internal/testkit"
 	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/upstream"
 	"shallotglade/pkg/verdict"
@@ -40,82 +38,8 @@
 	trickle = 50 * time.Millisecond
 )
 
-// endless is an upstream that answers each request with head and then sends
-// unit again and again until the connection is closed.
-type endless struct {
-	target upstream.Target
-	// open counts its connections, opened those that it ever had.
-	open, opened atomic.Int32
-	sent         atomic.Int64
-}
-
-func newEndless(head, unit string, pause time.Duration) *endless {
-	e := &endless{}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(ln.Close)
-	e.target = upstream.Target{Address: ln.Addr().String(), MaxConnections: 64, ConnectTimeout: time.Second}
-	if pause == 0 {
-		unit = strings.Repeat(unit, 1+(32<<10)/len(unit))
-	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			e.open.Add(1)
-			e.opened.Add(1)
-			go e.serve(c, head, unit, pause)
-		}
-	}()
-	return e
-}
-
-func (e *endless) serve(c net.Conn, head, unit string, pause time.Duration) {
-	defer e.open.Add(-1)
-	defer c.Close()
-	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-		return
-	}
-	if pause > 0 {
-		_, _ = fmt.Fprint(c, head) // the next write fails as well
-		head = ""
-	}
-	for {
-		time.Sleep(pause)
-		n, err := c.Write([]byte(head + unit))
-		if err != nil {
-			return
-		}
-		e.sent.Add(int64(n))
-		head = ""
-	}
-}
-
-// heapPeak runs a task and returns the most heap that it added.
-func heapPeak(task func()) int64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	before, peak := int64(m.HeapAlloc), int64(0)
-	done, stopped := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(stopped)
-		for {
-			runtime.ReadMemStats(&m)
-			peak = max(peak, int64(m.HeapAlloc)-before)
-			select {
-			case <-done:
-				return
-			case <-time.After(time.Millisecond):
-			}
-		}
-	}()
-	task()
-	close(done)
-	<-stopped
-	return peak
+func targetOf(s *testkit.EndlessServer) upstream.Target {
+	return upstream.Target{Address: s.Address, MaxConnections: 64, ConnectTimeout: time.Second}
 }
 
 const (
@@ -137,26 +61,29 @@
 		client = upstream.NewClient(native)
 		DeferCleanup(func() { client.Close() })
 	})
-	attempt := func(e *endless, limit time.Duration) upstream.Result {
+	attemptAt := func(target upstream.Target, limit time.Duration) upstream.Result {
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
-		return client.Do(ctx, e.target, &upstream.Request{ID: "r1", Method: "GET", URI: "/"})
+		return client.Do(ctx, target, &upstream.Request{ID: "r1", Method: "GET", URI: "/"})
+	}
+	attempt := func(e *testkit.EndlessServer, limit time.Duration) upstream.Result {
+		return attemptAt(targetOf(e), limit)
 	}
-	ends := func(e *endless, got upstream.Result) {
+	ends := func(e *testkit.EndlessServer, got upstream.Result) {
 		GinkgoHelper()
 		Expect(got.Response).To(BeNil())
 		Expect(got.Verdict).To(Equal(verdict.MayHaveRun))
 		Expect(len(fmt.Sprint(got.Err))).To(BeNumerically("<", 1<<10), "the error quotes the bytes")
 		// The upstream sees the end, which is what cancels its work.
-		Eventually(e.open.Load, soon, time.Millisecond).Should(BeZero())
+		Eventually(e.Open.Load, soon, time.Millisecond).Should(BeZero())
 	}
 
 	DescribeTable("that can be no answer end the attempt as soon as that is certain, fast and slow",
 		func(head, unit string, kind upstream.Kind) {
 			for _, pause := range []time.Duration{0, trickle} {
-				e := newEndless(head, unit, pause)
+				e := testkit.NewEndlessServer(head, unit, pause)
 				var got upstream.Result
-				peak := heapPeak(func() { got = attempt(e, patient) })
+				peak := testkit.HeapPeak(func() { got = attempt(e, patient) })
 				GinkgoWriter.Printf("pause %v: %v after %v, heap %d KiB, err %.200v\n", pause, got.Kind, got.Latency, peak>>10, got.Err)
 				Expect(got.Kind.String()).To(Equal(kind.String()))
 				Expect(got.Latency).To(BeNumerically("<", soon))
@@ -202,9 +129,9 @@
 
 	for _, c := range unfinished {
 		It("that could still become an answer end the attempt at a bound of memory when fast: "+c.name, func() {
-			e := newEndless(c.head, c.unit, 0)
+			e := testkit.NewEndlessServer(c.head, c.unit, 0)
 			var got upstream.Result
-			peak := heapPeak(func() { got = attempt(e, patient) })
+			peak := testkit.HeapPeak(func() { got = attempt(e, patient) })
 			GinkgoWriter.Printf("%v after %v, heap %d KiB, err %.200v\n", got.Kind, got.Latency, peak>>10, got.Err)
 			Expect(got.Kind.String()).To(Equal(c.kind.String()))
 			Expect(got.Latency).To(BeNumerically("<", patient/2))
@@ -214,11 +141,11 @@
 	}
 
 	It("that could still become an answer end the attempt by its time limit when slow", func() {
-		senders, results := make([]*endless, len(unfinished)), make([]upstream.Result, len(unfinished))
-		peak := heapPeak(func() {
+		senders, results := make([]*testkit.EndlessServer, len(unfinished)), make([]upstream.Result, len(unfinished))
+		peak := testkit.HeapPeak(func() {
 			var wg sync.WaitGroup
 			for i, c := range unfinished {
-				senders[i] = newEndless(c.head, c.unit, trickle)
+				senders[i] = testkit.NewEndlessServer(c.head, c.unit, trickle)
 				wg.Go(func() { results[i] = attempt(senders[i], short) })
 			}
 			wg.Wait()
@@ -233,7 +160,7 @@
 
 	// Guards against limits that cut what an upstream may send.
 	DescribeTable("are told from a long head and from interim answers", func(text string, headers int) {
-		got := attempt(&endless{target: serve(func(int, *http.Request) string { return text })}, patient)
+		got := attemptAt(serve(func(int, *http.Request) string { return text }), patient)
 		Expect(got.Err).NotTo(HaveOccurred())
 		Expect(got.Kind).To(Equal(upstream.Success))
 		Expect(got.Response.Status).To(Equal(200))
@@ -252,7 +179,7 @@
 	// Guards against bounds that cut a large answer, and against one that ends early
 	// and looks whole.
 	DescribeTable("are told from a large body", func(text func() string, size int, kind upstream.Kind) {
-		got := attempt(&endless{target: serve(func(int, *http.Request) string { return text() })}, patient)
+		got := attemptAt(serve(func(int, *http.Request) string { return text() }), patient)
 		Expect(got.Kind.String()).To(Equal(kind.String()))
 		if kind != upstream.Success {
 			Expect(got.Response).To(BeNil())
@@ -278,7 +205,7 @@
 
 	It("that end with the connection end the attempt at once where nothing can tell whether they are whole", func() {
 		native.Unframed = false
-		e := newEndless(okHead+"\r\n", "x", trickle)
+		e := testkit.NewEndlessServer(okHead+"\r\n", "x", trickle)
 		got := attempt(e, patient)
 		Expect(got.Kind).To(Equal(upstream.Truncated))
 		Expect(got.Latency).To(BeNumerically("<", soon))
@@ -290,7 +217,7 @@
 			"Content-Length: 1000000000000\r\n\r\n", "Content-Length: 922337203685477580\r\n\r\n",
 			"Transfer-Encoding: chunked\r\n\r\n100000000\r\n", "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n",
 		} {
-			e := newEndless(okHead+length, "x", trickle)
+			e := testkit.NewEndlessServer(okHead+length, "x", trickle)
 			got := attempt(e, patient)
 			Expect(got.Kind).To(Equal(upstream.Truncated))
 			Expect(got.Latency).To(BeNumerically("<", soon))
@@ -305,10 +232,10 @@
 		const each = 6
 		var wrong atomic.Int32
 		small := make(chan upstream.Result, 1)
-		peak := heapPeak(func() {
+		peak := testkit.HeapPeak(func() {
 			var wg sync.WaitGroup
 			for _, head := range bodies {
-				e := newEndless(head, "x", 0)
+				e := testkit.NewEndlessServer(head, "x", 0)
 				for range each {
 					wg.Go(func() {
 						got := attempt(e, patient)
@@ -337,18 +264,18 @@
 	// Guards against bytes of one answer in another caller's.
 	DescribeTable("behind a whole answer close the connection, which carries no other request", func(unit string) {
 		for _, pause := range []time.Duration{0, trickle} {
-			e := newEndless(whole("first"), unit, pause)
+			e := testkit.NewEndlessServer(whole("first"), unit, pause)
 			for range 2 {
-				before := e.sent.Load()
+				before := e.Sent.Load()
 				got := attempt(e, patient)
 				Expect(got.Kind).To(Equal(upstream.Success))
 				Expect(got.Reused).To(BeFalse())
 				Expect(string(got.Response.Body)).To(Equal("first"))
 				if pause > 0 {
-					Eventually(e.sent.Load, soon, time.Millisecond).Should(BeNumerically(">", before))
+					Eventually(e.Sent.Load, soon, time.Millisecond).Should(BeNumerically(">", before))
 				}
 			}
-			Expect(e.opened.Load()).To(BeEquivalentTo(2))
+			Expect(e.Opened.Load()).To(BeEquivalentTo(2))
 		}
 	},
 		Entry("noise", "noise"),
@@ -359,8 +286,8 @@
 	// An upstream that says that it keeps connections long held one, and the receive
 	// buffer of the host, for half a minute if no request came.
 	It("behind a whole answer end the connection soon also when no request follows", func() {
-		e := newEndless(whole("first", "Keep-Alive: timeout=30\r\n"), "noise", trickle)
+		e := testkit.NewEndlessServer(whole("first", "Keep-Alive: timeout=30\r\n"), "noise", trickle)
 		Expect(attempt(e, patient).Kind).To(Equal(upstream.Success))
-		Eventually(e.open.Load, idleCheck+soon, trickle).Should(BeZero())
+		Eventually(e.Open.Load, idleCheck+soon, trickle).Should(BeZero())
 	})
 })
