Keep the counts of a span when a time comes late

What callers saw: repeatable requests were not sent again although the budget of their service allowed it, and work was not spread while many requests failed.

Cause: counts of a span lie in parts, and a time before the present part was taken for a clock that went back: the requests that pay for repeats, and the requests that failed, were forgotten. But callers take the time before they wait for the lock of the service, so that a time from just before a part began often comes after one from within it. The counts of the pressure also went by the time of day, as those of the retries did before: its jumps made them be forgotten.

A time before the present part now counts as in it, and the pressure counts its parts by the steady clock too. The new tests failed before: 14 repeats instead of 109 after a time that came 1 ms late, and no pressure after a late time or a jump of an hour either way.

--- a/pkg/blackboard/pressure.go
+++ b/pkg/blackboard/pressure.go
@@ -24,7 +24,10 @@
 // pressure counts the requests of the last seconds and those that failed.
 type pressure struct {
 	parts [pressureParts]Tally
-	at    int64
+	// origin is where the parts begin, by the steady clock: the time of day may jump.
+	origin time.Time
+	// at is the number of the present part since the origin.
+	at int64
 	// others is what the other homes last reported, by home.
 	others map[string]reportedTally
 }
@@ -89,10 +92,14 @@
 	return sum.Unserved >= leastUnserved && float64(sum.Unserved) >= pressureShare*float64(sum.Requests)
 }
 
-// advance forgets the parts that have left the span.
+// advance forgets the parts that have left the span. A time before the present part
+// counts as in it: callers take the time before they wait for the lock of the service.
 func (p *pressure) advance(now time.Time) {
-	at := now.UnixNano() / int64(pressurePart)
-	if at-p.at >= int64(pressureParts) || at < p.at {
+	if p.origin.IsZero() {
+		p.origin = now
+	}
+	at := int64(now.Sub(p.origin) / pressurePart)
+	if at-p.at >= int64(pressureParts) {
 		p.parts, p.at = [pressureParts]Tally{}, at
 		return
 	}
--- a/pkg/blackboard/pressure_test.go
+++ b/pkg/blackboard/pressure_test.go
@@ -98,3 +98,34 @@
 		}
 	})
 }
+
+// TestPressureKeepsCountsWhenATimeComesLate guards against work that is not spread
+// although many requests fail: each time that was taken just before a part of the span
+// began, and came after one taken in it, made the counts of the span be forgotten.
+func TestPressureKeepsCountsWhenATimeComesLate(t *testing.T) {
+	var p pressure
+	start := time.Unix(1000, 0)
+	for range 2 * leastUnserved {
+		p.add(start, false)
+	}
+	p.add(start.Add(pressurePart), true)
+	p.add(start.Add(pressurePart-time.Millisecond), true)
+	if !p.high(start.Add(pressurePart)) {
+		t.Fatalf("not high with %+v", p.own(start.Add(pressurePart)))
+	}
+}
+
+// TestPressureKeepsCountsWhenTheTimeOfDayJumps guards against the same by a clock that is
+// set while many requests fail.
+func TestPressureKeepsCountsWhenTheTimeOfDayJumps(t *testing.T) {
+	for _, jump := range []time.Duration{time.Hour, -time.Hour} {
+		var p pressure
+		now := time.Now()
+		for range 2 * leastUnserved {
+			p.add(now, false)
+		}
+		if later := testkit.JumpTimeOfDay(now.Add(pressurePart), jump); !p.high(later) {
+			t.Errorf("jump of %v: not high with %+v", jump, p.own(later))
+		}
+	}
+}
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -26,7 +26,8 @@
 	at int64
 }
 
-// advance forgets the parts that have left the span.
+// advance forgets the parts that have left the span. A time before the present part
+// counts as in it: callers take the time before they wait for the lock of the service.
 func (w *window) advance(now time.Time) {
 	part := int64(w.span / buckets)
 	if part <= 0 {
@@ -36,14 +37,8 @@
 		w.origin = now.Add(-originAge)
 	}
 	at := int64(now.Sub(w.origin)) / part
-	if gap := at - w.at; gap >= kept || gap < 0 {
-		// A clock that went back starts a new span, in which the repeats count
-		// as just made.
-		_, made := w.sums()
+	if at-w.at >= kept {
 		w.requests, w.repeats = [kept]float64{}, [kept]float64{}
-		if gap < 0 {
-			w.repeats[at%kept] = made
-		}
 		w.at = at
 		return
 	}
--- a/pkg/retry/window_test.go
+++ b/pkg/retry/window_test.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-	"unsafe"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -202,6 +201,26 @@
 		Expect(spend(epoch.Add(span + time.Second))).To(Equal(first))
 	})
 
+	// Guards against requests that no longer pay for repeats, because a goroutine took the
+	// time just before a part of the span began and another one was faster.
+	It("keeps what it counted when a time comes late", func() {
+		const before, requests = 500, 250
+		spend := func(late time.Duration) (n int) {
+			b := retry.NewBudget(policy())
+			for i := range before {
+				b.Request(epoch.Add(time.Duration(i) * span / before))
+			}
+			for range requests {
+				b.Request(epoch.Add(span))
+			}
+			for b.Decide(epoch.Add(span-late), again).Retry {
+				n++
+			}
+			return n
+		}
+		Expect(spend(time.Millisecond)).To(Equal(spend(0)))
+	})
+
 	// Guards against repeats of one span that are paid for twice, since the time of day
 	// has jumped forward and the first ones seem to have left the span.
 	It("is not given away twice by a time of day that jumps", func() {
@@ -215,21 +234,10 @@
 		now := time.Now()
 		Expect(spend(now)).To(BeNumerically(">", 0))
 		for _, jump := range []time.Duration{span / 2, 2 * span, time.Hour, -span, -time.Hour} {
-			jumped := jumpTimeOfDay(now.Add(time.Second), jump)
+			jumped := testkit.JumpTimeOfDay(now.Add(time.Second), jump)
 			Expect(jumped.Sub(now)).To(Equal(time.Second))
 			Expect(jumped.Round(0).Sub(now.Round(0))).To(Equal(time.Second + jump))
 			Expect(spend(jumped)).To(BeZero(), "jump of %v", jump)
 		}
 	})
 })
-
-// jumpTimeOfDay returns a time whose time of day has jumped by whole seconds and whose
-// reading of the steady clock has not. Nothing in the library makes such a time; the
-// first word of a time with both readings holds the seconds of the day above 30 bits of
-// nanoseconds.
-func jumpTimeOfDay(t time.Time, jump time.Duration) time.Time {
-	const nanosecondBits = 30
-	wall := (*uint64)(unsafe.Pointer(&t))
-	*wall += uint64(int64(jump/time.Second) << nanosecondBits)
-	return t
-}
