Name the comparison of a new relay and an isolated daemon plainly

Read of the change: confsync had a setting Alone, for small fleets, and a state alone, for a daemon that nobody answers; the latter is isolated now, also in the log line of the relay role. The comparison of a new relay with its domain is in reconcile.go, with its wait for lists in a function of its own, and time limits are called so. Behaviour is unchanged.

--- a/pkg/confsync/contact.go
+++ b/pkg/confsync/contact.go
@@ -9,11 +9,11 @@
 // logged as a lost contact.
 const contactFailures = 2
 
-// alonePatience is how long no peer has answered before a daemon follows the platform
+// isolationTimeout is how long no peer has answered before a daemon follows the platform
 // by itself. It leaves time for the keys of daemons that have just started, which are
 // known about a second after their start, and is below the 3 s after which the users
 // take a daemon whose connections were disturbed for one that is in touch.
-const alonePatience = 2 * time.Second
+const isolationTimeout = 2 * time.Second
 
 // contact is whether this daemon reaches others to compare with.
 type contact struct {
@@ -31,12 +31,12 @@
 	return c.failures > 0
 }
 
-// alone reports whether no peer has answered for so long that changes have to come
+// isolated reports whether no peer has answered for so long that changes have to come
 // from the platform.
-func (c *contact) alone(now time.Time) bool {
+func (c *contact) isolated(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.failures >= contactFailures && now.Sub(c.answered) >= alonePatience
+	return c.failures >= contactFailures && now.Sub(c.answered) >= isolationTimeout
 }
 
 // note takes whether a peer answered in an interval. It returns whether contact was
--- a/pkg/confsync/export_test.go
+++ b/pkg/confsync/export_test.go
@@ -19,8 +19,8 @@
 	return p.step
 }
 
-// LevelDomain compares copies with the whole domain once, as a new relay does.
-func (s *Syncer) LevelDomain() { s.compareTree(s.domainAddresses(), 1) }
+// ReconcileDomain compares copies with the whole domain once, as a new relay does.
+func (s *Syncer) ReconcileDomain() { s.compareTree(s.domainAddresses(), 1) }
 
 // All returns the objects and tombstones held.
 func (r *Replica) All() []platform.Object { return r.all("") }
--- a/pkg/confsync/interleaving_test.go
+++ b/pkg/confsync/interleaving_test.go
@@ -212,7 +212,7 @@
 		link := [2]string{domains.Draw(w.t, "from"), domains.Draw(w.t, "to")}
 		w.cut[link] = !w.cut[link]
 	case 9:
-		n.syncer.LevelDomain()
+		n.syncer.ReconcileDomain()
 	}
 }
 
--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -46,15 +46,15 @@
 	defer role.leave()
 	var nextCheck time.Time
 	for ctx.Err() == nil {
-		alone := s.isAlone()
-		relay := alone || s.isRelay()
+		isolated := s.isIsolated()
+		relay := isolated || s.isRelay()
 		if now := s.config.Now(); (relay || !s.link.attached()) && !now.Before(nextCheck) {
 			s.check(ctx)
 			nextCheck = s.config.Now().Add(s.checkPause())
 		}
 		switch active := relay && s.link.attached(); {
 		case active && !role.taken() && s.link.failures == 0:
-			s.config.Log.Info().Str("domain", s.config.Self.Domain).Bool("alone", alone).Msg("confsync: relay role taken")
+			s.config.Log.Info().Str("domain", s.config.Self.Domain).Bool("isolated", isolated).Msg("confsync: relay role taken")
 			role.take(ctx, s)
 		case !active && role.taken():
 			s.config.Log.Info().Str("domain", s.config.Self.Domain).Msg("confsync: relay role left")
@@ -83,7 +83,7 @@
 	}
 	r.pollers.Go(func() {
 		defer s.settled.Store(false)
-		s.levelDomain(ctx, listed)
+		s.reconcileDomain(ctx, listed)
 		if sleep.For(ctx, settleTime) {
 			s.settled.Store(true)
 			<-ctx.Done()
@@ -132,10 +132,10 @@
 	return false
 }
 
-// isAlone reports whether a ready daemon has to follow the platform itself, since no
+// isIsolated reports whether a ready daemon has to follow the platform itself, since no
 // other daemon answers: its relay may refuse it, be refused by it, or be unreachable
 // from here only. A starting daemon has its own ways, see checkReady.
-func (s *Syncer) isAlone() bool { return s.Ready() && s.contact.alone(s.config.Now()) }
+func (s *Syncer) isIsolated() bool { return s.Ready() && s.contact.isolated(s.config.Now()) }
 
 // poller follows one prefix at the platform.
 type poller struct {
--- a/pkg/confsync/push.go
+++ b/pkg/confsync/push.go
@@ -15,13 +15,13 @@
 	// fanout is how many copies a daemon sends of a push. In a domain of 320
 	// daemons each receiver then passes it on to at most 19 others.
 	fanout = 16
-	// headPatience is how long the head of a group has to answer before others are
+	// headTimeout is how long the head of a group has to answer before others are
 	// called in its place: as long as for other small calls. When heads had the whole
 	// call timeout, the daemons behind one that was killed had a change 0.8 s after the
 	// others, a third of the time within which an upstream's leaving must be known.
-	headPatience = smallCallTimeout
+	headTimeout = smallCallTimeout
 	// smallPushBytes is up to how many bytes a push is small: they take a fifth of
-	// headPatience on the slowest links, of 10 Mbit/s.
+	// headTimeout on the slowest links, of 10 Mbit/s.
 	smallPushBytes = 64 << 10
 	// standInFanout is how many of a group take the place of a head that does not
 	// answer: with half of a large domain killed, one after the other would take long.
@@ -134,7 +134,7 @@
 	s.spawn(func() {
 		if !s.config.Thrifty {
 			for _, p := range append(slices.Clone(relays), standIns...) {
-				if s.send(p.Address, objects, spreadDomain, nil, s.patience(objects)) {
+				if s.send(p.Address, objects, spreadDomain, nil, s.pushTimeout(objects)) {
 					return
 				}
 			}
@@ -267,7 +267,7 @@
 // with the rest of the group to pass them on to.
 func (s *Syncer) pushTree(addresses []string, objects []platform.Object) {
 	t := tree{
-		patience: s.patience(objects),
+		timeout: s.pushTimeout(objects),
 		reach: func(head string, rest []string, timeout time.Duration) bool {
 			return s.send(head, objects, spreadForward, rest, timeout)
 		},
@@ -276,9 +276,9 @@
 	s.callHeads(t, groups(addresses, fanout))
 }
 
-// patience is how long the receiver of a push has to answer before another is called
+// pushTimeout is how long the receiver of a push has to answer before another is called
 // in its place.
-func (s *Syncer) patience(objects []platform.Object) time.Duration {
+func (s *Syncer) pushTimeout(objects []platform.Object) time.Duration {
 	size := 0
 	for _, o := range objects {
 		size += objectSize(o)
@@ -286,13 +286,13 @@
 	if size > smallPushBytes {
 		return s.config.CallTimeout
 	}
-	return headPatience
+	return headTimeout
 }
 
 // tree is a way to reach many daemons through a few of them.
 type tree struct {
-	// patience limits the first call to a daemon.
-	patience time.Duration
+	// timeout limits the first call to a daemon.
+	timeout time.Duration
 	// reach calls the first daemon of a group, which is to reach the rest of it, and
 	// says whether it answered.
 	reach func(head string, rest []string, timeout time.Duration) bool
@@ -307,7 +307,7 @@
 	for _, part := range parts {
 		s.spawn(func() {
 			head, rest := part[0], part[1:]
-			if !t.reach(head, rest, t.patience) {
+			if !t.reach(head, rest, t.timeout) {
 				s.callHeads(t, groups(rest, standInFanout))
 				t.retry(head)
 			}
--- a/pkg/confsync/level.go
+++ b/pkg/confsync/reconcile.go
@@ -5,50 +5,59 @@
 	"time"
 )
 
-// levelPause is how long a new relay waits after a first list for those of the
+// listPause is how long a new relay waits after a first list for those of the
 // other prefixes. They are asked for at the same moment, and answers take some
 // milliseconds; more would be felt in the two seconds that a change may take.
-const levelPause = 50 * time.Millisecond
+const listPause = 50 * time.Millisecond
 
 const (
-	// levelAttempts is how often a daemon that fails is compared with. One that has
+	// reconcileAttempts is how often a daemon that fails is compared with. One that has
 	// started again refuses this daemon, or is refused, until each has the other's new
 	// key: mostly within half a second, by its entry or registration.Lookup.
-	levelAttempts = 5
-	// levelRetry is the pause between two attempts.
-	levelRetry = 300 * time.Millisecond
+	reconcileAttempts = 5
+	// reconcileRetry is the pause between two attempts.
+	reconcileRetry = 300 * time.Millisecond
 	// settleTime is how long after that a relay counts as new, so that other domains
 	// do not rely on what it says it holds: the time of all attempts.
-	settleTime = levelAttempts * levelRetry
+	settleTime = reconcileAttempts * reconcileRetry
 )
 
-// levelDomain compares copies with all daemons of the own domain once the prefixes
+// reconcileDomain compares copies with all daemons of the own domain once the prefixes
 // are listed, as listed tells. A relay that has just taken its role may hold changes
 // that no other daemon of its domain has: it may have listed them when it started, or
 // got them before the push of the former relay was broken off. Its lists show nothing
 // new then, and pushes alone would leave these changes to the periodic comparisons.
-func (s *Syncer) levelDomain(ctx context.Context, listed <-chan struct{}) {
+func (s *Syncer) reconcileDomain(ctx context.Context, listed <-chan struct{}) {
 	for missing := len(s.config.Prefixes); missing > 0; {
+		lists := awaitLists(ctx, listed, missing)
+		if lists == 0 {
+			return
+		}
+		missing -= lists
+		s.compareTree(s.domainAddresses(), reconcileAttempts)
+	}
+}
+
+// awaitLists waits for a list and for those that follow it within listPause, most in
+// all. It returns how many there were, 0 if the context ended before the first.
+func awaitLists(ctx context.Context, listed <-chan struct{}, most int) int {
+	select {
+	case <-ctx.Done():
+		return 0
+	case <-listed:
+	}
+	pause := time.NewTimer(listPause)
+	defer pause.Stop()
+	for lists := 1; lists < most; lists++ {
 		select {
 		case <-ctx.Done():
-			return
+			return lists
+		case <-pause.C:
+			return lists
 		case <-listed:
-			missing--
-		}
-		pause := time.NewTimer(levelPause)
-		for waiting := true; waiting && missing > 0; {
-			select {
-			case <-ctx.Done():
-				waiting = false
-			case <-listed:
-				missing--
-			case <-pause.C:
-				waiting = false
-			}
 		}
-		pause.Stop()
-		s.compareTree(s.domainAddresses(), levelAttempts)
 	}
+	return most
 }
 
 // compareTree compares copies with the daemons at the addresses: with the first of
@@ -56,9 +65,9 @@
 // compared with up to attempts times.
 func (s *Syncer) compareTree(addresses []string, attempts int) {
 	s.callHeads(tree{
-		patience: headPatience,
-		reach:    s.compareGroup,
-		retry:    func(head string) { s.retryCompare(head, attempts-1) },
+		timeout: headTimeout,
+		reach:   s.compareGroup,
+		retry:   func(head string) { s.retryCompare(head, attempts-1) },
 	}, groups(addresses, fanout))
 }
 
@@ -81,7 +90,7 @@
 	if attempts <= 0 {
 		return
 	}
-	time.AfterFunc(levelRetry, func() {
+	time.AfterFunc(reconcileRetry, func() {
 		if s.background.Err() != nil {
 			return
 		}
@@ -104,6 +113,6 @@
 	if len(m.With) == 0 {
 		m.With = s.domainAddresses()
 	}
-	s.compareTree(m.With, levelAttempts)
+	s.compareTree(m.With, reconcileAttempts)
 	return nil
 }
