Log idle times and waits of routing decisions, and count unused upstreams

The line of a choice now has the time for which no home had used the upstream, whether many requests go unserved, and how long and why the admitted request waited for an upstream; waiting for a healthier upstream has a reason of its own. Two gauges per service show the upstreams that no home has used for two seconds and the share of unserved requests as the home knows it.

No choice changes.

--- a/pkg/blackboard/requestwindow.go
+++ b/pkg/blackboard/requestwindow.go
@@ -82,9 +82,8 @@
 	return sum
 }
 
-// manyUnserved reports whether the share of unserved requests, over all homes,
-// reaches unservedThreshold.
-func (w *requestWindow) manyUnserved(now time.Time) bool {
+// total returns the counts of all homes within the window.
+func (w *requestWindow) total(now time.Time) RequestCounts {
 	sum := w.counts(now)
 	for home, report := range w.reported {
 		if now.Sub(report.receivedAt) > reportedCountsMaxAge {
@@ -93,6 +92,13 @@
 		}
 		sum.add(report.RequestCounts)
 	}
+	return sum
+}
+
+// manyUnserved reports whether the share of unserved requests, over all homes,
+// reaches unservedThreshold.
+func (w *requestWindow) manyUnserved(now time.Time) bool {
+	sum := w.total(now)
 	return sum.Unserved >= minUnserved && float64(sum.Unserved) >= unservedThreshold*float64(sum.Requests)
 }
 
--- a/pkg/blackboard/status.go
+++ b/pkg/blackboard/status.go
@@ -95,3 +95,33 @@
 	}
 	return st
 }
+
+// Usage describes how a service's upstreams are used, for metrics.
+type Usage struct {
+	// Unused is the number of usable upstreams that no home is known to have used
+	// during the last requestWindowLength.
+	Unused int
+	// UnservedShare is the share of recent requests, over all homes, that were not
+	// served.
+	UnservedShare float64
+}
+
+// Usage returns how the service's upstreams are used.
+func (s *Service) Usage(now time.Time) Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var u Usage
+	for _, c := range s.candidates {
+		lastUsed := s.lastUsed[c.ID]
+		if at := s.reliability.LastOutcomeAt(c.ID); at.After(lastUsed) {
+			lastUsed = at
+		}
+		if s.inFlight.Own(c.ID) == 0 && now.Sub(lastUsed) >= requestWindowLength {
+			u.Unused++
+		}
+	}
+	if sum := s.recentRequests.total(now); sum.Requests > 0 {
+		u.UnservedShare = float64(sum.Unserved) / float64(sum.Requests)
+	}
+	return u
+}
--- a/pkg/health/controller.go
+++ b/pkg/health/controller.go
@@ -249,8 +249,12 @@
 // refresh assesses the upstreams of a service. It proposes ejections if a
 // condition changed or propose is true.
 func (c *Controller) refresh(ctx context.Context, s *blackboard.Service, propose bool) {
-	changed := s.Refresh(time.Now())
+	now := time.Now()
+	changed := s.Refresh(now)
 	c.logLikelyFailing(s)
+	usage := s.Usage(now)
+	c.Metrics.UnusedUpstreams.WithLabelValues(s.Name).Set(float64(usage.Unused))
+	c.Metrics.UnservedShare.WithLabelValues(s.Name).Set(usage.UnservedShare)
 	for _, a := range changed {
 		c.logCondition(s.Name, a)
 	}
--- a/pkg/proxy/attempts.go
+++ b/pkg/proxy/attempts.go
@@ -99,7 +99,7 @@
 	if !ok {
 		return false
 	}
-	x.hedgePending = false
+	x.hedgePending, x.upstreamWait = false, 0
 	x.proxy.Metrics.Hedges.WithLabelValues(x.service.Name).Inc()
 	x.startAttempt(ctx, chooseStart, attempt, choice, ended)
 	return true
@@ -136,7 +136,8 @@
 // awaitUpstream chooses an upstream. While all slots are taken, it waits until ctx
 // ends.
 func (x *exchange) awaitUpstream(ctx context.Context, now time.Time) (*blackboard.Attempt, routing.Choice, bool) {
-	tried := x.tried
+	tried, start := x.tried, now
+	x.upstreamWait = 0
 	for {
 		attempt, choice, ok := x.chooseUpstream(now, tried)
 		noneAvailable := choice.Reason == routing.NoUpstream || choice.Reason == routing.AllTried && x.launched == 0
@@ -144,6 +145,7 @@
 			return attempt, choice, ok
 		}
 		now = time.Now()
+		x.awaited, x.upstreamWait = choice.Reason, now.Sub(start)
 		if x.launched > 0 {
 			tried = nil
 		}
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -44,6 +44,10 @@
 	// selectionTime is the time spent choosing upstreams. It does not count as waiting
 	// for the queue, an upstream or the platform (see Answer.Waited).
 	selectionTime time.Duration
+	// awaited is why the last attempt had to wait for an upstream, and upstreamWait how
+	// long it did.
+	awaited      routing.Reason
+	upstreamWait time.Duration
 }
 
 func (x *exchange) idempotent() bool {
@@ -127,5 +131,10 @@
 		line.Int64("failing_age_ms", x.launchedAt.Sub(choice.LastOutcomeAt).Milliseconds())
 	}
 	line.Int64("listed_age_ms", x.launchedAt.Sub(a.Upstream.Listed).Milliseconds()).Int("attempt", len(x.tried)).
-		Bool("repeatable", x.retryable()).Bool("hedge", x.hedgeDecided).Msg("routing: sent to upstream")
+		Int64("idle_ms", choice.IdleTime.Milliseconds()).Bool("high_failure_rate", choice.HighFailureRate).
+		Bool("repeatable", x.retryable()).Bool("hedge", x.hedgeDecided)
+	if x.upstreamWait > 0 {
+		line.Int64("upstream_wait_ms", x.upstreamWait.Milliseconds()).Stringer("awaited", x.awaited)
+	}
+	line.Msg("routing: sent to upstream")
 }
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -45,12 +45,15 @@
 	AllTried
 	// AllBusy means that no usable upstream has a free slot.
 	AllBusy
+	// AwaitsHealthier means that the request waits for a slot at an upstream that is
+	// less likely to fail.
+	AwaitsHealthier
 )
 
 var reasonNames = [...]string{
 	OwnDomain: "own-domain", OtherDomain: "other-domain", Borrowed: "borrowed", LikelyFailing: "doubtful", DemotedFree: "demoted-free",
 	Untried: "untried", Contended: "contended", Ramp: "ramp", Trial: "trial", Recovery: "recovery",
-	NoUpstream: "no-upstream", AllTried: "all-tried", AllBusy: "all-busy",
+	NoUpstream: "no-upstream", AllTried: "all-tried", AllBusy: "all-busy", AwaitsHealthier: "awaits-healthier",
 }
 
 // String returns the form used in logs and metrics.
@@ -73,6 +76,11 @@
 	// LastOutcomeAt is when the last outcome behind FailureProbability was seen, zero
 	// if none was.
 	LastOutcomeAt time.Time
+	// IdleTime is the time since any home was known to use the candidate, zero if none
+	// has used it yet.
+	IdleTime time.Duration
+	// HighFailureRate is that of the Request.
+	HighFailureRate bool
 	// Load is the expected part of the slots in use before this attempt.
 	Load float64
 }
@@ -182,9 +190,9 @@
 	}
 	c := &candidates[bestIndex]
 	if req.MayWait && c.FailureProbability > LikelyFailingThreshold && lowestFailing < c.FailureProbability-waitMargin {
-		return Choice{Index: -1, Reason: AllBusy}, false
+		return Choice{Index: -1, Reason: AwaitsHealthier}, false
 	}
-	return newChoice(candidates, bestIndex, c.reason(&req, bestCost)), true
+	return newChoice(candidates, bestIndex, c.reason(&req, bestCost), &req), true
 }
 
 // cost returns the cost of an attempt at the candidate, in lost requests.
@@ -365,7 +373,7 @@
 			continue
 		}
 		if point < share {
-			return newChoice(candidates, i, reason), c.hasFreeSlot()
+			return newChoice(candidates, i, reason, req), c.hasFreeSlot()
 		}
 		point -= share
 	}
@@ -395,7 +403,14 @@
 	}
 }
 
-func newChoice(candidates []Candidate, i int, reason Reason) Choice {
+func newChoice(candidates []Candidate, i int, reason Reason, req *Request) Choice {
 	c := &candidates[i]
-	return Choice{Index: i, ID: c.ID, Domain: c.Domain, Reason: reason, Load: c.load(), FailureProbability: c.FailureProbability, LastOutcomeAt: c.LastOutcomeAt}
+	choice := Choice{
+		Index: i, ID: c.ID, Domain: c.Domain, Reason: reason, Load: c.load(), FailureProbability: c.FailureProbability,
+		LastOutcomeAt: c.LastOutcomeAt, HighFailureRate: req.HighFailureRate,
+	}
+	if !c.LastOutcomeAt.IsZero() || !c.LastSentAt.IsZero() {
+		choice.IdleTime = c.idleTime(req)
+	}
+	return choice
 }
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -27,6 +27,10 @@
 	InFlight prometheus.Gauge
 	// Standings counts upstreams by service and standing.
 	Standings *prometheus.GaugeVec
+	// UnusedUpstreams is the number of a service's upstreams that no home has used for
+	// two seconds, UnservedShare the share of its recent requests that were not served,
+	// both as this home knows them.
+	UnusedUpstreams, UnservedShare *prometheus.GaugeVec
 	// StandingChanges counts changes of upstreams' standing by service and change.
 	StandingChanges *prometheus.CounterVec
 	// DocumentVersion is the platform version of the active document by service.
@@ -57,6 +61,8 @@
 	m.Forwards = counter("forwards_total", "Requests passed to a home.", "result")
 	m.InFlight = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "requests_in_flight", Help: "Requests being handled."})
 	m.Standings = gauge("upstreams", "Upstreams by standing.", "service", "standing")
+	m.UnusedUpstreams = gauge("upstreams_unused", "Upstreams that no home has used for two seconds.", "service")
+	m.UnservedShare = gauge("unserved_share", "Share of the requests of the last two seconds that were not served.", "service")
 	m.StandingChanges = counter("standing_changes_total", "Changes of upstreams' standing.", "service", "change")
 	m.DocumentVersion = gauge("document_version", "Platform version of the document in force.", "service")
 	m.ConfigurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "configuration_version", Help: "Operators' number of the configuration in force."})
@@ -65,7 +71,7 @@
 	m.Peers = gauge("peers", "Other daemons by state.", "state")
 	m.PeersRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "peers_refused_total", Help: "Handshakes with daemons whose key is not registered here."})
 	m.Registry.MustRegister(m.Requests, m.RequestSeconds, m.OverheadSeconds, m.Attempts, m.Hedges, m.Refusals, m.Forwards, m.InFlight,
-		m.Standings, m.StandingChanges, m.DocumentVersion, m.ConfigurationVersion, m.ConfigurationsRefused, m.PlatformUp, m.Peers, m.PeersRefused,
+		m.Standings, m.UnusedUpstreams, m.UnservedShare, m.StandingChanges, m.DocumentVersion, m.ConfigurationVersion, m.ConfigurationsRefused, m.PlatformUp, m.Peers, m.PeersRefused,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
