Add failing tests for healthy upstreams without requests

The simulation takes its parameters from a configuration; the existing tests use the same values as before.

--- a/pkg/blackboard/spread_test.go
+++ b/pkg/blackboard/spread_test.go
@@ -15,7 +15,7 @@
 )
 
 // The simulated service has the size of the users' largest sites. In some of its
-// periods of length failingPeriod, an upstream fails most of its requests, and most of
+// periods of length failingPeriod (see spreadConfig), an upstream fails most of its requests, and most of
 // these failures come early. Between disruptionStart and disruptionEnd, half of the
 // upstreams also fail some of their requests, as in the users' disruptions.
 const (
@@ -24,17 +24,31 @@
 	spreadRate           = 250.0
 	spreadServiceTime    = 480 * time.Millisecond
 	spreadEnd            = 30 * time.Second
-	failingPeriod        = 12 * time.Second
 	failingPeriodShare   = 0.3
 	failingErrorShare    = 0.75
 	failingEarlyShare    = 0.6
 	baseErrorShare       = 0.012
 	disruptionStart      = 12 * time.Second
 	disruptionEnd        = 18 * time.Second
-	disruptedShare       = 0.5
 	disruptionErrorShare = 0.3
+	hangTime             = 2500 * time.Millisecond
 )
 
+// spreadConfig is what differs between the simulations.
+type spreadConfig struct {
+	retryableShare, disruptedShare float64
+	failingPeriod                  time.Duration
+	// disruptionHangs is true if the requests that a disruption affects get no
+	// response, instead of a failure.
+	disruptionHangs bool
+	seed            uint64
+}
+
+// longFailures is the configuration in which upstreams fail for 17 s on average.
+func longFailures(retryableShare float64) spreadConfig {
+	return spreadConfig{retryableShare: retryableShare, disruptedShare: 0.5, failingPeriod: 12 * time.Second, seed: 20261204}
+}
+
 // The users' rule: in any 2 s, requests reach at least minUsedShare of the upstreams that
 // had no disruption for 6 s (twice the users' bound of 3 s) and no failing period of
 // their own for 2 s.
@@ -49,17 +63,24 @@
 
 var spreadDomains = []string{"a", "b", "c", "d"}
 
+// simulatedRequest is a request that has ended.
+type simulatedRequest struct {
+	sentAt time.Duration
+	served bool
+}
+
 // simulatedUpstream is an upstream with its failing periods and the times of the
 // requests sent to it.
 type simulatedUpstream struct {
 	failing   []bool // by period
+	period    time.Duration
 	phase     time.Duration
 	disrupted bool
 	sentAt    []time.Duration
 }
 
 func (u *simulatedUpstream) fails(at time.Duration) bool {
-	return u.failing[(at+u.phase)/failingPeriod]
+	return u.failing[(at+u.phase)/u.period]
 }
 
 // healthy reports whether the users' rule counts the upstream between from and to.
@@ -67,7 +88,7 @@
 	if u.disrupted && to > disruptionStart && from < disruptionEnd+healthyAfterDisruption {
 		return false
 	}
-	for at := from - healthyAfterFailure; at <= to; at += failingPeriod / 100 {
+	for at := from - healthyAfterFailure; at <= to; at += u.period / 100 {
 		if u.fails(at) {
 			return false
 		}
@@ -87,18 +108,19 @@
 // spreadSimulation simulates, in virtual time, the load of a service whose homes choose
 // upstreams and exchange reports.
 type spreadSimulation struct {
-	rng            *rand.Rand
-	now            time.Duration
-	queue          eventQueue
-	homes          []*Service
-	upstreams      map[string]*simulatedUpstream
-	retryableShare float64
+	rng       *rand.Rand
+	now       time.Duration
+	queue     eventQueue
+	homes     []*Service
+	upstreams map[string]*simulatedUpstream
+	config    spreadConfig
+	requests  []simulatedRequest
 	// untriedAttempts counts the attempts at unused upstreams after spreadWarmUp, by
 	// whether the request was retryable.
 	untriedAttempts map[bool]int
 }
 
-func newSpreadSimulation(t *testing.T, retryableShare float64) *spreadSimulation {
+func newSpreadSimulation(t *testing.T, config spreadConfig) *spreadSimulation {
 	t.Helper()
 	d, problems := document.Parse("test.yaml", []byte(
 		"service: s\ndetection: {eject: never}\nretries: {budget: 0.2, window: 10s, allowance: 166, attempts: 2}"))
@@ -106,16 +128,17 @@
 		t.Fatal(problems)
 	}
 	sim := &spreadSimulation{
-		rng: rand.New(rand.NewPCG(20261204, 1)), upstreams: map[string]*simulatedUpstream{},
-		retryableShare: retryableShare, untriedAttempts: map[bool]int{},
+		rng: rand.New(rand.NewPCG(config.seed, 1)), upstreams: map[string]*simulatedUpstream{},
+		config: config, untriedAttempts: map[bool]int{},
 	}
 	list := make([]Upstream, spreadUpstreams)
 	for i := range list {
 		list[i] = Upstream{ID: fmt.Sprintf("u%d", i), Domain: spreadDomains[i%len(spreadDomains)], Slots: spreadSlots}
 		u := &simulatedUpstream{
-			phase: failingPeriod + time.Duration(sim.rng.Float64()*float64(failingPeriod)), disrupted: sim.rng.Float64() < disruptedShare,
+			period: config.failingPeriod, phase: config.failingPeriod + time.Duration(sim.rng.Float64()*float64(config.failingPeriod)),
+			disrupted: sim.rng.Float64() < config.disruptedShare,
 		}
-		for range spreadEnd/failingPeriod + 3 {
+		for range spreadEnd/config.failingPeriod + 3 {
 			u.failing = append(u.failing, sim.rng.Float64() < failingPeriodShare)
 		}
 		sim.upstreams[list[i].ID] = u
@@ -135,6 +158,36 @@
 	return sim
 }
 
+// usedHealthy returns how many upstreams that the users' rule counts in the usedWindow
+// from a time on got requests, and how many it counts.
+func (sim *spreadSimulation) usedHealthy(from time.Duration) (used, healthy int) {
+	for _, u := range sim.upstreams {
+		if !u.healthy(from, from+usedWindow) {
+			continue
+		}
+		healthy++
+		if u.used(from, from+usedWindow) {
+			used++
+		}
+	}
+	return used, healthy
+}
+
+// unservedShare returns the share of the requests sent in the usedWindow from a time on
+// that were not served.
+func (sim *spreadSimulation) unservedShare(from time.Duration) float64 {
+	sent, unserved := 0, 0
+	for _, r := range sim.requests {
+		if r.sentAt >= from && r.sentAt < from+usedWindow {
+			sent++
+			if !r.served {
+				unserved++
+			}
+		}
+	}
+	return float64(unserved) / float64(max(sent, 1))
+}
+
 func (sim *spreadSimulation) clock() time.Time { return fleetStart.Add(sim.now) }
 
 func (sim *spreadSimulation) after(d time.Duration, do func()) {
@@ -150,7 +203,7 @@
 		refreshInterval = 250 * time.Millisecond
 	)
 	sim.every(time.Duration(float64(time.Second)/spreadRate), func() {
-		sim.request(sim.homes[sim.rng.IntN(len(sim.homes))], sim.rng.Float64() < sim.retryableShare)
+		sim.request(sim.homes[sim.rng.IntN(len(sim.homes))], sim.rng.Float64() < sim.config.retryableShare)
 	})
 	for _, s := range sim.homes {
 		sim.every(refreshInterval, func() { s.Refresh(sim.clock()) })
@@ -201,11 +254,13 @@
 		result := sim.serve(sim.upstreams[choice.ID])
 		sim.after(result.Latency, func() {
 			s.End(sim.clock(), a, result)
-			if result.Kind == upstream.Failure && r.Retryable {
+			if result.Kind != upstream.Success && r.Retryable {
 				launch([]string{choice.ID})
 				return
 			}
-			s.RecordRequest(sim.clock(), result.Kind == upstream.Success)
+			served := result.Kind == upstream.Success
+			s.RecordRequest(sim.clock(), served)
+			sim.requests = append(sim.requests, simulatedRequest{start, served})
 		})
 	}
 	launch(nil)
@@ -227,6 +282,9 @@
 	if failing && sim.rng.Float64() < failingEarlyShare {
 		r.Latency = earlyLatency
 	}
+	if disrupted && sim.config.disruptionHangs {
+		r = upstream.Result{Kind: upstream.Timeout, Verdict: verdict.MayHaveRun, Latency: hangTime}
+	}
 	return r
 }
 
@@ -256,20 +314,49 @@
 // cannot be foreseen, so minUsedShare must hold in any two seconds.
 func TestNonRetryableRequestsUseMostHealthyUpstreams(t *testing.T) {
 	const retryableShare, step = 0.05, 100 * time.Millisecond
-	sim := newSpreadSimulation(t, retryableShare)
+	sim := newSpreadSimulation(t, longFailures(retryableShare))
 	sim.run(spreadEnd)
 	for from := spreadWarmUp; from+usedWindow <= spreadEnd; from += step {
-		healthy, used := 0, 0
-		for _, u := range sim.upstreams {
-			if !u.healthy(from, from+usedWindow) {
-				continue
-			}
-			healthy++
-			if u.used(from, from+usedWindow) {
-				used++
-			}
+		if used, healthy := sim.usedHealthy(from); float64(used) < minUsedShare*float64(healthy) {
+			t.Errorf("from %v on, %d of %d healthy upstreams got requests in %v", from, used, healthy, usedWindow)
+		}
+	}
+}
+
+// TestHealthyUpstreamsStayInUseWhileManyRequestsFail guards against healthy upstreams that
+// stay without requests because of an old failure while disturbed ones lose requests.
+func TestHealthyUpstreamsStayInUseWhileManyRequestsFail(t *testing.T) {
+	const seeds, end = 3, disruptionEnd + 2*hangTime
+	for _, config := range []spreadConfig{
+		{disruptedShare: 0.85},
+		{disruptedShare: 0.85, disruptionHangs: true},
+		{disruptedShare: 0.85, retryableShare: 1},
+		{disruptedShare: 0.85, retryableShare: 1, disruptionHangs: true},
+	} {
+		for seed := range uint64(seeds) {
+			config := config
+			config.failingPeriod, config.seed = 5*time.Second, seed
+			t.Run(fmt.Sprintf("%+v", config), func(t *testing.T) {
+				t.Parallel()
+				sim := newSpreadSimulation(t, config)
+				sim.run(end)
+				sim.checkFloor(t, end-hangTime)
+			})
+		}
+	}
+}
+
+// checkFloor checks the users' rule in each window that ends before end: it applies while
+// between minUnservedShare and maxUnservedShare of the requests are not served.
+func (sim *spreadSimulation) checkFloor(t *testing.T, end time.Duration) {
+	t.Helper()
+	const step, minUnservedShare, maxUnservedShare = 100 * time.Millisecond, 0.1, 0.5
+	for from := spreadWarmUp; from+usedWindow <= end; from += step {
+		unserved := sim.unservedShare(from)
+		if unserved <= minUnservedShare || unserved >= maxUnservedShare {
+			continue
 		}
-		if float64(used) < minUsedShare*float64(healthy) {
+		if used, healthy := sim.usedHealthy(from); float64(used) < minUsedShare*float64(healthy) {
 			t.Errorf("from %v on, %d of %d healthy upstreams got requests in %v", from, used, healthy, usedWindow)
 		}
 	}
@@ -280,7 +367,7 @@
 // repeated, could show whether these upstreams work.
 func TestRetryableRequestsProbeUnusedUpstreams(t *testing.T) {
 	const retryableShare, maxNonRetryableShare = 0.5, 0.1
-	sim := newSpreadSimulation(t, retryableShare)
+	sim := newSpreadSimulation(t, longFailures(retryableShare))
 	sim.run(disruptionStart)
 	nonRetryable, total := sim.untriedAttempts[false], sim.untriedAttempts[false]+sim.untriedAttempts[true]
 	if total == 0 || float64(nonRetryable) > maxNonRetryableShare*float64(total) {
--- a/pkg/blackboard/usage_test.go
+++ b/pkg/blackboard/usage_test.go
@@ -46,3 +46,35 @@
 		t.Fatalf("%d unused upstreams %v after the request", got.Unused, requestWindowLength)
 	}
 }
+
+// TestHangingRequestsCountAsUnserved guards against a share of unserved requests that rises
+// only when lost requests reach their timeout, longer than the window in which they count.
+func TestHangingRequestsCountAsUnserved(t *testing.T) {
+	const usual, requests, hanging = 100 * time.Millisecond, 40, 8
+	s := newTestService(t, Upstream{ID: "u0", Domain: "a", Slots: requests}, Upstream{ID: "u1", Domain: "a", Slots: requests})
+	now := fleetStart
+	serve := func() {
+		a, _, ok := s.Begin(now, AttemptRequest{Route: "r", First: true})
+		if !ok {
+			t.Fatal("no upstream has a free slot")
+		}
+		now = now.Add(usual)
+		s.End(now, a, successfulResult)
+		s.RecordRequest(now, true)
+	}
+	for range requests {
+		serve()
+	}
+	for range hanging {
+		if _, _, ok := s.Begin(now, AttemptRequest{Route: "r", First: true}); !ok {
+			t.Fatal("no upstream has a free slot")
+		}
+	}
+	for end := now.Add(time.Second); now.Before(end); {
+		serve()
+	}
+	s.Refresh(now)
+	if got := s.Usage(now).UnservedShare; got < unservedThreshold {
+		t.Fatalf("unserved share %.2f a second after %d requests began to hang", got, hanging)
+	}
+}
