Keep requests from waiting behind an idle upstream that ranks first

Cause: the choice first took the upstream of the lowest cost and then decided whether the request should rather wait. While many requests fail, an unused upstream has the lowest cost, and one that failed its last request is likely to fail the next. A request with time to wait therefore waited, not for a slot at a better upstream but behind its own choice, and so did every other request of the home.

An upstream for which a request should wait is now left out before the choice, so that any other free upstream is used. One whose outcome is worth learning is not left out.

--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -81,6 +81,9 @@
 	// Tried lists the upstreams that earlier attempts of this request used.
 	Tried []string
 
+	// lowestFailing is the lowest failure probability of the upstreams that the request
+	// may use.
+	lowestFailing float64
 	// tooFewInUse is true if less than spreadShare of the upstreams are in use.
 	tooFewInUse bool
 }
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -172,27 +172,49 @@
 	if choice, ok := drawLimitedShare(candidates, &req, fullShareExists, rng); ok {
 		return choice, true
 	}
-	bestIndex, bestCost, ownInFlight, lowestFailing := -1, 0.0, 0, 1.0
+	req.lowestFailing = lowestFailureProbability(candidates, &req, fullShareExists)
+	bestIndex, bestCost, ownInFlight, awaitsHealthier := -1, 0.0, 0, false
 	for i := range candidates {
 		c := &candidates[i]
 		ownInFlight += c.OwnInFlight
 		if !c.unlimited(fullShareExists) || req.excludes(c) {
 			continue
 		}
-		lowestFailing = min(lowestFailing, c.FailureProbability)
+		if req.awaitsHealthierThan(c) {
+			awaitsHealthier = true
+			continue
+		}
 		cost := c.cost(&req)
 		if bestIndex < 0 || cost < bestCost || (cost == bestCost && c.Preference > candidates[bestIndex].Preference) {
 			bestIndex, bestCost = i, cost
 		}
 	}
-	if bestIndex < 0 || (bestCost >= contendedCost && ownInFlight > 0) {
+	switch {
+	case awaitsHealthier && (bestIndex < 0 || bestCost >= contendedCost):
+		return Choice{Index: -1, Reason: AwaitsHealthier}, false
+	case bestIndex < 0 || (bestCost >= contendedCost && ownInFlight > 0):
 		return Choice{Index: -1, Reason: noChoiceReason(candidates, &req, fullShareExists)}, false
 	}
-	c := &candidates[bestIndex]
-	if req.MayWait && c.FailureProbability > LikelyFailingThreshold && lowestFailing < c.FailureProbability-waitMargin {
-		return Choice{Index: -1, Reason: AwaitsHealthier}, false
+	return newChoice(candidates, bestIndex, candidates[bestIndex].reason(&req, bestCost), &req), true
+}
+
+// lowestFailureProbability returns the lowest failure probability of the upstreams that
+// the request may use, with or without a free slot.
+func lowestFailureProbability(candidates []Candidate, req *Request, fullShareExists bool) float64 {
+	lowest := 1.0
+	for i := range candidates {
+		if c := &candidates[i]; c.unlimited(fullShareExists) && !req.excludes(c) {
+			lowest = min(lowest, c.FailureProbability)
+		}
 	}
-	return newChoice(candidates, bestIndex, c.reason(&req, bestCost), &req), true
+	return lowest
+}
+
+// awaitsHealthierThan reports whether the request waits for a healthier upstream rather
+// than use the candidate, which will probably fail it. An upstream whose outcome is worth
+// learning is not passed over: if all requests waited, none would reach it.
+func (r *Request) awaitsHealthierThan(c *Candidate) bool {
+	return r.MayWait && c.FailureProbability > LikelyFailingThreshold && r.lowestFailing < c.FailureProbability-waitMargin && c.explorationValue(r) == 0
 }
 
 // cost returns the cost of an attempt at the candidate, in lost requests.
