Bound the idle time of each upstream instead of the share in use

Cause: requests preferred unused upstreams only while less than three quarters of all were in use. That share says nothing about a single upstream. An upstream that failed ranks last and has no new outcome that could show its recovery, so the same ones stayed unused while the others, disturbed or not, kept the share. Where few upstreams are undisturbed, most of these can be among the unused.

Now each upstream is due for a request after 1.4 s, or after 4.8 s where a failure is expensive: the last outcome makes it doubtful, few requests fail, and the request cannot be retried. The value of such a request exceeds the cost of any upstream that may get one, so the share, its threshold and five values are gone. Idle time counts from the time at which the last request was sent, which homes know from the age of an outcome: counted from the outcome, the latency came on top and requests were more than 2 s apart.

Two specs expected that a share of three quarters is enough. They now expect, for each number of unused upstreams, that one is retested when it is due and none before.

--- a/pkg/blackboard/attempt.go
+++ b/pkg/blackboard/attempt.go
@@ -87,7 +87,7 @@
 		c := &s.candidates[i]
 		c.OwnInFlight, c.PausedUntil = s.inFlight.Own(c.ID), s.pausedUntil[c.ID]
 		c.FailureProbability = s.reliability.FailureProbability(now, c.ID)
-		c.LastOutcomeAt, c.LastSentAt = s.reliability.LastOutcomeAt(c.ID), s.lastUsed[c.ID]
+		c.LastOutcomeAt, c.LastSentAt = s.reliability.LastOutcomeAt(c.ID), s.lastSentAtLocked(c.ID)
 	}
 	choice, ok := s.chooseLocked(now, r)
 	if !ok {
@@ -109,6 +109,16 @@
 	return a, choice, true
 }
 
+// lastSentAtLocked returns when any home is known to have last sent the upstream a
+// request, zero if none has.
+func (s *Service) lastSentAtLocked(id string) time.Time {
+	own, any := s.lastUsed[id], s.reliability.LastSentAt(id)
+	if own.After(any) {
+		return own
+	}
+	return any
+}
+
 func (s *Service) chooseLocked(now time.Time, r AttemptRequest) (routing.Choice, bool) {
 	if !r.Suspect {
 		return routing.Choose(s.candidates, routing.Request{
--- a/pkg/blackboard/status.go
+++ b/pkg/blackboard/status.go
@@ -112,11 +112,7 @@
 	defer s.mu.Unlock()
 	var u Usage
 	for _, c := range s.candidates {
-		lastUsed := s.lastUsed[c.ID]
-		if at := s.reliability.LastOutcomeAt(c.ID); at.After(lastUsed) {
-			lastUsed = at
-		}
-		if s.inFlight.Own(c.ID) == 0 && now.Sub(lastUsed) >= requestWindowLength {
+		if now.Sub(s.lastSentAtLocked(c.ID)) >= requestWindowLength {
 			u.Unused++
 		}
 	}
--- a/pkg/blackboard/usage_test.go
+++ b/pkg/blackboard/usage_test.go
@@ -33,7 +33,7 @@
 	if !ok {
 		t.Fatal("no upstream for the first request")
 	}
-	if got := s.Usage(fleetStart.Add(requestWindowLength)); got.Unused != 1 {
+	if got := s.Usage(fleetStart.Add(time.Second)); got.Unused != 1 {
 		t.Fatalf("%d unused upstreams with a request in flight at one of two", got.Unused)
 	}
 	s.End(fleetStart, a, successfulResult)
--- a/pkg/reliability/estimator.go
+++ b/pkg/reliability/estimator.go
@@ -45,6 +45,8 @@
 	// failedAt is when the last failure was seen.
 	failedAt time.Time
 	seenAt   time.Time
+	// sentAt is when the latest request with a known outcome was sent.
+	sentAt time.Time
 }
 
 // belief is the probability of a bad state at a point in time.
@@ -95,6 +97,15 @@
 	return time.Time{}
 }
 
+// LastSentAt returns when the latest request with a known outcome, of any home, was sent
+// to the upstream, zero if none was.
+func (e *Estimator) LastSentAt(id string) time.Time {
+	if u := e.upstreams[id]; u != nil {
+		return u.sentAt
+	}
+	return time.Time{}
+}
+
 // MeanLatency returns the smoothed latency of the service's responses, 0 while unknown.
 func (e *Estimator) MeanLatency() time.Duration { return e.meanLatency }
 
@@ -153,8 +164,12 @@
 	return u
 }
 
-// applyFinding updates the probability that the upstream is in the failing state.
+// applyFinding updates the probability that the upstream is in the failing state, and the
+// time of its latest request.
 func (e *Estimator) applyFinding(now time.Time, u *upstream, f Finding, weight float64) {
+	if sentAt := now.Add(-f.Age); sentAt.After(u.sentAt) {
+		u.sentAt = sentAt
+	}
 	switch f.Kind {
 	case Success:
 		e.applySuccess(now, u, f, weight)
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -38,7 +38,7 @@
 	// Listed is when the upstream was listed. LastOutcomeAt is when any home saw its
 	// last outcome, zero if none was seen since it was listed.
 	Listed, LastOutcomeAt time.Time
-	// LastSentAt is when this home last sent it a request, zero if never.
+	// LastSentAt is when any home is known to have last sent it a request, zero if never.
 	LastSentAt time.Time
 	// WarmUpUntil is the end of the warm-up, during which the upstream is slow.
 	WarmUpUntil time.Time
@@ -73,10 +73,9 @@
 	// MayWait is true if the request has time to wait for a slot at an upstream that
 	// is less likely to fail.
 	MayWait bool
-	// HighFailureRate is true while many requests fail. Most upstreams are then kept
-	// in use, because the failure probabilities that exclude some of them may be wrong.
-	// Without it, retryable requests are spread unless retries are scarce, and other
-	// requests are spread only over upstreams less likely to fail.
+	// HighFailureRate is true while many requests fail. Upstreams that failed are then
+	// retested after a shorter time, because the failure probabilities that exclude
+	// them may be wrong.
 	HighFailureRate bool
 	// Tried lists the upstreams that earlier attempts of this request used.
 	Tried []string
@@ -84,8 +83,6 @@
 	// lowestFailing is the lowest failure probability of the upstreams that the request
 	// may use.
 	lowestFailing float64
-	// tooFewInUse is true if less than spreadShare of the upstreams are in use.
-	tooFewInUse bool
 }
 
 // MaxReserveFailureProbability is the failure probability at and above which an
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -27,8 +27,8 @@
 	LikelyFailing
 	// DemotedFree is a demoted upstream; no healthy one has a free slot.
 	DemotedFree
-	// Untried is an upstream without any known outcome yet, or one that is unused
-	// while too few upstreams are in use.
+	// Untried is an upstream without any known outcome yet, or one that has been without
+	// requests for too long.
 	Untried
 	// Contended is an upstream whose slots are probably all used by other homes. It
 	// is chosen if this home has no free slot and no request in flight.
@@ -120,42 +120,27 @@
 	exploreAnyValue = 0.4
 )
 
-// Spreading keeps most upstreams in use, as the users require for services of which
-// many requests fail. If less than spreadShare of the upstreams were in use during
-// the last spreadAfter, the unused ones are preferred. Upstreams that have just
-// failed do not count. Retryable requests are always spread: a sudden loss of many
-// requests, such as a power failure of hosts, cannot be foreseen, and testing an
-// outdated failure probability costs only a retry. Other requests are spread too,
-// since a service may have hardly any retryable ones. While few requests fail, they
-// are spread only to upstreams that are more likely to work than to fail.
+// Retesting bounds how long an upstream stays without requests. A failure probability
+// depends on the last outcome, and an upstream without requests has no new outcome that
+// could show its recovery. A bound for each upstream is needed: with a minimum share of
+// upstreams in use, the same ones, those that failed last, stay unused.
 const (
-	// The users' rule requires that 0.7 of the upstreams get requests within two
-	// seconds. spreadAfter is below that time, and spreadShare above that share.
-	spreadAfter = 1400 * time.Millisecond
-	spreadShare = 0.75
+	// retestAfter is the idle time after which an upstream is due for a request. The
+	// users' rule on the upstreams in use has a window of two seconds.
+	retestAfter = 1400 * time.Millisecond
+	// retestFailingAfter applies instead to upstreams at or above
+	// retestFailingThreshold while a failure is expensive: few requests fail, and the
+	// request cannot be retried, or retries are scarce.
+	retestFailingAfter     = 4800 * time.Millisecond
+	retestFailingThreshold = 0.4
 	// justFailedThreshold is the failure probability at and above which an upstream
-	// counts as having just failed.
+	// is not retested: it has just failed, or the path to it is bad.
 	justFailedThreshold = 0.85
-	// spreadRetryableValue and spreadNonRetryableValue are the values of an attempt
-	// at an unused upstream while many requests fail, in lost requests.
-	spreadRetryableValue    = 0.3
-	spreadNonRetryableValue = 0.8
-	// spreadRetryableValueFewFailures applies to retryable attempts while few
-	// requests fail. It outweighs the cost of a retryable attempt at
-	// justFailedThreshold plus otherDomainCost, and is below exploreRetryableValue.
-	spreadRetryableValueFewFailures = 0.18
-	// spreadNonRetryableValueFewFailures applies to non-retryable attempts while few
-	// requests fail. It equals the failure probability of an upstream about ten
-	// seconds after a failure. With 0.3, recovered upstreams stay without requests
-	// for longer.
-	spreadNonRetryableValueFewFailures = 0.4
-	// spreadNonRetryableAfter and spreadOtherDomainAfter are the idle times after
-	// which non-retryable attempts are spread to upstreams in the home's failure
-	// domain and in others. Retryable requests go first, after spreadAfter. The
-	// delays keep all homes from trying an upstream at the same moment and losing a
-	// request each.
-	spreadNonRetryableAfter = 1550 * time.Millisecond
-	spreadOtherDomainAfter  = 1750 * time.Millisecond
+	// Requests that cannot be retried are delayed by retestOwnDomainDelay or
+	// retestOtherDomainDelay, so that retryable ones and the homes of the upstream's
+	// own domain go first and not all homes lose a request at the same moment.
+	retestOwnDomainDelay   = 150 * time.Millisecond
+	retestOtherDomainDelay = 350 * time.Millisecond
 )
 
 // waitMargin is how much lower the failure probability of another upstream must be
@@ -168,7 +153,6 @@
 // the cause.
 func Choose(candidates []Candidate, req Request, rng *rand.Rand) (Choice, bool) {
 	fullShareExists := hasFullShareUpstream(candidates, &req)
-	req.tooFewInUse = tooFewInUse(candidates, &req)
 	if choice, ok := drawLimitedShare(candidates, &req, fullShareExists, rng); ok {
 		return choice, true
 	}
@@ -245,8 +229,8 @@
 // explorationValue returns the value of learning the outcome of an attempt, in lost
 // requests.
 func (c *Candidate) explorationValue(req *Request) float64 {
-	if value := c.spreadingValue(req); value > 0 {
-		return value
+	if c.dueForRetest(req) {
+		return req.retestValue()
 	}
 	if !c.LastOutcomeAt.IsZero() || c.OwnInFlight > 0 || c.OthersInFlight >= 0.5 {
 		return 0
@@ -266,25 +250,40 @@
 	return 0
 }
 
-// spreadingValue returns the value of having one more upstream in use, in lost
-// requests. An upstream without any outcome is left to explorationValue unless many
-// requests fail.
-func (c *Candidate) spreadingValue(req *Request) float64 {
+// retestValue returns the value of a request to an upstream that is due for one, in lost
+// requests. It exceeds the cost of any upstream that may be retested, so that the most
+// reliable of these gets the request.
+func (r *Request) retestValue() float64 {
+	return r.failureCost()*justFailedThreshold + otherDomainCost + loadCost
+}
+
+// dueForRetest reports whether the candidate has been without requests for too long. One
+// without any outcome is left to explorationValue unless many requests fail.
+func (c *Candidate) dueForRetest(req *Request) bool {
+	if c.FailureProbability >= justFailedThreshold || c.OwnInFlight > 0 || c.OthersInFlight >= 0.5 {
+		return false
+	}
+	if c.LastOutcomeAt.IsZero() && !req.HighFailureRate {
+		return false
+	}
+	return c.idleTime(req) >= c.maxIdleTime(req)
+}
+
+// maxIdleTime returns the idle time after which the candidate is due for the request.
+func (c *Candidate) maxIdleTime(req *Request) time.Duration {
+	maxIdle := retestAfter
+	failureIsExpensive := !req.HighFailureRate && (!req.Retryable || req.RetriesNearlyExhausted)
+	if failureIsExpensive && c.FailureProbability >= retestFailingThreshold {
+		maxIdle = retestFailingAfter
+	}
 	switch {
-	case !req.tooFewInUse || c.FailureProbability >= justFailedThreshold || !c.unused(req):
-		return 0
-	case req.HighFailureRate && req.Retryable:
-		return spreadRetryableValue
-	case req.Retryable && !req.RetriesNearlyExhausted && !c.LastOutcomeAt.IsZero():
-		return spreadRetryableValueFewFailures
-	case req.Retryable || c.idleTime(req) < spreadNonRetryableAfter || !c.sameDomain(req) && c.idleTime(req) < spreadOtherDomainAfter:
-		return 0
-	case req.HighFailureRate:
-		return spreadNonRetryableValue
-	case !c.LastOutcomeAt.IsZero():
-		return spreadNonRetryableValueFewFailures
+	case req.Retryable:
+		return maxIdle
+	case c.sameDomain(req):
+		return maxIdle + retestOwnDomainDelay
+	default:
+		return maxIdle + retestOtherDomainDelay
 	}
-	return 0
 }
 
 // reason returns the reason that applies to a candidate chosen at this cost.
@@ -307,36 +306,15 @@
 	}
 }
 
-// unused reports whether no home has used the candidate during the last spreadAfter.
-func (c *Candidate) unused(req *Request) bool {
-	return c.OwnInFlight == 0 && c.OthersInFlight < 0.5 && c.idleTime(req) >= spreadAfter
-}
-
-// idleTime returns the time since the last known request to the candidate.
+// idleTime returns the time since the last known request to the candidate. A home that
+// has just started knows only the times of outcomes.
 func (c *Candidate) idleTime(req *Request) time.Duration {
-	if c.LastOutcomeAt.After(c.LastSentAt) {
+	if c.LastSentAt.IsZero() {
 		return req.Now.Sub(c.LastOutcomeAt)
 	}
 	return req.Now.Sub(c.LastSentAt)
 }
 
-// tooFewInUse reports whether too few of the upstreams that have not just failed are
-// in use. It is false for a service without traffic, which has nothing to spread.
-func tooFewInUse(candidates []Candidate, req *Request) bool {
-	eligible, used := 0, 0
-	for i := range candidates {
-		c := &candidates[i]
-		if c.FailureProbability >= justFailedThreshold {
-			continue
-		}
-		eligible++
-		if !c.unused(req) {
-			used++
-		}
-	}
-	return used > 0 && float64(used) < spreadShare*float64(eligible)
-}
-
 func (c *Candidate) warmingUp(req *Request) bool { return req.Now.Before(c.WarmUpUntil) }
 
 func (c *Candidate) sameDomain(req *Request) bool { return c.Domain == req.Domain || req.Domain == "" }
@@ -431,7 +409,7 @@
 		Index: i, ID: c.ID, Domain: c.Domain, Reason: reason, Load: c.load(), FailureProbability: c.FailureProbability,
 		LastOutcomeAt: c.LastOutcomeAt, HighFailureRate: req.HighFailureRate,
 	}
-	if !c.LastOutcomeAt.IsZero() || !c.LastSentAt.IsZero() {
+	if !c.LastSentAt.IsZero() {
 		choice.IdleTime = c.idleTime(req)
 	}
 	return choice
--- a/pkg/routing/reliability_test.go
+++ b/pkg/routing/reliability_test.go
@@ -124,7 +124,7 @@
 })
 
 var _ = Describe("Choose with unused upstreams", func() {
-	candidates := func(n, unused int) []routing.Candidate {
+	candidates := func(n, unused int, idleTime time.Duration) []routing.Candidate {
 		cs := make([]routing.Candidate, n)
 		for i := range cs {
 			cs[i] = routing.Candidate{
@@ -132,7 +132,7 @@
 				Listed: epoch.Add(-time.Minute), LastOutcomeAt: epoch.Add(-100 * time.Millisecond), LastSentAt: epoch.Add(-100 * time.Millisecond),
 			}
 			if i < unused {
-				cs[i].FailureProbability, cs[i].LastOutcomeAt, cs[i].LastSentAt = 0.5, epoch.Add(-3*time.Second), epoch.Add(-3*time.Second)
+				cs[i].FailureProbability, cs[i].LastOutcomeAt, cs[i].LastSentAt = 0.5, epoch.Add(-idleTime), epoch.Add(-idleTime)
 			}
 		}
 		return cs
@@ -144,30 +144,38 @@
 	}
 
 	// Guards against outdated failure probabilities that leave the traffic to a few
-	// upstreams while a part of the requests fails. On one day, four of six working
-	// upstreams got no request for 2 s.
-	It("keeps three quarters of the upstreams that have not just failed in use", func() {
+	// upstreams while a part of the requests fails, and against requests lost at
+	// upstreams that were tested a moment ago.
+	It("retests each upstream that has not just failed, but not again after a second", func() {
 		for _, retryable := range []bool{true, false} {
 			req := routing.Request{Now: epoch, Domain: "a", Retryable: retryable, HighFailureRate: true}
-			Expect(chosenIndex(candidates(6, 4), req)).To(BeNumerically("<", 4))
-			Expect(chosenIndex(candidates(6, 1), req)).To(BeNumerically(">=", 1), "enough are in use")
+			for unused := 1; unused < 6; unused++ {
+				Expect(chosenIndex(candidates(6, unused, 3*time.Second), req)).To(BeNumerically("<", unused))
+				Expect(chosenIndex(candidates(6, unused, time.Second), req)).To(BeNumerically(">=", unused), "tested a second ago")
+			}
 		}
 	})
 
 	// Guards against working upstreams that get no requests when a power failure
-	// loses many requests at once, before any failure is seen. On one day, nine of
-	// twelve got none for 2 s.
-	It("always spreads retryable requests, and others only while many requests fail", func() {
+	// loses many requests at once, before any failure is seen, and against bookings
+	// lost at upstreams that failed a moment ago.
+	It("retests soon where a failure is cheap, and later where it is expensive", func() {
 		req := routing.Request{Now: epoch, Domain: "a", Retryable: true}
-		Expect(chosenIndex(candidates(6, 4), req)).To(BeNumerically("<", 4))
-		Expect(chosenIndex(candidates(6, 1), req)).To(BeNumerically(">=", 1), "enough are in use")
-		req.RetriesNearlyExhausted = true
-		Expect(chosenIndex(candidates(6, 4), req)).To(BeNumerically(">=", 4), "retries are scarce")
-		Expect(chosenIndex(candidates(6, 4), routing.Request{Now: epoch, Domain: "a"})).To(BeNumerically(">=", 4), "not retryable")
+		scarce := req
+		scarce.RetriesNearlyExhausted = true
+		single := routing.Request{Now: epoch, Domain: "a"}
+		for unused := 1; unused < 6; unused++ {
+			Expect(chosenIndex(candidates(6, unused, 3*time.Second), req)).To(BeNumerically("<", unused))
+			Expect(chosenIndex(candidates(6, unused, time.Second), req)).To(BeNumerically(">=", unused), "tested a second ago")
+			for _, expensive := range []routing.Request{scarce, single} {
+				Expect(chosenIndex(candidates(6, unused, 3*time.Second), expensive)).To(BeNumerically(">=", unused), "failed 3 s ago")
+				Expect(chosenIndex(candidates(6, unused, 5*time.Second), expensive)).To(BeNumerically("<", unused), "failed 5 s ago")
+			}
+		}
 	})
 
 	It("does not send requests to upstreams that have just failed", func() {
-		cs := candidates(6, 4)
+		cs := candidates(6, 4, 3*time.Second)
 		for i := range 4 {
 			cs[i].FailureProbability = 0.95
 		}
