Leave free slots to other requests while some hang at failing upstreams

Callers were refused or delayed although upstreams that work had free slots.

Cause: the gate admits as many requests as the upstreams that work have slots, but counted all running requests against them. Requests that hang at an upstream that counts as failing, on trial, in ramp or gone use no such slot, for as long as their timeout.

Evidence: by reading and by the test only; the logs of the incident do not show the gate.

The capacity now includes the requests in flight at upstreams that do not count, and the reserve excludes those that it already holds.

Two callers of Capacity in tests and one in the traffic bench pass the number of running requests.

--- a/internal/bench/traffic/service.go
+++ b/internal/bench/traffic/service.go
@@ -185,8 +185,9 @@
 	for i := range h.candidates {
 		h.candidates[i].Quota = quotas[i]
 		h.candidates[i].OthersInFlight, _ = h.inFlight.Others(h.candidates[i].ID)
+		h.candidates[i].OwnInFlight = h.inFlight.Own(h.candidates[i].ID)
 	}
-	capacity, reserve := routing.Capacity(h.candidates)
+	capacity, reserve := routing.Capacity(h.candidates, h.queue.Running())
 	s.dispatchAdmitted(h, h.queue.SetCapacity(s.loop.Now, capacity, reserve))
 }
 
--- a/pkg/blackboard/report.go
+++ b/pkg/blackboard/report.go
@@ -239,6 +239,6 @@
 		c.OwnInFlight, c.FailureProbability = s.inFlight.Own(c.ID), s.reliability.FailureProbability(now, c.ID)
 		s.updatePriorityLocked(c.ID, c.FailureProbability)
 	}
-	capacity, reserve := routing.Capacity(s.candidates)
+	capacity, reserve := routing.Capacity(s.candidates, len(s.attempts))
 	s.Gate.SetCapacity(capacity, reserve)
 }
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -125,17 +125,22 @@
 	return d.Sum64()
 }
 
-// Capacity returns how many requests this home may have in flight in its own and
-// borrowed slots (capacity), and how many more at upstreams that will probably fail
-// them (reserve). capacity is at least one while there is a healthy upstream: a home
-// that never starts a request reports no demand and would never get a slot. Upstreams
-// in ramp count only while no upstream has its full share. Upstreams that probably
-// fail count as reserve, and as capacity only if there is no better one: a request
-// that waits for a good slot is served, and one that gets a bad slot may be lost.
-// Upstreams at or above MaxReserveFailureProbability do not even count as reserve.
-func Capacity(candidates []Candidate) (capacity, reserve int) {
+// Capacity returns how many requests this home may have in flight (capacity), and how
+// many more at upstreams that will probably fail them (reserve). inFlight is the number
+// of requests in flight now, also at upstreams that are not candidates. capacity is at
+// least one while there is a healthy upstream: a home that never starts a request reports
+// no demand and would never get a slot. Upstreams in ramp count only while no upstream
+// has its full share. Upstreams that probably fail count as reserve, and as capacity only
+// if there is no better one: a request that waits for a good slot is served, and one that
+// gets a bad slot may be lost. Upstreams at or above MaxReserveFailureProbability do not
+// even count as reserve.
+//
+// Requests in flight at upstreams that do not count are added to the capacity: they use
+// none of its slots, and would keep other requests from these.
+func Capacity(candidates []Candidate, inFlight int) (capacity, reserve int) {
 	fullShareExists := hasFullShareUpstream(candidates, nil)
-	healthy, lastResort := false, 0
+	healthy := false
+	var working, likelyFailing, failing slotCount
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.unlimited(fullShareExists) {
@@ -144,23 +149,33 @@
 		healthy = healthy || !c.Demoted
 		switch {
 		case c.FailureProbability <= LikelyFailingThreshold:
-			capacity += c.maxInFlight()
+			working.add(c)
 		case c.FailureProbability < MaxReserveFailureProbability:
-			reserve += c.maxInFlight()
+			likelyFailing.add(c)
 		default:
-			lastResort += c.maxInFlight()
+			failing.add(c)
 		}
 	}
-	if capacity == 0 {
-		capacity, reserve = reserve, 0
+	if working.total == 0 {
+		working, likelyFailing = likelyFailing, slotCount{}
 	}
-	if capacity == 0 {
-		capacity = lastResort
+	if working.total == 0 {
+		working = failing
 	}
+	capacity = working.total + max(inFlight-working.used, 0)
 	if healthy {
 		capacity = max(1, capacity)
 	}
-	return capacity, reserve
+	return capacity, max(likelyFailing.total-likelyFailing.used, 0)
+}
+
+// slotCount counts the requests that this home may have in flight at some upstreams, and
+// those that it has.
+type slotCount struct{ total, used int }
+
+func (s *slotCount) add(c *Candidate) {
+	s.total += c.maxInFlight()
+	s.used += c.OwnInFlight
 }
 
 // maxInFlight returns how many requests of this home the upstream may have in flight.
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -15,8 +15,9 @@
 //		candidates[i].Quota = quota
 //		c := &candidates[i]
 //		c.OthersInFlight, c.OthersCurrent = inFlight.Others(c.ID)
+//		c.OwnInFlight = inFlight.Own(c.ID)
 //	}
-//	capacity, reserve := routing.Capacity(candidates)
+//	capacity, reserve := routing.Capacity(candidates, running)
 //	queue.SetCapacity(now, capacity, reserve)
 //
 // Call Choose for each attempt, with OwnInFlight up to date:
--- a/pkg/routing/idle_test.go
+++ b/pkg/routing/idle_test.go
@@ -63,7 +63,7 @@
 	cs := workingAndIdle(1, 1, 0.95, time.Second)
 	cs[1].OwnInFlight = cs[1].Slots
 	running := cs[1].OwnInFlight
-	if capacity, _ := routing.Capacity(cs); capacity-running != cs[0].Slots {
+	if capacity, _ := routing.Capacity(cs, running); capacity-running != cs[0].Slots {
 		t.Fatalf("capacity %d with %d requests running at a failing upstream, of which %d slots elsewhere are free", capacity, running, cs[0].Slots)
 	}
 }
--- a/pkg/routing/property_test.go
+++ b/pkg/routing/property_test.go
@@ -136,7 +136,7 @@
 	It("finds an upstream while fewer requests run than Capacity", func() {
 		testkit.Check(GinkgoT(), func(t *rapid.T) {
 			cs := drawCandidates(t)
-			capacity, reserve := routing.Capacity(cs)
+			capacity, reserve := routing.Capacity(cs, 0)
 			running := 0
 			for i := range cs {
 				cs[i].OwnInFlight, cs[i].PausedUntil = 0, time.Time{}
