Count overdue requests as unserved before they end

Callers lost a sixth of their requests for two seconds before the service counted as failing, and healthy upstreams that had failed once were not retested in that time.

Cause: a request counted as unserved when it ended. One that hangs ends with its timeout, after 2.0 to 2.5 s, which is longer than the window in which its loss matters.

An attempt that is overdue, and whose request cannot be retried, now counts as unserved while it is in flight. The estimator already detects these. Retryable requests are hedged at that time and do not count.

--- a/pkg/blackboard/attempt.go
+++ b/pkg/blackboard/attempt.go
@@ -20,11 +20,17 @@
 	fingerprint poison.Fingerprint
 	started     time.Time
 	route       string
+	// retryable is that of the AttemptRequest.
+	retryable bool
 	// detectorOverdue and estimatorOverdue are true if the attempt was reported as
 	// overdue to the detector and to the reliability estimator.
 	detectorOverdue, estimatorOverdue bool
 }
 
+// countsAsUnserved reports whether the attempt's request counts as unserved while it is in
+// flight. A retryable request that is overdue may still be served by another upstream.
+func (a *Attempt) countsAsUnserved() bool { return a.estimatorOverdue && !a.retryable }
+
 // AttemptRequest describes the request for which Begin chooses an upstream.
 type AttemptRequest struct {
 	Idempotent bool
@@ -98,7 +104,7 @@
 		return nil, choice, false
 	}
 	s.nextID++
-	a := &Attempt{Upstream: s.upstreams[i], id: s.nextID, fingerprint: r.Fingerprint, started: now, route: r.Route}
+	a := &Attempt{Upstream: s.upstreams[i], id: s.nextID, fingerprint: r.Fingerprint, started: now, route: r.Route, retryable: r.Retryable}
 	s.attempts[a.id] = a
 	s.inFlight.Start(now, choice.ID)
 	s.lastUsed[choice.ID] = now
@@ -112,11 +118,11 @@
 // lastSentAtLocked returns when any home is known to have last sent the upstream a
 // request, zero if none has.
 func (s *Service) lastSentAtLocked(id string) time.Time {
-	own, any := s.lastUsed[id], s.reliability.LastSentAt(id)
-	if own.After(any) {
+	own, known := s.lastUsed[id], s.reliability.LastSentAt(id)
+	if own.After(known) {
 		return own
 	}
-	return any
+	return known
 }
 
 func (s *Service) chooseLocked(now time.Time, r AttemptRequest) (routing.Choice, bool) {
@@ -160,6 +166,9 @@
 func (s *Service) End(now time.Time, a *Attempt, r upstream.Result) FollowUp {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if _, running := s.attempts[a.id]; running && a.countsAsUnserved() {
+		s.recentRequests.overdue--
+	}
 	delete(s.attempts, a.id)
 	s.inFlight.End(now, a.Upstream.ID)
 	if r.Kind == upstream.Shed {
--- a/pkg/blackboard/health.go
+++ b/pkg/blackboard/health.go
@@ -154,6 +154,9 @@
 		}
 		if estimatorLimit := s.reliability.OverdueAfter(a.route); !a.estimatorOverdue && estimatorLimit > 0 && age > estimatorLimit {
 			a.estimatorOverdue = true
+			if a.countsAsUnserved() {
+				s.recentRequests.overdue++
+			}
 			s.observeLocked(now, reliability.Outcome{Upstream: a.Upstream.ID, Kind: reliability.Overdue, Latency: age, Route: a.route})
 		}
 	}
--- a/pkg/blackboard/report.go
+++ b/pkg/blackboard/report.go
@@ -33,7 +33,7 @@
 	// state yet.
 	Snapshots []SnapshotReport `cbor:"8,keyasint,omitempty"`
 	// RecentRequests counts the requests that ended at the home within
-	// requestWindowLength.
+	// requestWindowLength, and those that are overdue.
 	RecentRequests RequestCounts `cbor:"9,keyasint"`
 	// RetryHandOver hands over retry counts and allowance. A daemon sends it once when
 	// it stops being a home.
--- a/pkg/blackboard/requestwindow.go
+++ b/pkg/blackboard/requestwindow.go
@@ -22,9 +22,13 @@
 
 const requestBuckets = int(requestWindowLength / requestBucketLength)
 
-// requestWindow counts the requests that ended in a sliding window, and how many
-// of them were not served.
+// requestWindow counts the requests that ended in a sliding window or are overdue, and
+// how many of them were not served.
 type requestWindow struct {
+	// overdue is the number of requests in flight that are overdue and cannot be
+	// retried. They count as unserved before they end: a lost request ends with its
+	// timeout, which is longer than the window.
+	overdue int
 	buckets [requestBuckets]RequestCounts
 	// origin is the start of bucket 0. It has a monotonic clock reading, because the
 	// wall clock may jump.
@@ -35,8 +39,8 @@
 	reported map[string]reportedCounts
 }
 
-// RequestCounts counts the requests that ended in some period, and how many of
-// them were not served.
+// RequestCounts counts the requests that ended in some period or are overdue, and how
+// many of them were not served.
 type RequestCounts struct {
 	_        struct{} `cbor:",toarray"`
 	Requests int
@@ -75,7 +79,7 @@
 // counts returns this home's counts within the window.
 func (w *requestWindow) counts(now time.Time) RequestCounts {
 	w.advance(now)
-	var sum RequestCounts
+	sum := RequestCounts{Requests: w.overdue, Unserved: w.overdue}
 	for _, bucket := range w.buckets {
 		sum.add(bucket)
 	}
