Spread the retests of upstreams that failed together over time

The interval now varies between upstreams by a quarter up and down, by a hash of the id that is the same at all homes.

TestRetestsAreSpreadOverTime fails without the jitter (50 of 50 upstreams become due in the same half second) and passes with it.

--- a/pkg/blackboard/health.go
+++ b/pkg/blackboard/health.go
@@ -94,7 +94,7 @@
 			ID: u.ID, Domain: u.Domain, Slots: u.Slots,
 			Demoted: demoted, Trial: standing.IdempotentOnly, Share: standing.Share,
 			Listed: u.Listed, WarmUpUntil: u.WarmUpUntil,
-			Preference: routing.Preference(s.self, u.ID),
+			Preference: routing.Preference(s.self, u.ID), RetestJitter: routing.RetestJitter(u.ID),
 		}
 		if demoted {
 			c.Share = min(c.Share, d.Share)
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -55,6 +55,9 @@
 	PausedUntil time.Time
 	// Preference breaks ties; the higher value wins. See func Preference.
 	Preference uint64
+	// RetestJitter, in [0, 1), varies the time until the upstream is retested. See func
+	// RetestJitter.
+	RetestJitter float64
 }
 
 // Request describes the attempt that needs an upstream.
@@ -125,6 +128,14 @@
 	return d.Sum64()
 }
 
+// RetestJitter returns the jitter of an upstream, which is the same at all homes. Without
+// it, upstreams that failed at the same time are retested at the same time, and all of
+// them are idle in between.
+func RetestJitter(upstream string) float64 {
+	const mantissaBits = 53
+	return float64(xxhash.Sum64String(upstream)>>(64-mantissaBits)) / (1 << mantissaBits)
+}
+
 // Capacity returns how many requests this home may have in flight (capacity), and how
 // many more at upstreams that will probably fail them (reserve). inFlight is the number
 // of requests in flight now, also at upstreams that are not candidates. capacity is at
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -130,8 +130,10 @@
 	retestAfter = 1400 * time.Millisecond
 	// retestFailingAfter applies instead to upstreams at or above
 	// retestFailingThreshold while a failure is expensive: few requests fail, and the
-	// request cannot be retried, or retries are scarce.
+	// request cannot be retried, or retries are scarce. It varies between upstreams by
+	// retestJitter of its length.
 	retestFailingAfter     = 4800 * time.Millisecond
+	retestJitter           = 0.5
 	retestFailingThreshold = 0.4
 	// justFailedThreshold is the failure probability at and above which an upstream
 	// is not retested: it has just failed, or the path to it is bad.
@@ -274,7 +276,8 @@
 	maxIdle := retestAfter
 	failureIsExpensive := !req.HighFailureRate && (!req.Retryable || req.RetriesNearlyExhausted)
 	if failureIsExpensive && c.FailureProbability >= retestFailingThreshold {
-		maxIdle = retestFailingAfter
+		jitter := 1 + retestJitter*(c.RetestJitter-0.5)
+		maxIdle = time.Duration(jitter * float64(retestFailingAfter))
 	}
 	switch {
 	case req.Retryable:
--- a/pkg/routing/idle_test.go
+++ b/pkg/routing/idle_test.go
@@ -47,6 +47,27 @@
 	}
 }
 
+// TestRetestsAreSpreadOverTime guards against upstreams that fail together and are then all
+// idle, and all retested, at the same times.
+func TestRetestsAreSpreadOverTime(t *testing.T) {
+	const upstreams = 50
+	due := func(idleTime time.Duration) (n int) {
+		for i := range upstreams {
+			cs := workingAndIdle(1, 1, 0.6, idleTime)
+			cs[1].RetestJitter = routing.RetestJitter(fmt.Sprint("u", i))
+			if c, ok := routing.Choose(cs, routing.Request{Now: epoch, Domain: "a"}, newRand()); ok && c.Index == 1 {
+				n++
+			}
+		}
+		return n
+	}
+	for idleTime := time.Second; idleTime < 10*time.Second; idleTime += 500 * time.Millisecond {
+		if n := due(idleTime+500*time.Millisecond) - due(idleTime); n > upstreams/2 {
+			t.Errorf("%d of %d upstreams become due in the half second after %v", n, upstreams, idleTime)
+		}
+	}
+}
+
 // TestNoWaitForHealthierUpstreamWhileOneIsFree guards against requests that wait for a
 // healthier upstream, although one is free, because an idle upstream ranks first.
 func TestNoWaitForHealthierUpstreamWhileOneIsFree(t *testing.T) {
