Drop the usage gauges of services whose home a daemon no longer is

The gauges of unused upstreams and unserved requests are set by homes only. A daemon that is no home any more would show the last values forever.

--- a/pkg/health/controller.go
+++ b/pkg/health/controller.go
@@ -242,6 +242,8 @@
 		} else if round%otherServiceRounds == 0 {
 			s.Refresh(time.Now())
 			c.logLikelyFailing(s)
+			c.Metrics.UnusedUpstreams.DeleteLabelValues(s.Name)
+			c.Metrics.UnservedShare.DeleteLabelValues(s.Name)
 		}
 	}
 }
