Bound the share of retests in services with few requests per upstream

An upstream that failed is now retested, where a failure is expensive, after it has missed 14 requests of an equal share, or 5 while many requests fail, if that takes longer than the interval.

--- a/pkg/blackboard/attempt.go
+++ b/pkg/blackboard/attempt.go
@@ -127,10 +127,12 @@
 
 func (s *Service) chooseLocked(now time.Time, r AttemptRequest) (routing.Choice, bool) {
 	if !r.Suspect {
+		recent := s.recentRequests.total(now)
 		return routing.Choose(s.candidates, routing.Request{
 			Now: now, Domain: s.domain, Idempotent: r.Idempotent,
 			Retryable: r.Retryable && s.budget.Available(now) > 0, MayWait: r.MayWait, Tried: r.Tried,
-			HighFailureRate: s.recentRequests.manyUnserved(now), RetriesNearlyExhausted: s.budget.NearlyExhausted(now),
+			HighFailureRate: recent.manyUnserved(), RetriesNearlyExhausted: s.budget.NearlyExhausted(now),
+			RequestRate: float64(recent.Requests) / requestWindowLength.Seconds() / float64(max(1, len(s.candidates))),
 		}, s.rng)
 	}
 	candidates := make([]poison.Candidate, 0, len(s.candidates))
--- a/pkg/blackboard/requestwindow.go
+++ b/pkg/blackboard/requestwindow.go
@@ -99,11 +99,9 @@
 	return sum
 }
 
-// manyUnserved reports whether the share of unserved requests, over all homes,
-// reaches unservedThreshold.
-func (w *requestWindow) manyUnserved(now time.Time) bool {
-	sum := w.total(now)
-	return sum.Unserved >= minUnserved && float64(sum.Unserved) >= unservedThreshold*float64(sum.Requests)
+// manyUnserved reports whether the share of unserved requests reaches unservedThreshold.
+func (c RequestCounts) manyUnserved() bool {
+	return c.Unserved >= minUnserved && float64(c.Unserved) >= unservedThreshold*float64(c.Requests)
 }
 
 // advance drops the buckets that have left the window. A time before the current
--- a/pkg/blackboard/requestwindow_test.go
+++ b/pkg/blackboard/requestwindow_test.go
@@ -89,14 +89,14 @@
 				upper.Requests++
 			}
 		}
-		manyUnserved := w.manyUnserved(now)
+		manyUnserved := w.total(now).manyUnserved()
 		if manyUnserved && (upper.Unserved < minUnserved || float64(upper.Unserved) < unservedThreshold*float64(lower.Requests)) {
 			t.Fatalf("many unserved reported with at most %d of at least %d unserved", upper.Unserved, lower.Requests)
 		}
 		if !manyUnserved && lower.Unserved >= minUnserved && float64(lower.Unserved) >= unservedThreshold*float64(upper.Requests) {
 			t.Fatalf("many unserved not reported with at least %d of at most %d unserved", lower.Unserved, upper.Requests)
 		}
-		if w.manyUnserved(now.Add(requestWindowLength)) {
+		if w.total(now.Add(requestWindowLength)).manyUnserved() {
 			t.Fatal("many unserved reported after a whole window without requests")
 		}
 	})
@@ -113,7 +113,7 @@
 	}
 	w.add(start.Add(requestBucketLength), true)
 	w.add(start.Add(requestBucketLength-time.Millisecond), true)
-	if !w.manyUnserved(start.Add(requestBucketLength)) {
+	if !w.total(start.Add(requestBucketLength)).manyUnserved() {
 		t.Fatalf("many unserved not reported with %+v", w.counts(start.Add(requestBucketLength)))
 	}
 }
@@ -127,7 +127,7 @@
 		for range 2 * minUnserved {
 			w.add(now, false)
 		}
-		if later := testkit.ShiftWallClock(now.Add(requestBucketLength), jump); !w.manyUnserved(later) {
+		if later := testkit.ShiftWallClock(now.Add(requestBucketLength), jump); !w.total(later).manyUnserved() {
 			t.Errorf("jump of %v: many unserved not reported with %+v", jump, w.counts(later))
 		}
 	}
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -80,6 +80,9 @@
 	// retested after a shorter time, because the failure probabilities that exclude
 	// them may be wrong.
 	HighFailureRate bool
+	// RequestRate is the recent number of requests per second and upstream of the
+	// service, 0 if it is unknown.
+	RequestRate float64
 	// Tried lists the upstreams that earlier attempts of this request used.
 	Tried []string
 
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -132,9 +132,16 @@
 	// retestFailingThreshold while a failure is expensive: few requests fail, and the
 	// request cannot be retried, or retries are scarce. It varies between upstreams by
 	// retestJitter of its length.
-	retestFailingAfter     = 4800 * time.Millisecond
-	retestJitter           = 0.5
-	retestFailingThreshold = 0.4
+	retestFailingAfter = 4800 * time.Millisecond
+	retestJitter       = 0.5
+	// retestMissedRequests and retestMissedRequestsHighFailureRate lengthen the interval
+	// of such upstreams in a service with few requests per upstream: each misses this
+	// number of requests of an equal share before it is retested. Without them, most
+	// requests of such a service would be retests, and those that fail would keep the
+	// failure rate high.
+	retestMissedRequests                = 14
+	retestMissedRequestsHighFailureRate = 5
+	retestFailingThreshold              = 0.4
 	// justFailedThreshold is the failure probability at and above which an upstream
 	// is not retested: it has just failed, or the path to it is bad.
 	justFailedThreshold = 0.85
@@ -274,10 +281,14 @@
 // maxIdleTime returns the idle time after which the candidate is due for the request.
 func (c *Candidate) maxIdleTime(req *Request) time.Duration {
 	maxIdle := retestAfter
-	failureIsExpensive := !req.HighFailureRate && (!req.Retryable || req.RetriesNearlyExhausted)
-	if failureIsExpensive && c.FailureProbability >= retestFailingThreshold {
+	failureIsCheap := req.Retryable && !req.RetriesNearlyExhausted
+	switch {
+	case failureIsCheap || c.FailureProbability < retestFailingThreshold:
+	case req.HighFailureRate:
+		maxIdle = max(retestAfter, req.timeToMiss(retestMissedRequestsHighFailureRate))
+	default:
 		jitter := 1 + retestJitter*(c.RetestJitter-0.5)
-		maxIdle = time.Duration(jitter * float64(retestFailingAfter))
+		maxIdle = time.Duration(jitter * float64(max(retestFailingAfter, req.timeToMiss(retestMissedRequests))))
 	}
 	switch {
 	case req.Retryable:
@@ -289,6 +300,15 @@
 	}
 }
 
+// timeToMiss returns the time in which an unused upstream misses n requests of an equal
+// share, 0 if the request rate is unknown.
+func (r *Request) timeToMiss(n float64) time.Duration {
+	if r.RequestRate <= 0 {
+		return 0
+	}
+	return time.Duration(n / r.RequestRate * float64(time.Second))
+}
+
 // reason returns the reason that applies to a candidate chosen at this cost.
 func (c *Candidate) reason(req *Request, cost float64) Reason {
 	switch {
--- a/pkg/routing/idle_test.go
+++ b/pkg/routing/idle_test.go
@@ -47,6 +47,32 @@
 	}
 }
 
+// TestRetestsTakeASmallShareOfRareRequests guards against a service with few requests per
+// upstream that sends most of them to upstreams which failed before.
+func TestRetestsTakeASmallShareOfRareRequests(t *testing.T) {
+	const working, idle, rate, seconds, maxShare = 40, 20, 0.5, 60, 0.1
+	for _, highFailureRate := range []bool{false, true} {
+		cs := workingAndIdle(working, idle, 0.6, 10*time.Second)
+		req := routing.Request{Now: epoch, Domain: "a", HighFailureRate: highFailureRate, RequestRate: rate}
+		interval := time.Duration(float64(time.Second) / (rate * float64(len(cs))))
+		requests, retests := 0, 0
+		for ; req.Now.Before(epoch.Add(seconds * time.Second)); req.Now = req.Now.Add(interval) {
+			c, ok := routing.Choose(cs, req, newRand())
+			if !ok {
+				t.Fatal("no upstream chosen")
+			}
+			requests++
+			if c.Index >= working {
+				retests++
+			}
+			cs[c.Index].LastSentAt, cs[c.Index].LastOutcomeAt = req.Now, req.Now
+		}
+		if float64(retests) > maxShare*float64(requests) {
+			t.Errorf("%d of %d requests went to upstreams that failed before (high failure rate: %v)", retests, requests, highFailureRate)
+		}
+	}
+}
+
 // TestRetestsAreSpreadOverTime guards against upstreams that fail together and are then all
 // idle, and all retested, at the same times.
 func TestRetestsAreSpreadOverTime(t *testing.T) {
