--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"time"
 )
 
@@ -28,8 +27,6 @@
 	ID, Method, Host, Path string
 	DeadlineMs             int
 	Body                   []byte
-	// Headers are further header lines, each with its line end.
-	Headers string
 }
 
 // NewID returns a new id for a client attempt.
@@ -57,7 +54,7 @@
 	if r.Body != nil {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(r.Body))
 	}
-	return head + r.Headers + "\r\n"
+	return head + "\r\n"
 }
 
 // Send writes the request.
@@ -112,12 +109,3 @@
 	}
 	return out.Addresses, time.Duration(out.TTL * float64(time.Second)), nil
 }
-
-// RetryAfter returns how long the daemon asks the client to wait.
-func (a *Answer) RetryAfter() time.Duration {
-	seconds, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
-	if err != nil {
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -46,7 +46,7 @@
 	sequence int
 	slots    chan struct{}
 	waiting  int
-	state    string
+	leaving  bool
 	server   *http.Server
 	stop     chan struct{}
 }
@@ -104,7 +104,7 @@
 	w.id = fmt.Sprintf("i-%s-%d", name, w.boot)
 	w.born, w.sequence = time.Now().UnixMilli(), 0
 	w.slots, w.waiting = make(chan struct{}, w.config.Slots), 0
-	w.stop, w.state = make(chan struct{}), "ready"
+	w.stop = make(chan struct{})
 	w.server = &http.Server{Handler: http.HandlerFunc(w.serve), IdleTimeout: 10 * time.Second}
 	server, stop := w.server, w.stop
 	w.mu.Unlock()
@@ -131,18 +131,31 @@
 	id, entry := w.id, map[string]any{
 		"address": w.addr, "born": w.born,
 		"info":   map[string]any{"service": w.config.Service, "version": "v1", "zone": w.config.Zone, "max_concurrency": w.config.Slots},
-		"status": map[string]any{"state": w.state, "sequence": w.sequence, "warmup_left_ms": 0},
+		"status": map[string]any{"state": "ready", "sequence": w.sequence, "warmup_left_ms": 0},
 	}
 	w.mu.Unlock()
 	w.store.Put("servers", id, entry)
 }
 
-// Drain reports that the server is leaving. It continues to serve.
-func (w *Worker) Drain() {
+// Leave makes the server leave without reporting it: its entry is removed, it writes no
+// more of them, and all its answers say that it is leaving. It continues to serve.
+func (w *Worker) Leave() {
 	w.mu.Lock()
-	w.state = "draining"
+	w.leaving = true
+	close(w.stop)
+	w.stop = make(chan struct{})
 	w.mu.Unlock()
-	w.beat()
+	w.store.Delete("servers", w.ID())
+}
+
+// LateBeat executes a write of the entry that the server sent before it left and that got
+// no response.
+func (w *Worker) LateBeat() { w.beat() }
+
+// Exit ends a server that has left. Its entry is removed.
+func (w *Worker) Exit() {
+	w.Crash()
+	w.store.Delete("servers", w.ID())
 }
 
 // Crash ends the server at once: its connections close and new ones are refused.
@@ -175,9 +188,12 @@
 
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
-	self := w.id
+	self, leaving := w.id, w.leaving
 	w.mu.Unlock()
 	rw.Header().Set("X-Instance-Id", self)
+	if leaving {
+		rw.Header().Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == "/healthz" {
 		rw.WriteHeader(http.StatusOK)
 		return
@@ -217,6 +233,11 @@
 		return
 	}
 	w.records.end(run, true)
+	w.mu.Lock()
+	if w.leaving {
+		rw.Header().Set("Server-Leaving", "1")
+	}
+	w.mu.Unlock()
 	body := fmt.Appendf(nil, "answer to %s for %s with %d bytes", id, r.URL.Path, len(received))
 	rw.Header().Set("X-Response-Signature", Signature(id, body))
 	_, _ = rw.Write(body)
