--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -58,13 +60,27 @@
 		}
 		f.Daemons = append(f.Daemons, d)
 	}
+	go f.stopOnSignal()
 	return f, nil
 }
 
+// stopOnSignal ends all daemons if the case is interrupted.
+func (f *Fleet) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+	f.Stop()
+	os.Exit(Failed)
+}
+
+// Ports of listeners are below the usual range of the ports of outgoing connections, which
+// could take a port before its process listens.
+const lowestPort, highestPort = 12000, 32000
+
 // freeAddress returns a loopback address whose port is free for TCP and UDP.
 func freeAddress() (string, error) {
-	for range 50 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 100 {
+		ln, err := listen()
 		if err != nil {
 			return "", err
 		}
@@ -72,13 +88,23 @@
 		pc, err := net.ListenPacket("udp", address)
 		_ = ln.Close()
 		if err == nil {
-			_ = pc.Close()
-			return address, nil
+			return address, pc.Close()
 		}
 	}
 	return "", errors.New("no free port")
 }
 
+// listen listens on a free loopback port.
+func listen() (net.Listener, error) {
+	for range 100 {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		if ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return ln, nil
+		}
+	}
+	return nil, errors.New("no free port")
+}
+
 // Start starts all daemons for the first time and waits until they are ready.
 func (f *Fleet) Start() error {
 	for _, d := range f.Daemons {
@@ -176,6 +202,11 @@
 // WaitReady waits until the readiness check of the daemon succeeds.
 func (d *Daemon) WaitReady(limit time.Duration) error {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-d.exited:
+			return fmt.Errorf("%s has ended at its start", d.Name)
+		default:
+		}
 		resp, err := http.Get("http://" + d.Readiness + "/-/readyz")
 		if err != nil {
 			continue
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -50,7 +49,7 @@
 
 // StartStore starts a store on a free loopback port.
 func StartStore() (*Store, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := listen()
 	if err != nil {
 		return nil, err
 	}
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -82,7 +82,7 @@
 
 // StartWorker starts a server and registers it.
 func StartWorker(name string, c WorkerConfig, store *Store, records *Records) (*Worker, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := listen()
 	if err != nil {
 		return nil, err
 	}
