--- a/review/2/main.go
+++ b/review/2/main.go
@@ -16,14 +16,14 @@
 	host       = "stones.example"
 	service    = "stone-catalogue"
 	downFor    = 5 * time.Second
-	length     = 80 * time.Second
+	length     = 92 * time.Second
 	deadlineMs = 8000
 	// readers is the number of clients that look up the same stone.
-	readers, stones = 2, 14
+	readers, stones = 2, 16
 )
 
 // crashes are the times at which the servers of a zone crash.
-var crashes = []time.Duration{12 * time.Second, 30 * time.Second, 48 * time.Second}
+var crashes = []time.Duration{10 * time.Second, 28 * time.Second, 46 * time.Second, 64 * time.Second}
 
 // result is the outcome of one client attempt.
 type result struct {
@@ -121,15 +121,18 @@
 	r.list = append(r.list, one)
 }
 
-// client reads one path again and again on a kept connection.
+// client reads one path again and again on a kept connection. After a refusal it waits as
+// told, up to a third of its time limit.
 func client(d *harness.Daemon, path string, stop <-chan struct{}, out *results) {
 	var conn *harness.Conn
+	pause := time.Duration(0)
 	for {
 		select {
 		case <-stop:
 			return
-		case <-time.After(200*time.Millisecond + time.Duration(rand.Int64N(int64(200*time.Millisecond)))):
+		case <-time.After(pause + 50*time.Millisecond + time.Duration(rand.Int64N(int64(100*time.Millisecond)))):
 		}
+		pause = 0
 		if conn == nil {
 			addresses, _, err := harness.Resolve(d.Registry, host, d.Zone)
 			if err != nil {
@@ -148,6 +151,7 @@
 		}
 		if one.err == nil {
 			one.status, one.signed = a.Status, a.FromServer()
+			pause = min(a.RetryAfter(), deadlineMs*time.Millisecond/3)
 		}
 		out.add(one)
 		if one.err != nil || a.Closes() {
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 )
 
@@ -109,3 +110,12 @@
 	}
 	return out.Addresses, time.Duration(out.TTL * float64(time.Second)), nil
 }
+
+// RetryAfter returns how long the daemon asks the client to wait.
+func (a *Answer) RetryAfter() time.Duration {
+	seconds, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
