Add the settings of accounts and of the host's memory

Client accounts need bounds for revocation and for allowances, and the memory budget needs the host's memory. The template fills them in from the platform's bounds; each is wrapped in a section, because deployments without accounts do not state them. Numbers of megabytes and requests are float64, since the platform may write 184.0.

--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -21,6 +21,7 @@
 	maxCount     = 1_000_000
 	maxCores     = 4096
 	maxLinkMbps  = 1_000_000
+	maxMemoryMB  = 100_000_000
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`)
@@ -43,6 +44,7 @@
 	c.name("domain", s.Domain)
 	c.require(s.Capacity.Cores >= 0 && s.Capacity.Cores <= maxCores, "capacity.cores", fmt.Sprintf("0 to %d", maxCores))
 	c.require(s.Capacity.LinkMbps >= 0 && s.Capacity.LinkMbps <= maxLinkMbps, "capacity.linkMbps", fmt.Sprintf("0 to %d", maxLinkMbps))
+	c.require(s.Capacity.MemoryMB >= 0 && s.Capacity.MemoryMB <= maxMemoryMB, "capacity.memoryMB", fmt.Sprintf("0 to %d", maxMemoryMB))
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.admin", s.Listen.Admin)
@@ -77,10 +79,18 @@
 	c.require(s.RetryBudget.Ratio >= 0 && s.RetryBudget.Ratio <= 1, "repeats.ratio", "0 to 1")
 	c.duration("repeats.window", s.RetryBudget.Window)
 	c.require(s.RetryBudget.Allowance >= 0 && s.RetryBudget.Allowance <= maxCount, "repeats.allowance", "0 to 1000000")
+	c.accounts(s.Accounts)
 	c.count("log.linesPerSecond", s.Log.LinesPerSecond, maxCount)
 	c.require(slices.Contains(logLevels, s.Log.Level), "log.level", strings.Join(logLevels, ", "))
 }
 
+func (c *checker) accounts(a Accounts) {
+	c.duration("accounts.revocation", a.Revocation)
+	c.duration("accounts.quota.window", a.Quota.Window)
+	c.require(a.Quota.Overshoot >= 0 && a.Quota.Overshoot <= 1, "accounts.quota.overshoot", "0 to 1")
+	c.require(a.Quota.Extra >= 0 && a.Quota.Extra <= maxCount, "accounts.quota.extra", fmt.Sprintf("0 to %d", maxCount))
+}
+
 // peerTrust checks the settings that the selected trust mode requires.
 func (c *checker) peerTrust(s *Settings) {
 	switch s.Peers.Trust {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -47,6 +47,9 @@
 	Drain Drain `yaml:"drain"`
 	// RetryBudget limits retries per service over the whole fleet.
 	RetryBudget RetryBudget `yaml:"repeats"`
+	// Accounts configures the checks of client accounts. It has no effect while no
+	// configuration lists accounts.
+	Accounts Accounts `yaml:"accounts"`
 	// Log configures the log output.
 	Log Log `yaml:"log"`
 }
@@ -60,6 +63,9 @@
 	// LinkMbps is the bandwidth of the host's network link in Mbit/s. Default: 0,
 	// unknown.
 	LinkMbps float64 `yaml:"linkMbps"`
+	// MemoryMB is the memory of the host in megabytes (1,000,000 bytes). Default: 0,
+	// unknown.
+	MemoryMB float64 `yaml:"memoryMB"`
 }
 
 // Listen holds the addresses (IP:port) that the daemon binds.
@@ -185,6 +191,30 @@
 	Allowance int `yaml:"allowance"`
 }
 
+// Accounts configures the checks of client accounts.
+type Accounts struct {
+	// FailClosed refuses requests with keys while the daemon's knowledge of the accounts
+	// may be older than Revocation. Default: false.
+	FailClosed bool `yaml:"failClosed"`
+	// Revocation is the time after which a key that the platform has acknowledged as
+	// removed must not be accepted anywhere. Default: 5s.
+	Revocation time.Duration `yaml:"revocation"`
+	// Quota states how exactly the allowances of accounts are kept.
+	Quota Quota `yaml:"quota"`
+}
+
+// Quota states how exactly the allowances of accounts are kept: in every window, over all
+// daemons together, an account may exceed its allowance by the share Overshoot and by
+// Extra requests.
+type Quota struct {
+	// Window is the length of the time window. Default: 5s.
+	Window time.Duration `yaml:"window"`
+	// Overshoot is a share of the allowance. Default: 0.1.
+	Overshoot float64 `yaml:"overshoot"`
+	// Extra is a number of requests per window. Default: 20.
+	Extra float64 `yaml:"extra"`
+}
+
 // Log configures the log, which is written to standard output with one JSON object
 // per line.
 type Log struct {
@@ -222,6 +252,7 @@
 		"listen":   {s.Listen, next.Listen}, "platform": {s.Platform, next.Platform},
 		"peers.trust": {s.Peers.Trust, next.Peers.Trust}, "peers.seeds": {s.Peers.Seeds, next.Peers.Seeds},
 		"admin": {s.Admin, next.Admin}, "drain": {s.Drain, next.Drain}, "repeats": {s.RetryBudget, next.RetryBudget},
+		"accounts":           {s.Accounts, next.Accounts},
 		"log.linesPerSecond": {s.Log.LinesPerSecond, next.Log.LinesPerSecond},
 	} {
 		if !reflect.DeepEqual(values[0], values[1]) {
@@ -243,6 +274,7 @@
 		Callers:     Callers{MaxConnections: 10_000, MaxHeaderBytes: 32 << 10, MaxBodyBytes: 16 << 20, RequestArrival: 10 * time.Second, Idle: 60 * time.Second},
 		Addresses:   Addresses{Lifetime: 10 * time.Second},
 		Drain:       Drain{Requests: 60 * time.Second},
+		Accounts:    Accounts{Revocation: 5 * time.Second, Quota: Quota{Window: 5 * time.Second, Overshoot: 0.1, Extra: 20}},
 		Log:         Log{Level: "info", Decisions: true, LinesPerSecond: 1000},
 	}
 }
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -37,6 +38,50 @@
 		s, err := settings.Parse("s.yaml", settingsText(unchanged))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Addresses.Lifetime).To(Equal(10 * time.Second))
+		Expect(s.Accounts).To(Equal(settings.Accounts{
+			Revocation: 5 * time.Second, Quota: settings.Quota{Window: 5 * time.Second, Overshoot: 0.1, Extra: 20},
+		}))
+	})
+
+	// Guards against a daemon that does not start, or that keeps the defaults, because of the
+	// form in which the template of the users' platform fills in a number or leaves it out.
+	DescribeTable("reads the settings of accounts that the template fills in", func(value func(name, text string) string, memory float64, want settings.Accounts) {
+		template, err := os.ReadFile("../../deploy/settings.yaml")
+		Expect(err).NotTo(HaveOccurred())
+		section := regexp.MustCompile(`\{\{#(\w+\.\w+)\}\}(.*)\{\{/\w+\.\w+\}\}`)
+		_, accounts, found := strings.Cut(string(template), "\naccounts:")
+		Expect(found).To(BeTrue())
+		line := regexp.MustCompile(`(?m)^.*memoryMB.*$`).FindString(string(template))
+		filled := section.ReplaceAllStringFunc("capacity:\n"+line+"\naccounts:"+accounts, func(s string) string {
+			m := section.FindStringSubmatch(s)
+			return value(m[1], m[2])
+		})
+		s, err := settings.Parse("s.yaml", settingsText(func(s string) string { return s + filled }))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Accounts).To(Equal(want))
+		Expect(s.Capacity.MemoryMB).To(Equal(memory))
+	},
+		Entry("with all fields", func(name, text string) string {
+			values := map[string]string{
+				"limits.memory_mb": "184.0", "bounds.revoke_fail_closed": "true", "bounds.revoke_ms": "4000.0", "bounds.quota_window_s": "2.5",
+				"bounds.quota_overshoot": "0.2", "bounds.quota_allowance": "30",
+			}
+			return strings.ReplaceAll(text, "{{"+name+"}}", values[name])
+		}, 184.0, settings.Accounts{
+			FailClosed: true, Revocation: 4 * time.Second, Quota: settings.Quota{Window: 2500 * time.Millisecond, Overshoot: 0.2, Extra: 30},
+		}),
+		Entry("without any", func(string, string) string { return "" }, 0.0, settings.Accounts{
+			Revocation: 5 * time.Second, Quota: settings.Quota{Window: 5 * time.Second, Overshoot: 0.1, Extra: 20},
+		}),
+	)
+
+	// Guards against a changed bound that the operators believe to be in force.
+	It("names the groups that need a restart", func() {
+		s, err := settings.Parse("s.yaml", settingsText(unchanged))
+		Expect(err).NotTo(HaveOccurred())
+		next := *s
+		next.Accounts.Quota.Extra, next.Capacity.MemoryMB = 7, 184
+		Expect(s.RestartRequired(&next)).To(Equal([]string{"accounts", "capacity"}))
 	})
 
 	DescribeTable("reports problems with file, line, field, found value and allowed values",
@@ -47,6 +92,7 @@
 		Entry("a host name instead of an IP number", "127.0.0.1:8001", "localhost:8001", "s.yaml:3: listen.callers: found \"localhost:8001\", allowed: an IP number and port"),
 		Entry("an unknown field", "region:", "regoin:", "s.yaml:1: regoin: found an unknown field"),
 		Entry("a key that is too short", "0123456789abcdef", "short", "s.yaml:6: admin.keys[0].key: found 5 bytes, allowed: at least 16 bytes"),
+		Entry("an overshoot above 1", "region:", "accounts: {quota: {overshoot: 10}}\nregion:", "s.yaml:1: accounts.quota.overshoot: found 10, allowed: 0 to 1"),
 		Entry("no platform address", `["http://127.0.0.1:6000"]`, "[]", "s.yaml:4: platform.addresses"),
 	)
 })
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"syscall"
@@ -188,6 +189,8 @@
 	for _, other := range f.Daemons[:min(3, len(f.Daemons))] {
 		seeds = append(seeds, `{address: "`+other.Control+`"}`)
 	}
+	// A section of a field that the platform does not state is left out.
+	template := regexp.MustCompile(`\{\{#\w+\.\w+\}\}.*\{\{/\w+\.\w+\}\}`).ReplaceAllString(string(text), "")
 	return []byte(strings.NewReplacer(
 		"{{node_name}}", d.Name, "{{bootstrap}}", strconv.FormatBool(first), "{{region}}", "qld-south", "{{zone}}", d.Zone,
 		"{{limits.cpu_quota}}", "0.32", "{{limits.bandwidth_mbps}}", "1000.0",
@@ -196,7 +199,7 @@
 		"{{platform.address}}", f.Store.addr, "{{platform.reads_per_s}}", "2000",
 		`{{#seeds}}{address: "{{.}}"}{{,}}{{/seeds}}`, strings.Join(seeds, ","),
 		"{{bounds.grace_s}}", "6", "{{bounds.retry_ratio}}", "0.2", "{{bounds.retry_window_s}}", "10", "{{bounds.retry_allowance}}", "58",
-	).Replace(string(text))), nil
+	).Replace(template)), nil
 }
 
 // WaitReady waits until the readiness check of the daemon succeeds.
