Add client accounts: directory, documents, routes, and hooks of the request path

Package account holds accounts by the digests of their keys.

Problems in the accounts of a document do not quote the text, which may be a key instead of its digest.

--- a/pkg/blackboard/board.go
+++ b/pkg/blackboard/board.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"shallotglade/pkg/account"
 	"shallotglade/pkg/document"
 )
 
@@ -102,16 +103,43 @@
 // that matches host and path. If there is none, the returned route has only the
 // version of the active configuration or of the newest active document.
 func (b *Board) Route(name, host, path string) (*Route, *Service, bool) {
+	r, ok := b.FindRoute(name, host, path)
+	if !ok {
+		return r, nil, false
+	}
+	service, ok := r.Next()
+	return r, service, ok
+}
+
+// FindRoute is Route without the choice of a service, which counts towards the shares of
+// the services. The result is the same object as long as no configuration or document
+// changes.
+func (b *Board) FindRoute(name, host, path string) (*Route, bool) {
 	table := b.routes.Load()
 	r, ok := table.byService[name]
 	if name == "" {
 		r, ok = table.find(host, path)
 	}
 	if !ok {
-		return &Route{Version: table.version}, nil, false
+		return &Route{Version: table.version}, false
 	}
-	service, ok := r.next()
-	return r, service, ok
+	return r, true
+}
+
+// NeedsKeys reports whether the requests of any route need a key.
+func (b *Board) NeedsKeys() bool { return len(b.routes.Load().accounts) > 0 }
+
+// Account returns the account of that name in force. If several documents list an account
+// of that name, it is any of them.
+func (b *Board) Account(name string) (*account.Account, bool) { return b.routes.Load().account(name) }
+
+// AccountCount returns the number of accounts in force.
+func (b *Board) AccountCount() int {
+	n := 0
+	for _, d := range b.routes.Load().accounts {
+		n += d.Len()
+	}
+	return n
 }
 
 // ServicesAt returns the names of the services behind the routes of a host, in no
@@ -133,9 +161,14 @@
 func (b *Board) Configured() bool { return b.routes.Load().configured }
 
 // PutConfiguration activates all routes and services of a configuration at once,
-// unless a configuration of the same or a newer version is active. It reports whether
-// c was activated. Requests already routed finish under their old rules.
+// unless a configuration of the same or a newer version is active or the accounts are
+// invalid. It reports whether c was activated. Requests already routed finish under their
+// old rules.
 func (b *Board) PutConfiguration(c *document.Configuration, version uint64) bool {
+	accounts, err := c.Directory()
+	if err != nil {
+		return false
+	}
 	b.rebuildMu.Lock()
 	defer b.rebuildMu.Unlock()
 	if version <= b.configurationVersion {
@@ -150,8 +183,11 @@
 	}
 	table := newRouteTable()
 	table.version = version
+	if accounts != nil {
+		table.accounts = []*account.Directory{accounts}
+	}
 	for i := range c.Routes {
-		if r, ok := newRoute(&c.Routes[i], version, b.services.get); ok {
+		if r, ok := newRoute(&c.Routes[i], version, accounts, b.services.get); ok {
 			table.add(r)
 		}
 	}
@@ -194,12 +230,15 @@
 	for _, s := range services {
 		d, version := s.Document(), s.Version()
 		table.version = max(table.version, version)
-		named, rules := d.Rule(), d.Rules()
-		if r, ok := newRoute(&named, version, b.services.get); ok {
+		named, rules, accounts := d.Rule(), d.Rules(), d.Directory()
+		if accounts != nil {
+			table.accounts = append(table.accounts, accounts)
+		}
+		if r, ok := newRoute(&named, version, accounts, b.services.get); ok {
 			table.byService[s.Name] = r
 		}
 		for i := range rules {
-			if r, ok := newRoute(&rules[i], version, b.services.get); ok {
+			if r, ok := newRoute(&rules[i], version, accounts, b.services.get); ok {
 				table.add(r)
 			}
 		}
--- a/pkg/blackboard/routes.go
+++ b/pkg/blackboard/routes.go
@@ -4,6 +4,7 @@
 	"strings"
 	"sync"
 
+	"shallotglade/pkg/account"
 	"shallotglade/pkg/document"
 )
 
@@ -11,7 +12,14 @@
 type Route struct {
 	*document.Rule
 	// Version is the platform version of the configuration or document.
-	Version  uint64
+	Version uint64
+	// Accounts are the accounts whose keys the requests of the route need; nil if they need
+	// no key.
+	Accounts *account.Directory
+	// ConcealsKeys is true if the caller's key and its statement of an account must not
+	// reach upstreams. It is also true for open routes of a configuration with accounts.
+	ConcealsKeys bool
+
 	backends []backend
 
 	mu sync.Mutex
@@ -26,8 +34,8 @@
 	credit  int
 }
 
-// next returns the service for the next request, by smooth weighted round robin.
-func (r *Route) next() (*Service, bool) {
+// Next returns the service for the next request, by smooth weighted round robin.
+func (r *Route) Next() (*Service, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	total, selected := 0, -1
@@ -53,6 +61,9 @@
 	byHost map[string]map[string]*Route
 	// byService maps a service name to the route of requests that name the service.
 	byService map[string]*Route
+	// accounts are the directories in force: that of the configuration, or those of the
+	// documents that list accounts. It is nil if no request needs a key.
+	accounts []*account.Directory
 	// configured is true if a configuration or a document is active.
 	configured bool
 	// version is the platform version of the configuration, or of the newest
@@ -65,8 +76,12 @@
 }
 
 // newRoute returns the route of a rule, or false if none of its services is active.
-func newRoute(rule *document.Rule, version uint64, services func(name string) (*Service, bool)) (*Route, bool) {
-	r := &Route{Rule: rule, Version: version}
+// accounts is nil if the requests of no route of the configuration or document need keys.
+func newRoute(rule *document.Rule, version uint64, accounts *account.Directory, services func(name string) (*Service, bool)) (*Route, bool) {
+	r := &Route{Rule: rule, Version: version, ConcealsKeys: accounts != nil}
+	if !rule.Open {
+		r.Accounts = accounts
+	}
 	for _, b := range rule.Backends {
 		if s, ok := services(b.Service); ok {
 			r.backends = append(r.backends, backend{service: s, weight: b.Weight})
@@ -123,6 +138,16 @@
 	return nil, false
 }
 
+// account returns the account of that name.
+func (t *routeTable) account(name string) (*account.Account, bool) {
+	for _, d := range t.accounts {
+		if a, ok := d.ByName(name); ok {
+			return a, true
+		}
+	}
+	return nil, false
+}
+
 // servicesAt returns the names of the services of all routes of a host.
 func (t *routeTable) servicesAt(host string) []string {
 	var out []string
--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -24,6 +24,10 @@
 	// true, otherwise the daemon does.
 	RequestID           string
 	CallerSetsRequestID bool
+	// Account is the header with the name of the client account, sent to upstreams if the
+	// request has a key of an account. What callers send under this name is not forwarded
+	// then.
+	Account string
 	// DeadlineMs is the header with the remaining time for the answer, in whole
 	// milliseconds.
 	DeadlineMs string
@@ -102,6 +106,7 @@
 // Names of the native dialect.
 const (
 	HeaderRequestID  = "Shallotglade-Request-Id"
+	HeaderAccount    = "Shallotglade-Caller"
 	HeaderDeadlineMs = "Shallotglade-Deadline-Ms"
 	HeaderLeaving    = "Shallotglade-Leaving"
 	HeaderUpstream   = "Shallotglade-Upstream"
@@ -119,6 +124,7 @@
 func Native() *Dialect {
 	return &Dialect{
 		RequestID:  HeaderRequestID,
+		Account:    HeaderAccount,
 		DeadlineMs: HeaderDeadlineMs,
 		Leaving:    func(_ int, header func(string) string) bool { return header(HeaderLeaving) == "true" },
 		Pause: func(status int, header func(string) string) time.Duration {
--- a/pkg/document/check.go
+++ b/pkg/document/check.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shallotglade/internal/strictyaml"
+	"shallotglade/pkg/account"
 )
 
 // checker collects the problems of one document.
@@ -52,18 +53,20 @@
 	c.requests(s.Requests)
 	c.upstreams(s.Upstreams)
 	c.policies(s)
+	c.accounts(s)
 	return c.problems
 }
 
 func (c *checker) routes(routes []Route) {
 	c.require(len(routes) <= maxRoutes, "routes", fmt.Sprintf("at most %d routes", maxRoutes))
-	seen := map[Route]bool{}
+	type place struct{ host, path string }
+	seen := map[place]bool{}
 	for i, r := range routes {
 		field := fmt.Sprintf("routes[%d]", i)
 		c.path(field+".path", r.Path)
 		c.require(r.Host == strings.ToLower(r.Host) && !strings.ContainsAny(r.Host, "/: \t"), field+".host", "a lower-case host name without a port")
-		c.require(!seen[r], field, "each route once")
-		seen[r] = true
+		c.require(!seen[place{r.Host, r.Path}], field, "each route once")
+		seen[place{r.Host, r.Path}] = true
 	}
 }
 
@@ -79,6 +82,44 @@
 	c.intRange("requests.maxBodyBytes", r.MaxBodyBytes, 0, maxBodyBytes)
 }
 
+// conceal reports a problem with a field without its text, which may be a key.
+func (c *checker) conceal(field, found, allowed string) {
+	p := c.src.Problem(field, allowed)
+	p.Found = found
+	c.problems = append(c.problems, p)
+}
+
+// accounts checks the accounts and builds their directory.
+func (c *checker) accounts(s *Service) {
+	if s.Accounts == nil {
+		return
+	}
+	accounts, valid := make([]account.Account, len(s.Accounts)), true
+	for i, a := range s.Accounts {
+		out, field := &accounts[i], fmt.Sprintf("accounts[%d]", i)
+		*out = account.Account{Name: a.Name, Keys: make([]account.Digest, len(a.Keys)), Priority: a.Priority, Rate: a.Rate, Burst: a.Burst}
+		for j, text := range a.Keys {
+			if err := out.Keys[j].UnmarshalText([]byte(text)); err != nil {
+				c.conceal(fmt.Sprintf("%s.keys[%d]", field, j), fmt.Sprintf("%d bytes", len(text)), "the first 16 bytes of the SHA-256 hash of a key, as 32 hexadecimal digits")
+				valid = false
+			}
+		}
+		if err := out.Check(); err != nil {
+			c.conceal(field, err.Error(), "a valid account")
+			valid = false
+		}
+	}
+	if !valid {
+		return
+	}
+	directory, err := account.NewDirectory(accounts)
+	if err != nil {
+		c.conceal("accounts", err.Error(), "each name and each key once")
+		return
+	}
+	s.directory = directory
+}
+
 func (c *checker) upstreams(u Upstreams) {
 	c.require(u.Membership == "" || len(u.Static) == 0, "upstreams", "either membership or static")
 	if u.Membership != "" && c.src.Has("upstreams.membership") {
--- a/pkg/document/configuration.go
+++ b/pkg/document/configuration.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"shallotglade/pkg/account"
 )
 
 // ConfigurationsPrefix is the key prefix of the platform objects that hold
@@ -24,6 +26,22 @@
 	Routes []Rule `json:"routes"`
 	// Connections limits callers' connections and requests.
 	Connections Connections `json:"connections"`
+	// Accounts are all client accounts of the fleet; accounts inside Services are ignored.
+	Accounts []account.Account `json:"accounts,omitempty"`
+	// RequireKeys is true if the requests of all routes that are not open need a key of an
+	// account, even if there are no accounts.
+	RequireKeys bool `json:"requireKeys,omitempty"`
+
+	// directory holds Accounts once Validate has succeeded.
+	directory *account.Directory
+}
+
+// Directory returns the directory of the accounts, or nil if requests need no keys.
+func (c *Configuration) Directory() (*account.Directory, error) {
+	if !c.RequireKeys || c.directory != nil {
+		return c.directory, nil
+	}
+	return account.NewDirectory(c.Accounts)
 }
 
 // Connections limits callers' connections and requests. For a zero field, the
@@ -71,6 +89,8 @@
 	Attempts int `json:"attempts"`
 	// Priority orders the routes of a service under overload; 0 is the highest.
 	Priority int `json:"priority,omitempty"`
+	// Open is true if requests need no key even if the configuration lists accounts.
+	Open bool `json:"open,omitempty"`
 	// Backends are the services that serve the route, with their weights.
 	Backends []Backend `json:"backends"`
 }
@@ -96,7 +116,7 @@
 	rules := make([]Rule, len(s.Routes))
 	for i, r := range s.Routes {
 		rules[i] = s.Rule()
-		rules[i].Host, rules[i].Path = r.Host, strings.TrimSuffix(r.Path, "/")
+		rules[i].Host, rules[i].Path, rules[i].Open = r.Host, strings.TrimSuffix(r.Path, "/"), r.Open
 	}
 	return rules
 }
@@ -156,8 +176,9 @@
 	return &c, nil
 }
 
-// Validate returns an error if a service has no name, or if a rule has no backend, a
-// backend that is not a service of the configuration, or a negative weight.
+// Validate returns an error if a service has no name, if a rule has no backend, a
+// backend that is not a service of the configuration, or a negative weight, or if the
+// accounts are invalid.
 func (c *Configuration) Validate() error {
 	names := map[string]bool{}
 	for _, s := range c.Services {
@@ -176,7 +197,9 @@
 			}
 		}
 	}
-	return nil
+	directory, err := c.Directory()
+	c.directory = directory
+	return errors.Wrap(err, "document")
 }
 
 // New returns the document of a service with default values.
--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -55,7 +55,7 @@
 	var unknown []string
 	var remaining strictyaml.Problems
 	for _, p := range problems {
-		if p.Found == "an unknown field" {
+		if p.Found == unknownField {
 			unknown = append(unknown, p.Field)
 		} else {
 			remaining = append(remaining, p)
@@ -73,12 +73,20 @@
 // Hash returns a hash of the text of a document.
 func Hash(data []byte) uint64 { return xxhash.Sum64(data) }
 
+// unknownField is what strictyaml reports for an unknown field.
+const unknownField = "an unknown field"
+
 func decode(file string, data []byte) (*Service, *strictyaml.Source, strictyaml.Problems) {
 	if len(data) > MaxBytes {
 		return nil, nil, strictyaml.Problems{{File: file, Line: 1, Found: "a document that is too large", Allowed: "at most 64 KiB"}}
 	}
 	s := defaults()
 	src, problems := strictyaml.Decode(file, data, s)
+	for i := range problems {
+		if strings.HasPrefix(problems[i].Field, "accounts") && problems[i].Found != unknownField {
+			problems[i].Found = "another value" // The text may be a key.
+		}
+	}
 	s.deriveParsedDefaults(src)
 	return s, src, problems
 }
--- a/pkg/document/service.go
+++ b/pkg/document/service.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"shallotglade/internal/strictyaml"
+	"shallotglade/pkg/account"
 )
 
 // Service is one service's document with its defaults applied.
@@ -32,6 +33,34 @@
 	Detection Detection `yaml:"detection"`
 	// Homes sets how many daemons serve the service.
 	Homes Homes `yaml:"homes"`
+	// Accounts are the client accounts of the service. If the document has this field, each
+	// request needs a key of one of them, unless its route is open. Default: none, and
+	// requests need no key.
+	Accounts []Account `yaml:"accounts"`
+
+	// directory holds Accounts, or is nil if requests need no key.
+	directory *account.Directory
+}
+
+// Directory returns the directory of the accounts, or nil if requests need no key.
+func (s *Service) Directory() *account.Directory { return s.directory }
+
+// Account is a client account of a service.
+type Account struct {
+	// Name has 1 to 128 visible ASCII characters; upstreams get it in Shallotglade-Caller.
+	Name string `yaml:"name"`
+	// Keys are the digests of the account's keys: the first 16 bytes of the SHA-256 hash, in
+	// hexadecimal digits.
+	Keys []string `yaml:"keys"`
+	// Priority orders accounts under overload; 0 is the highest. Default: the priority of
+	// the route.
+	Priority *int `yaml:"priority"`
+	// Rate is the allowance in requests per second over the whole fleet; 0 means no limit.
+	// Default: 0.
+	Rate float64 `yaml:"rate"`
+	// Burst is the number of requests that the account may send at once on top of its rate.
+	// Default: 0.
+	Burst float64 `yaml:"burst"`
 }
 
 // Route selects requests by host and path prefix. The longest path has precedence;
@@ -41,6 +70,9 @@
 	Host string `yaml:"host"`
 	// Path is a prefix of whole path segments. Default: "/".
 	Path string `yaml:"path"`
+	// Open is true if requests of the route need no key even if the document lists accounts.
+	// Default: false.
+	Open bool `yaml:"open"`
 }
 
 // Requests defines which requests may run more than once.
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -65,7 +65,8 @@
 	Probe(service *blackboard.Service, upstream blackboard.Upstream)
 }
 
-// Proxy serves requests for one daemon. All fields but Drain are required.
+// Proxy serves requests for one daemon. All fields but Drain, Freshness and Allowances are
+// required.
 type Proxy struct {
 	// Dialect holds the header names of callers and upstreams.
 	Dialect   *dialect.Dialect
@@ -81,6 +82,9 @@
 	LogDecisions func() bool
 	// Drain tells when the daemon stops.
 	Drain *Drain
+	// Freshness and Allowances are nil if they are not checked.
+	Freshness  Freshness
+	Allowances Allowances
 
 	forwarded forwardedDrains
 }
--- a/pkg/proxy/request.go
+++ b/pkg/proxy/request.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"shallotglade/pkg/account"
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/document"
 	"shallotglade/pkg/poison"
@@ -26,6 +27,9 @@
 	ID string
 	// Caller is the account that the request counts against.
 	Caller string
+	// Account is the account of the request's key; nil if the request needs none. At the home
+	// of a forwarded request, Rate is the weight of the account, and Keys and Burst are empty.
+	Account *account.Account
 	// Service is the service named by the request; if empty, the request is
 	// routed by Host and Path.
 	Service string
