Check keys, freshness and allowances in the request path

The daemon that a caller reached looks up the route, then the key (401), then asks the hooks for the age of its knowledge and for the allowance. It looks the key up again after each wait, because a newer configuration may have revoked or added the key meanwhile. The key and the caller's statement of an account never reach an upstream or another daemon; the forward message has new optional fields for the account's name, priority and weight. A home of an earlier build refuses such a message, and the request is served elsewhere.

Requests with a body above 64 KiB or in chunks are decided before the body is read, through the new hook ingress.Server.Screen, with the connection closed. It does nothing while no configuration has accounts.

The HTTP library quotes a malformed header in its error, which was logged and may contain a key; the log line now has a fixed text.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -168,6 +168,7 @@
 	if o.Deleted {
 		c.board.RemoveDocument(name)
 		c.metrics.DocumentVersion.DeleteLabelValues(name)
+		c.metrics.Accounts.Set(float64(c.board.AccountCount()))
 		c.log.Info().Str("service", name).Uint64("version", o.Version).Msg("config: document removed")
 		return
 	}
@@ -188,6 +189,7 @@
 		return
 	}
 	c.metrics.DocumentVersion.WithLabelValues(name).Set(float64(o.Version))
+	c.metrics.Accounts.Set(float64(c.board.AccountCount()))
 	c.log.Info().Str("service", name).Uint64("version", o.Version).Str("author", stored.Author).Msg("config: document in force")
 	c.applyPending(d)
 }
@@ -213,8 +215,13 @@
 		return
 	}
 	c.metrics.ConfigurationVersion.Set(float64(configuration.Version))
-	c.log.Info().Str("configuration", name).Uint64("version", o.Version).Uint64("stated", configuration.Version).
-		Int("routes", len(configuration.Routes)).Int("services", len(configuration.Services)).Msg("config: configuration in force")
+	c.metrics.Accounts.Set(float64(len(configuration.Accounts)))
+	line := c.log.Info().Str("configuration", name).Uint64("version", o.Version).Uint64("stated", configuration.Version).
+		Int("routes", len(configuration.Routes)).Int("services", len(configuration.Services))
+	if configuration.RequireKeys {
+		line.Int("accounts", len(configuration.Accounts))
+	}
+	line.Msg("config: configuration in force")
 	for _, d := range configuration.Services {
 		c.applyPending(d)
 	}
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -148,6 +148,11 @@
 	if err := req.ReadHeaderWithLimit(&r.Header, c.netConn, limits.MaxHeaderBytes); err != nil {
 		return r, err
 	}
+	if c.server.Screen != nil {
+		if refusal := c.server.Screen(r); refusal != nil {
+			return r, refusal
+		}
+	}
 	if r.MayContinue() {
 		if err := c.sendContinue(); err != nil {
 			return r, err
@@ -373,13 +378,17 @@
 	if ended {
 		return
 	}
-	c.server.log.Info().Str("remote", c.remote).Int("status", status).Str("reason", reason).AnErr("cause", err).
+	c.server.log.Info().Str("remote", c.remote).Int("status", status).Str("reason", reason).AnErr("cause", loggable(err)).
 		Msg("ingress: request refused")
 	answer := protocol.AcquireResponse()
 	defer protocol.ReleaseResponse(answer)
 	answer.SetStatusCode(status)
 	if status == http.StatusServiceUnavailable {
-		answer.Header.Set("Retry-After", strconv.Itoa(int(noMemoryRetryAfter.Seconds())))
+		answer.Header.Set(headerRetryAfter, strconv.Itoa(int(noMemoryRetryAfter.Seconds())))
+	}
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		refusal.setRetryAfter(answer)
 	}
 	answer.SetBodyString(reason + "\n")
 	answer.SetConnectionClose()
@@ -392,6 +401,18 @@
 	}
 }
 
+// loggable returns the error without the text that it quotes from the request: a malformed
+// header may contain a key.
+func loggable(err error) error {
+	var quoting *hertzerrors.Error
+	if errors.As(err, &quoting) && quoting.IsType(hertzerrors.ErrorTypePublic) {
+		return errMalformed
+	}
+	return err
+}
+
+var errMalformed = errors.New("the HTTP library cannot read the request")
+
 // linger reads and discards incoming bytes until the caller closes the connection
 // or lingerTimeout has passed.
 func (c *conn) linger() {
@@ -402,7 +423,10 @@
 // refusalFor returns the status and reason for a request that could not be read.
 // The status is 0 if there is no request to answer or the connection has failed.
 func refusalFor(r *Request, err error) (status int, reason string) {
+	var refusal *Refusal
 	switch {
+	case errors.As(err, &refusal):
+		return refusal.Status, refusal.Reason
 	case r == nil, errors.IsAny(err, io.EOF, net.ErrClosed, hertzerrors.ErrNothingRead, errConnectionEnding):
 		return 0, ""
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +36,27 @@
 // request and the response after it returns, because the server reuses them.
 type Handler func(ctx context.Context, r *Request, resp *protocol.Response)
 
+// Refusal refuses a request whose body has not been read.
+type Refusal struct {
+	// Status is the status of the answer, Reason its body.
+	Status int
+	Reason string
+	// RetryAfter is sent in whole seconds, rounded up; 0 means none.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return "ingress: request refused before its body: " + r.Reason }
+
+// setRetryAfter sets the Retry-After header of an answer.
+func (r *Refusal) setRetryAfter(answer *protocol.Response) {
+	if r.RetryAfter > 0 {
+		answer.Header.Set(headerRetryAfter, strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+}
+
+const headerRetryAfter = "Retry-After"
+
 // ErrCallerGone is the cause of a request's context when its caller has closed the
 // connection.
 var ErrCallerGone = errors.New("ingress: the caller closed the connection")
@@ -51,6 +74,10 @@
 	// OnRefusal, if set, amends the answer to a request that could not be read.
 	// It must be set before Run.
 	OnRefusal func(*protocol.Response)
+	// Screen, if set, is called when the header of a request has been read, and before its
+	// body is. If it returns a refusal, the body is not read, and the connection closes after
+	// the refusal. It must be set before Run.
+	Screen func(r *Request) *Refusal
 
 	// bodyMemory holds what is left of maxBodyMemoryBytes.
 	bodyMemory *semaphore.Weighted
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"shallotglade/pkg/account"
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/document"
 	"shallotglade/pkg/retry"
@@ -41,7 +42,7 @@
 		}
 		tried = append(tried, home.ID)
 		answer, err := p.forward(ctx, rule, service, in, home)
-		switch p.afterForward(answer, err, lost != nil) {
+		switch p.afterForward(answer, err, lost != nil || in.Account != nil) {
 		case forwardAnswered:
 			if lost != nil {
 				answer = answer.withEarlierVerdict(lost.Verdict)
@@ -87,17 +88,16 @@
 	forwardLost
 )
 
-// afterForward classifies the outcome of forward. retried is true if another home was lost
-// before.
-func (p *Proxy) afterForward(answer *Answer, err error, retried bool) forwardResult {
+// afterForward classifies the outcome of forward. newFields is true if the message has
+// fields that builds before them refuse: that another home was lost before, or an account.
+func (p *Proxy) afterForward(answer *Answer, err error, newFields bool) forwardResult {
 	_, stoppingHere := p.Drain.stopTime()
 	switch {
 	case errors.Is(err, ErrNotSent):
 		return forwardNotRun
 	case err != nil:
 		return forwardLost
-	case retried && answer.hasReason(reasonBadForward):
-		// A home of an earlier build cannot read forwardRequest.Launched.
+	case newFields && answer.hasReason(reasonBadForward):
 		return forwardNotRun
 	case stoppingHere || !answer.hasReason(reasonStopping):
 		return forwardAnswered
@@ -206,6 +206,28 @@
 	HasBody bool `cbor:"16,keyasint,omitempty"`
 	// Launched is that of the Incoming.
 	Launched int `cbor:"17,keyasint,omitempty"`
+	// Account is the name of the account; empty if the request has none. AccountPriority is
+	// its priority; nil if it has none. Weight is its weight in the fair queue. Builds that
+	// do not know these fields refuse a message with them.
+	Account         string  `cbor:"18,keyasint,omitempty"`
+	AccountPriority *int    `cbor:"19,keyasint,omitempty"`
+	Weight          float64 `cbor:"20,keyasint,omitempty"`
+}
+
+// setAccount sets the fields of the account. The key is not forwarded.
+func (m *forwardRequest) setAccount(a *account.Account) {
+	if a != nil {
+		m.Account, m.AccountPriority, m.Weight = a.Name, a.Priority, a.Weight()
+	}
+}
+
+// account returns the account as a home knows it, or nil if the request has none.
+func (m *forwardRequest) account() (*account.Account, error) {
+	if m.Account == "" {
+		return nil, nil
+	}
+	a := &account.Account{Name: m.Account, Priority: m.AccountPriority, Rate: m.Weight}
+	return a, a.Check()
 }
 
 // forwardRule is the part of a routing rule that a home applies.
@@ -258,6 +280,7 @@
 			m.Rule.TimeToTargetMS = (r.TargetLatency - time.Since(in.Arrived)).Milliseconds()
 		}
 	}
+	m.setAccount(in.Account)
 	return cbor.Marshal(m)
 }
 
@@ -270,9 +293,14 @@
 	if m.Hops < 1 || m.Hops > maxHops || m.TimeLeftMS < 0 || m.TimeLeftMS > math.MaxInt32 || m.Rule.Attempts < 0 || m.Launched < 0 || m.Launched > maxHomesTried {
 		return nil, errors.New("proxy: forwarded request has a field out of range")
 	}
+	account, err := m.account()
+	if err != nil {
+		return nil, errors.Wrap(err, "proxy: account of a forwarded request")
+	}
 	timeLeft := time.Duration(m.TimeLeftMS) * time.Millisecond
 	return &Incoming{
-		ID: m.ID, Caller: m.Caller, Service: m.Service, Method: m.Method, Host: m.Host, URI: m.URI, Path: m.Path,
+		Account: account,
+		ID:      m.ID, Caller: m.Caller, Service: m.Service, Method: m.Method, Host: m.Host, URI: m.URI, Path: m.Path,
 		Query: m.Query, Headers: m.Headers, Body: m.Body, Key: m.Key, Hops: m.Hops, Poison: m.Poison,
 		Arrived: arrived, Deadline: arrived.Add(timeLeft), HasBody: m.HasBody, idempotent: m.Rule.Idempotent, launched: m.Launched,
 		rule: &document.Rule{
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -97,14 +97,29 @@
 // Serve routes a request and returns its answer, which is never nil.
 func (p *Proxy) Serve(ctx context.Context, in *Incoming) *Answer {
 	configured := p.Board.Configured()
-	route, service, ok := p.Board.Route(in.Service, in.Host, in.Path)
-	in.configurationVersion = route.Version
+	id, refusal := p.authorize(ctx, in, configured)
+	route := id.route
+	in.configurationVersion, in.unrouted = route.Version, !id.routed
+	if refusal != nil {
+		return p.finish(in, "", refusalAnswer(refusal))
+	}
+	service, ok := route.Next()
 	if !ok {
 		in.unrouted = true
 		return p.finish(in, "", refusalAnswer(routeNotFound(configured)))
 	}
+	if route.ConcealsKeys {
+		p.setAccount(in, id.account)
+	}
 	in.idempotent = route.Idempotent(service.Document(), in.Method, in.Path)
-	return p.serveRule(ctx, route.Rule, service, in)
+	settle, refusal := p.admitAllowance(ctx, route.Rule, in)
+	if refusal != nil {
+		in.route = route.Name
+		return p.finish(in, service.Name, refusalAnswer(refusal))
+	}
+	answer := p.serveRule(ctx, route.Rule, service, in)
+	settle(answer.Verdict)
+	return answer
 }
 
 // serveRule serves a request under the given routing rule.
@@ -146,16 +161,22 @@
 // requestContext limits a request to the earliest of its route's timeout, its own
 // deadline, and the time at which a stopping daemon stops.
 func (p *Proxy) requestContext(ctx context.Context, rule *document.Rule, in *Incoming) (context.Context, context.CancelFunc) {
-	deadline := in.Arrived.Add(rule.Timeout)
-	if !in.Deadline.IsZero() && in.Deadline.Before(deadline) {
-		deadline = in.Deadline
-	}
+	deadline := requestDeadline(rule, in)
 	if stopAt, stopping := p.Drain.stopTime(); stopping && stopAt.Before(deadline) {
 		deadline, in.endsWithStop = stopAt, true
 	}
 	return context.WithDeadline(ctx, deadline)
 }
 
+// requestDeadline returns the earlier of the route's timeout and the request's own deadline.
+func requestDeadline(rule *document.Rule, in *Incoming) time.Time {
+	deadline := in.Arrived.Add(rule.Timeout)
+	if !in.Deadline.IsZero() && in.Deadline.Before(deadline) {
+		deadline = in.Deadline
+	}
+	return deadline
+}
+
 // waitForEarlierAnswers delays a non-idempotent request until the earlier requests on its
 // connection have been answered. If one of those closes the connection, the
 // caller assumes that the later ones were not read and sends them again.
@@ -244,7 +265,7 @@
 	defer releaseForwarder()
 	permit, err := service.Gate.Acquire(startCtx, limits.Request{
 		Caller: in.Caller, Deadline: deadlineOf(ctx), Target: targetTime(rule, in), ReserveAfter: preferHealthyUntil(service, rule, in),
-		ExpectedDuration: usualDuration(ctx, rule, service), Priority: rule.Priority,
+		ExpectedDuration: usualDuration(ctx, rule, service), AccountPriority: in.accountPriority(rule), Priority: rule.Priority, Weight: in.weight(),
 	})
 	if err != nil {
 		if isStopping(startCtx) {
--- a/pkg/proxy/request.go
+++ b/pkg/proxy/request.go
@@ -59,6 +59,8 @@
 	// Hops counts the daemons that have forwarded the request.
 	Hops int
 
+	// remote is the address and port from which the caller sent the request.
+	remote string
 	// rule is the routing rule of the forwarding daemon.
 	rule *document.Rule
 	// route is the name of the matched rule. configurationVersion is the platform
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -42,10 +43,50 @@
 		if p.Dialect.Verdict != "" {
 			resp.Header.Set(p.Dialect.Verdict, verdict.NotRun.String())
 		}
+		setChallenge(resp)
 	}
+	s.Screen = s.screen
 	return s
 }
 
+// setChallenge adds the header that an answer with status 401 must have.
+func setChallenge(resp *protocol.Response) {
+	if resp.StatusCode() == http.StatusUnauthorized {
+		resp.Header.Set("WWW-Authenticate", strings.TrimSpace(bearerScheme))
+	}
+}
+
+const (
+	// screenedBodyBytes is the size above which the route and the key of a request are checked
+	// before its body is read. Checking twice costs more than reading a smaller body.
+	screenedBodyBytes = 64 << 10
+	// maxScreenTime limits the wait for a confirmation that a key does not exist. The body
+	// stays unread meanwhile.
+	maxScreenTime = time.Second
+)
+
+// screen refuses a request with a large body that has no route or no valid key before its
+// body is read. The complete request is checked again, since a key may be revoked while the
+// body arrives.
+func (s *Server) screen(r *ingress.Request) *ingress.Refusal {
+	length := r.Header.ContentLength()
+	if length <= screenedBodyBytes && length != chunkedLength || !s.proxy.Board.NeedsKeys() || s.addresses != nil && isAddressQuery(s.proxy.Dialect, r) {
+		return nil
+	}
+	in, refusal := s.readRequest(r)
+	in.Arrived = r.Began
+	if refusal == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), maxScreenTime)
+		defer cancel()
+		refusal = s.proxy.authorizeUnread(ctx, in)
+	}
+	if refusal == nil {
+		return nil
+	}
+	s.proxy.finish(in, "", refusalAnswer(refusal))
+	return &ingress.Refusal{Status: refusal.Status, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
+}
+
 // ingressLimits returns the limits of the settings, overridden by those that the
 // current configuration sets.
 func ingressLimits(c settings.Callers, configured document.Connections) ingress.Limits {
@@ -102,7 +143,7 @@
 func (s *Server) readRequest(r *ingress.Request) (*Incoming, *verdict.Error) {
 	h, d := &r.Header, s.proxy.Dialect
 	in := &Incoming{
-		ID: string(h.Peek(d.RequestID)), Arrived: r.Arrived, WaitForEarlierAnswers: r.WaitForEarlierAnswers,
+		ID: string(h.Peek(d.RequestID)), Arrived: r.Arrived, WaitForEarlierAnswers: r.WaitForEarlierAnswers, remote: r.Remote,
 		Caller:  string(h.Peek(HeaderCaller)),
 		Service: string(h.Peek(HeaderService)),
 		Key:     string(h.Peek(HeaderKey)),
@@ -116,8 +157,7 @@
 		in.ID = newRequestID()
 	}
 	if in.Caller == "" {
-		host, _, _ := net.SplitHostPort(r.Remote)
-		in.Caller = "ip:" + host
+		in.Caller = callerOfAddress(r.Remote)
 	}
 	in.Path, in.Query, _ = strings.Cut(in.URI, "?")
 	if !strings.HasPrefix(in.Path, "/") {
@@ -237,6 +277,9 @@
 		resp.Header.Set(HeaderReplayed, "true")
 	}
 	resp.SetBodyRaw(body)
+	if a.Refusal != nil {
+		setChallenge(resp)
+	}
 }
 
 // problemBody returns the JSON body of a refusal.
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -38,6 +38,8 @@
 	// ConfigurationVersion is the operators' version number of the active
 	// configuration.
 	ConfigurationVersion prometheus.Gauge
+	// Accounts is the number of client accounts in force.
+	Accounts prometheus.Gauge
 	// ConfigurationsRefused counts configurations that could not be applied.
 	ConfigurationsRefused prometheus.Counter
 	// PlatformUp is 1 if the platform answered the last call of this daemon.
@@ -67,11 +69,12 @@
 	m.DocumentVersion = gauge("document_version", "Platform version of the document in force.", "service")
 	m.ConfigurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "configuration_version", Help: "Operators' number of the configuration in force."})
 	m.ConfigurationsRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "configurations_refused_total", Help: "Configurations that could not be put in force."})
+	m.Accounts = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "accounts", Help: "Client accounts in force."})
 	m.PlatformUp = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "platform_up", Help: "Whether the platform answered the last call of this daemon."})
 	m.Peers = gauge("peers", "Other daemons by state.", "state")
 	m.PeersRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "peers_refused_total", Help: "Handshakes with daemons whose key is not registered here."})
 	m.Registry.MustRegister(m.Requests, m.RequestSeconds, m.OverheadSeconds, m.Attempts, m.Hedges, m.Refusals, m.Forwards, m.InFlight,
-		m.Standings, m.UnusedUpstreams, m.UnservedShare, m.StandingChanges, m.DocumentVersion, m.ConfigurationVersion, m.ConfigurationsRefused, m.PlatformUp, m.Peers, m.PeersRefused,
+		m.Standings, m.UnusedUpstreams, m.UnservedShare, m.StandingChanges, m.DocumentVersion, m.ConfigurationVersion, m.Accounts, m.ConfigurationsRefused, m.PlatformUp, m.Peers, m.PeersRefused,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
