--- a/pkg/document/document_test.go
+++ b/pkg/document/document_test.go
@@ -1,6 +1,7 @@
 package document_test
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 	"time"
@@ -54,6 +55,28 @@
 		))
 	})
 
+	// Guards against an account that loses a field, and against a key in a problem: operators
+	// may write the key in place of its digest.
+	It("reads accounts and does not quote what may be a key", func() {
+		const digest = "00112233445566778899aabbccddeeff"
+		s, problems := document.Parse("d.yaml", []byte("service: a\nroutes: [{path: /o, open: true}]\naccounts:\n- {name: b, keys: ["+digest+"], priority: 0, rate: 2.5, burst: 3}\n"))
+		Expect(problems).To(BeEmpty())
+		b, found := s.Directory().ByName("b")
+		Expect(found).To(BeTrue())
+		text, err := json.Marshal(b)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).To(MatchJSON(`{"name":"b","keys":["` + digest + `"],"priority":0,"rate":2.5,"burst":3}`))
+		Expect(s.Rules()[0].Open).To(BeTrue())
+		s, problems = document.Parse("d.yaml", []byte("service: a\naccounts: []\n"))
+		Expect(problems).To(BeEmpty())
+		Expect(s.Directory().Len()).To(BeZero())
+		for _, bad := range []string{"[{name: b, keys: [sesame]}]", "[{name: b, keys: sesame}]", "[{name: b, rate: sesame}]", "[sesame]", "sesame", "[{name: b}, {name: b}]"} {
+			_, problems := document.Parse("d.yaml", []byte("service: a\naccounts: "+bad+"\n"))
+			Expect(problems).NotTo(BeEmpty(), bad)
+			Expect(problems.Error()).To(And(ContainSubstring("d.yaml:2: accounts"), Not(ContainSubstring("sesame"))))
+		}
+	})
+
 	DescribeTable("rejects", func(text string) {
 		_, problems := document.Parse("d.yaml", []byte(text))
 		Expect(problems).NotTo(BeEmpty())
