--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -100,6 +100,9 @@
 	id, refusal := p.authorize(ctx, in, configured)
 	route := id.route
 	in.configurationVersion, in.unrouted = route.Version, !id.routed
+	if id.routed {
+		in.route = route.Name
+	}
 	if refusal != nil {
 		return p.finish(in, "", refusalAnswer(refusal))
 	}
@@ -114,7 +117,6 @@
 	in.idempotent = route.Idempotent(service.Document(), in.Method, in.Path)
 	settle, refusal := p.admitAllowance(ctx, route.Rule, in)
 	if refusal != nil {
-		in.route = route.Name
 		return p.finish(in, service.Name, refusalAnswer(refusal))
 	}
 	answer := p.serveRule(ctx, route.Rule, service, in)
