--- a/pkg/allowance/shard.go
+++ b/pkg/allowance/shard.go
@@ -76,23 +76,23 @@
 // become the grantor.
 func (s *Shard) redirect(now time.Duration, r *Request) *Reply {
 	l := &s.lease
-	if s.closed {
-		return &Reply{Status: NotGrantor, Holder: s.successor.ID, HolderAddress: s.successor.Address, RetryMs: millis(candidateRetry)}
-	}
+	reply := &Reply{Status: NotGrantor, RetryMs: millis(candidateRetry)}
 	named := l.known && l.readable && l.record.Holder != s.self.ID
-	lost := named && r.Unreachable == l.record.Holder
-	if !named || lost || now-l.readAt >= staleRecord {
-		if now-l.readAt >= readInterval && !l.held && !l.busy && now < l.since+takeoverWait {
-			l.known = false
+	if !s.closed {
+		if !named || now-l.readAt >= staleRecord {
+			l.known = l.known && (l.held || l.busy || l.absent || now-l.readAt < readInterval)
+			s.Want(now)
+		} else if r.Unreachable == l.record.Holder {
+			// A write on condition of the version that was read finds out whether the holder
+			// has renewed the lease.
+			s.Want(now)
 		}
-		s.Want(now)
 	}
-	reply := &Reply{Status: NotGrantor, RetryMs: millis(candidateRetry)}
 	switch {
-	case l.failing:
-		reply.Status = Unable
 	case s.successor.ID != "" && !named:
 		reply.Holder, reply.HolderAddress = s.successor.ID, s.successor.Address
+	case l.failing:
+		reply.Status = Unable
 	case named:
 		if _, free := l.free(now, s.entry); !free {
 			reply.Holder, reply.HolderAddress = l.record.Holder, l.record.Address
@@ -138,9 +138,6 @@
 	s.closed = s.closed || closing
 	s.wantUntil = 0
 	if !s.lease.held {
-		if closing {
-			s.successor = Candidate{}
-		}
 		return Operation{}, false
 	}
 	s.Resign(now, successor)
