--- a/pkg/allowance/lease.go
+++ b/pkg/allowance/lease.go
@@ -17,9 +17,11 @@
 	// takeoverWait is how long a lease must not have changed before another daemon takes it
 	// over. It exceeds leaseDuration by the most that clocks may drift apart meanwhile.
 	takeoverWait = 3500 * time.Millisecond
-	// storeRetry is the time between calls to the platform that fail, readInterval the least
-	// time between two reads of a lease that somebody else holds.
-	storeRetry   = 200 * time.Millisecond
+	// storeRetry is the time between calls of a holder to the platform that fail. Without a
+	// valid lease it doubles up to maxStoreRetry, because outages last hours.
+	storeRetry    = 200 * time.Millisecond
+	maxStoreRetry = 2 * time.Second
+	// readInterval is the least time between two reads of a lease that somebody else holds.
 	readInterval = time.Second
 	// offerAfter is how long after the start of its last successful write a holder that
 	// cannot reach the platform offers the lease to another daemon.
@@ -110,9 +112,10 @@
 	resignedAt time.Duration
 
 	busy bool
-	// failing is set while the platform cannot be reached.
-	failing bool
-	nextAt  time.Duration
+	// failing is set while the platform cannot be reached, failures counts the failed calls.
+	failing  bool
+	failures int
+	nextAt   time.Duration
 }
 
 // valid reports whether the daemon may grant.
@@ -194,6 +197,9 @@
 func (l *lease) done(now, started time.Duration, op Operation, o platform.Object, err error) (gained *Tenure) {
 	l.busy = false
 	l.failing = err != nil && !errors.IsAny(err, platform.ErrConflict, platform.ErrNotFound)
+	if l.failures++; !l.failing {
+		l.failures = 0
+	}
 	if op.Kind == ReadLease {
 		return l.read(now, o, err)
 	}
@@ -203,7 +209,7 @@
 	case errors.IsAny(err, platform.ErrConflict, platform.ErrNotFound):
 		l.known = false
 	case errors.Is(err, platform.ErrUnavailable):
-		l.nextAt = now + storeRetry
+		l.nextAt = now + l.backoff(now)
 	default:
 		l.attempt, l.attemptAt = &op, started
 		l.nextAt = now + storeRetry/4
@@ -211,6 +217,17 @@
 	return nil
 }
 
+// backoff returns the time until the next call after one that failed.
+func (l *lease) backoff(now time.Duration) time.Duration {
+	if l.valid(now) {
+		return storeRetry
+	}
+	return min(storeRetry<<min(l.failures-1, 4), maxStoreRetry)
+}
+
+// abort forgets the call that was made, whose outcome will not become known.
+func (l *lease) abort() { l.busy, l.known = false, false }
+
 // written applies a successful write that started at the given time.
 func (l *lease) written(started time.Duration, op Operation, version uint64) *Tenure {
 	l.attempt, l.absent, l.known, l.readable, l.existed = nil, false, true, true, true
@@ -251,7 +268,7 @@
 		l.version, l.record, l.readable = 0, Record{}, false
 		return nil
 	case err != nil:
-		l.nextAt = now + storeRetry
+		l.nextAt = now + l.backoff(now)
 		return nil
 	}
 	if !l.existed || o.Version != l.version {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"shallotglade/pkg/admin"
+	"shallotglade/pkg/allowance"
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/catalog"
 	"shallotglade/pkg/claims"
@@ -68,6 +69,8 @@
 	proxy          *proxy.Proxy
 	callerServer   *proxy.Server
 	admin          *admin.Server
+	// allowances is nil unless provisionAllowances was called.
+	allowances *allowance.Controller
 
 	registration *registration.Controller
 	// lookup is nil unless daemons register themselves.
--- a/pkg/daemon/exit.go
+++ b/pkg/daemon/exit.go
@@ -77,6 +77,8 @@
 		// Leave logs a failure itself. The shutdown does not wait for the platform.
 		go d.registration.Deregister(context.Background())
 	}
+	// Another daemon takes over the allowances meanwhile.
+	go d.releaseAllowances()
 	// From now on a caller's connection closes after its next answer, so the
 	// connections that are still open at the end of the wait are unused.
 	d.callerServer.EndAfterAnswer()
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -31,6 +31,9 @@
 	if d.registration != nil {
 		loops = append(loops, d.registration.Run, d.lookup.Run)
 	}
+	if d.allowances != nil {
+		loops = append(loops, d.allowances.Run)
+	}
 	for _, loop := range loops {
 		background.Add(1)
 		go func() {
--- a/pkg/placement/capacity_test.go
+++ b/pkg/placement/capacity_test.go
@@ -143,3 +143,20 @@
 		Expect(placement.Relays("domain-0", hosts, 1)[0].Detached).To(BeFalse())
 	})
 })
+
+var _ = Describe("Grantors by capacity", func() {
+	// Guards against a grantor on a host that is lost, cannot reach the platform, or has a
+	// slow link, while a large host is available.
+	It("are large, usable and attached hosts first, in the same order everywhere", func() {
+		hosts := mixedFleet(130, 3, 2)
+		hosts[0].Detached, hosts[1].Condition, hosts[2].Condition = true, placement.Suspect, placement.Failed
+		list := placement.Grantors("0", hosts, 130)
+		Expect(list).To(HaveLen(129))
+		Expect(ids(list[:3])).To(ConsistOf("host-3", "host-4", "host-5"))
+		Expect(list[127].ID).To(Equal("host-1"))
+		Expect(list[128].ID).To(Equal("host-0"))
+		slices.Reverse(hosts)
+		Expect(ids(placement.Grantors("0", hosts, 130))).To(Equal(ids(list)))
+		Expect(ids(placement.Grantors("1", hosts, 130))).NotTo(Equal(ids(list)), "shards have different grantors")
+	})
+})
--- a/pkg/placement/homes.go
+++ b/pkg/placement/homes.go
@@ -272,3 +272,44 @@
 	x *= 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// grantorKeyPrefix makes the scores for grantors independent of those for homes and relays.
+const grantorKeyPrefix = "grantor/"
+
+// Grantors returns at most n eligible hosts in the order in which they are preferred for a
+// task that one daemon of the fleet has, here the allowances of a shard. Attached hosts
+// precede detached ones, usable hosts suspect ones, and hosts with the largest capacity all
+// others, because every daemon asks the grantor. The score decides among equals.
+func Grantors(shard string, hosts []Host, n int) []Host {
+	largest := 0.0
+	for i := range hosts {
+		if hosts[i].eligible() {
+			largest = max(largest, hosts[i].Capacity)
+		}
+	}
+	seed := xxhash.Sum64String(grantorKeyPrefix + shard)
+	list := make([]scoredHost, 0, len(hosts))
+	for i := range hosts {
+		if h := &hosts[i]; h.eligible() {
+			list = append(list, scoredHost{score: mix(seed ^ xxhash.Sum64String(h.hashKey())), host: h})
+		}
+	}
+	class := func(h *Host) (c int) {
+		if h.Detached {
+			c += 4
+		}
+		if h.Condition != Usable {
+			c += 2
+		}
+		if !h.hasCapacity(largest) {
+			c++
+		}
+		return c
+	}
+	slices.SortFunc(list, func(a, b scoredHost) int { return cmp.Or(cmp.Compare(class(a.host), class(b.host)), a.compare(b)) })
+	out := make([]Host, min(n, len(list)))
+	for i := range out {
+		out[i] = *list[i].host
+	}
+	return out
+}
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -84,6 +84,11 @@
 		func() float64 { return float64(value()) }))
 }
 
+// RegisterGauge registers a gauge that reads its value from a function.
+func (m *Metrics) RegisterGauge(name, help string, value func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
+}
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
