--- a/pkg/allowance/lease.go
+++ b/pkg/allowance/lease.go
@@ -152,30 +152,40 @@
 
 // free reports whether the lease can be taken over, and what the holder may assume then.
 func (l *lease) free(now time.Duration, entry Registration) (Tenure, bool) {
-	from, free := now, false
-	switch {
-	case l.absent && !l.existed:
+	if l.absent && !l.existed {
 		return Tenure{First: true, BucketsFrom: now}, true
-	case now >= l.since+takeoverWait:
-		from, free = l.since+leaseDuration, true
-	case l.absent || !l.readable || eraOf(l.record.Base) != eraOf(l.version) || l.record.Shards != l.shards:
-		// The present holder may be another one than the record says.
-	case l.record.Released:
-		from, free = l.since, true
-	case l.record.Term == l.resigned && l.resigned != 0:
-		from, free = l.resignedAt, true
-	case l.record.Host != "" && l.record.Host == l.self.Host:
-		// A host runs one process, so the holder was an earlier one.
-		free = true
-	case l.record.Host != "":
-		id, version, ok := entry(l.record.Host)
-		free = ok && id != l.record.Holder && eraOf(version) == eraOf(l.version) && version > l.version
+	}
+	from, free := l.since+leaseDuration, now >= l.since+takeoverWait
+	if !free {
+		from, free = l.ended(now, entry)
 	}
 	// Reserve tokens of the earlier holder can be used for one window, and each use counts
 	// for another.
 	return Tenure{BucketsFrom: from, ReservesFrom: from + 2*l.window}, free
 }
 
+// ended reports whether the holder certainly grants nothing any more, since a time.
+func (l *lease) ended(now time.Duration, entry Registration) (since time.Duration, ok bool) {
+	r := &l.record
+	if l.absent || !l.readable || eraOf(r.Base) != eraOf(l.version) || r.Shards != l.shards {
+		// The present holder may be another one than the record says.
+		return 0, false
+	}
+	switch {
+	case r.Released:
+		return l.since, true
+	case r.Term == l.resigned && l.resigned != 0:
+		return l.resignedAt, true
+	case r.Host == "":
+		return 0, false
+	case r.Host == l.self.Host:
+		// A host runs one process, so the holder was an earlier one.
+		return now, true
+	}
+	id, version, ok := entry(r.Host)
+	return now, ok && id != r.Holder && eraOf(version) == eraOf(l.version) && version > l.version
+}
+
 func (l *lease) write(record Record, tenure Tenure) Operation {
 	op := Operation{Kind: UpdateLease, Version: l.version, record: record, tenure: tenure}
 	if l.absent {
@@ -278,14 +288,11 @@
 	l.known, l.absent, l.existed, l.version, l.attempt, l.readAt = true, false, true, o.Version, nil, now
 	l.record = Record{}
 	l.readable = !o.Deleted && json.Unmarshal(o.Value, &l.record) == nil
-	own := l.readable && l.record.Holder == l.self.ID
-	if attempt != nil && own && l.record.Term == attempt.record.Term && l.record.Sequence == attempt.record.Sequence && l.record.Base == attempt.Version {
+	if attempt != nil && l.readable && l.record == attempt.record {
 		// The write is known now. Its time counts from its start.
 		return l.written(l.attemptAt, *attempt, o.Version)
 	}
-	if l.held && !(own && l.record.Term == l.term) {
-		l.held = false
-	}
+	l.held = l.held && l.readable && l.record.Holder == l.self.ID && l.record.Term == l.term
 	return nil
 }
 
--- a/pkg/allowance/link.go
+++ b/pkg/allowance/link.go
@@ -19,6 +19,9 @@
 	// maxRedirects is the number of redirects that are followed at once. Two daemons that
 	// name each other would otherwise be asked in turn without a pause.
 	maxRedirects = 3
+	// answersPerCandidate is the number of answers of a daemon that neither grants nor names
+	// a grantor before the next one is asked.
+	answersPerCandidate = 16
 )
 
 // Candidate is a daemon that is or may become the grantor.
@@ -122,6 +125,9 @@
 			l.nextAt = max(l.nextAt, now+min(time.Duration(l.redirects)*candidateRetry, maxBackoff))
 		}
 	default:
+		if l.redirects%answersPerCandidate == 0 {
+			l.index++
+		}
 		wait := max(millisOf(r.RetryMs), candidateRetry)
 		l.nextAt = max(l.nextAt, now+min(wait, maxBackoff))
 	}
--- a/pkg/allowance/maintain.go
+++ b/pkg/allowance/maintain.go
@@ -118,19 +118,26 @@
 			continue
 		}
 		r.mu.Lock()
-		term := r.shard.Resign(r.c.Clock(), candidate)
+		term := r.shard.Resign(r.c.Clock())
 		r.mu.Unlock()
 		r.c.Log.Warn().Int("shard", r.index).Str("successor", candidate.ID).Msg("allowance: lease given up, the platform cannot be reached")
-		r.announce(ctx, candidate, term)
+		r.announce(ctx, []Candidate{candidate}, term)
 		return true
 	}
 	return false
 }
 
-// announce tells a daemon that it may take over the lease.
-func (r *runner) announce(ctx context.Context, successor Candidate, term uint32) {
-	if _, err := r.call(ctx, successor, &Request{Shard: r.index, Resigned: term}); err != nil {
-		r.c.Log.Warn().Int("shard", r.index).Str("successor", successor.ID).Err(err).Msg("allowance: successor did not answer")
+// announce tells the first of some daemons that answers that it may take over the lease.
+func (r *runner) announce(ctx context.Context, successors []Candidate, term uint32) {
+	for _, candidate := range successors {
+		reply, err := r.call(ctx, candidate, &Request{Shard: r.index, Resigned: term})
+		if err == nil && reply.Status == Accepted {
+			r.mu.Lock()
+			r.shard.SetSuccessor(candidate)
+			r.mu.Unlock()
+			return
+		}
+		r.c.Log.Warn().Int("shard", r.index).Str("successor", candidate.ID).Err(err).Msg("allowance: successor did not accept the lease")
 	}
 }
 
@@ -149,13 +156,9 @@
 
 // giveUp releases the lease if this daemon holds it.
 func (r *runner) giveUp(ctx context.Context, closing bool) {
-	var successor Candidate
-	if list := r.others(); len(list) > 0 {
-		successor = list[0]
-	}
 	r.mu.Lock()
 	term := r.shard.lease.term
-	op, held := r.shard.Release(r.c.Clock(), successor, closing)
+	op, held := r.shard.Release(r.c.Clock(), closing)
 	r.mu.Unlock()
 	if !held {
 		return
@@ -165,9 +168,10 @@
 	r.mu.Lock()
 	r.shard.Done(r.c.Clock(), started, op, o, err)
 	r.mu.Unlock()
-	r.c.Log.Info().Int("shard", r.index).Str("successor", successor.ID).Err(err).Msg("allowance: lease released")
-	if closing && successor.ID != "" {
-		r.announce(ctx, successor, term)
+	r.c.Log.Info().Int("shard", r.index).Err(err).Msg("allowance: lease released")
+	if closing {
+		// The preferred daemon may have been lost a moment ago.
+		r.announce(ctx, r.others(), term)
 	}
 }
 
--- a/pkg/allowance/shard.go
+++ b/pkg/allowance/shard.go
@@ -122,25 +122,28 @@
 	return s.lease.valid(now) && s.lease.failing && now >= s.lease.writtenAt+offerAfter
 }
 
+// SetSuccessor names the daemon that has agreed to take over the lease.
+func (s *Shard) SetSuccessor(successor Candidate) { s.successor = successor }
+
 // Resign ends the tenure. The daemon grants nothing under the returned term any more, so
-// the successor may take over at once.
-func (s *Shard) Resign(now time.Duration, successor Candidate) (term uint32) {
+// another one may take over at once.
+func (s *Shard) Resign(now time.Duration) (term uint32) {
 	l := &s.lease
 	term = l.term
 	l.held, l.resigned, l.resignedAt = false, term, now
-	s.grantor, s.successor, s.wantUntil = nil, successor, 0
+	s.grantor, s.successor, s.wantUntil = nil, Candidate{}, 0
 	return term
 }
 
 // Release ends the tenure and returns the write that tells so. Afterwards the daemon does
 // not become the grantor again, if closing is set.
-func (s *Shard) Release(now time.Duration, successor Candidate, closing bool) (op Operation, held bool) {
+func (s *Shard) Release(now time.Duration, closing bool) (op Operation, held bool) {
 	s.closed = s.closed || closing
 	s.wantUntil = 0
 	if !s.lease.held {
 		return Operation{}, false
 	}
-	s.Resign(now, successor)
+	s.Resign(now)
 	record := s.lease.record
 	record.Released = true
 	record.Sequence++
--- a/pkg/allowance/wallet.go
+++ b/pkg/allowance/wallet.go
@@ -289,7 +289,7 @@
 	if now >= a.pausedUntil {
 		return now
 	}
-	return a.pausedUntil + time.Duration(n)*a.gap
+	return max(a.pausedUntil, a.retryAt) + time.Duration(n)*a.gap
 }
 
 // expectedDemand returns the number of requests expected during the lifetime of a token.
