--- a/pkg/allowance/property_test.go
+++ b/pkg/allowance/property_test.go
@@ -104,6 +104,24 @@
 	})
 }
 
+// Guards against tokens and reserves of a higher allowance that are used more than a window
+// after it was lowered.
+func TestLoweredAllowanceHoldsAfterAWindow(t *testing.T) {
+	testkit.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 5).Draw(t, "hosts"), 80, 160)
+		drawFaults(t, m)
+		m.load(80, 0, 30*time.Second)
+		m.run(time.Duration(rapid.IntRange(1_000, 15_000).Draw(t, "lowered at")) * time.Millisecond)
+		m.rate, m.burst = 1, 2
+		m.run(m.limits.Window)
+		m.ran = nil
+		m.run(15 * time.Second)
+		if most, limit := m.most(), m.limits.Most(1, 2); float64(most) > limit {
+			t.Fatalf("%d requests ran in a window, the limit is %.1f; %d with reserve tokens", most, limit, m.reserves)
+		}
+	})
+}
+
 // Guards against allowance that is lost in tokens that no host needs, in an even split over
 // hosts with unequal demand, in pauses between messages, or in tokens of requests that did
 // not run.
