Order versions by the era of the store first

A store that is restored from a copy assigns revisions again, so copies, watches and conditional writes that compare revisions alone keep what the store has lost, or overwrite what has got the same revision.

--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -27,8 +27,8 @@
 	ErrUnavailable = errors.New("platform: unavailable")
 	// ErrUnknownOutcome means that a write may have taken effect.
 	ErrUnknownOutcome = errors.New("platform: outcome of the write is unknown")
-	// ErrHistoryGone means that a watch cannot continue from its revision and must
-	// start again from a List.
+	// ErrHistoryGone means that a watch cannot continue from its revision, or that the
+	// store has been restored from a copy since. The watch must start again from a List.
 	ErrHistoryGone = errors.New("platform: history before the revision is gone")
 	// ErrReplyTooLarge accompanies ErrUnavailable if a reply exceeds the limit of the
 	// transport. The same call would fail again.
@@ -45,7 +45,8 @@
 	// Key is a path such as "services/bons-chantier".
 	Key string `json:"key" cbor:"1,keyasint"`
 	// Version is taken from one revision counter of the whole store, so a key that
-	// is created again has a higher version than its tombstone.
+	// is created again has a higher version than its tombstone. It has the store's era
+	// above the revision; see VersionOf.
 	Version uint64 `json:"version" cbor:"2,keyasint"`
 	Value   []byte `json:"value,omitempty" cbor:"3,keyasint,omitempty"`
 	// Deleted marks a tombstone; its Value is empty.
@@ -108,6 +109,10 @@
 
 // Store is the object API of the platform. All calls may return ErrUnavailable
 // or the context's error; writes may return ErrUnknownOutcome.
+//
+// If the store is restored from a copy, all its objects get higher versions, and those
+// that the copy lacks are missing from the next List. Writes with a version from before
+// return ErrConflict.
 type Store interface {
 	// Get returns the object, or ErrNotFound.
 	Get(ctx context.Context, key string) (Object, error)
--- a/pkg/platform/transport.go
+++ b/pkg/platform/transport.go
@@ -82,12 +82,16 @@
 	Wait time.Duration
 	// Write is true for calls that modify the store.
 	Write bool
+	// ReplyHeader, if not empty, is the header field whose value Reply has.
+	ReplyHeader string
 }
 
 // Reply is a complete reply of the platform.
 type Reply struct {
 	Status int
 	Body   []byte
+	// HeaderValue is the value of Call.ReplyHeader, or empty.
+	HeaderValue string
 }
 
 // OK reports whether the status is a success.
@@ -222,7 +226,11 @@
 	if err := h.Do(context.Background(), req, resp); err != nil {
 		return exchangeResult{err: err}
 	}
-	return exchangeResult{reply: Reply{Status: resp.StatusCode(), Body: bytes.Clone(resp.Body())}}
+	reply := Reply{Status: resp.StatusCode(), Body: bytes.Clone(resp.Body())}
+	if call.ReplyHeader != "" {
+		reply.HeaderValue = string(resp.Header.Peek(call.ReplyHeader))
+	}
+	return exchangeResult{reply: reply}
 }
 
 // transportError converts an error of the hertz client into an error of this package.
