Let the in-memory store go back to a copy

Tests need a store that loses what it has acknowledged. memstore.Store.Copy keeps its state and Restore returns to it in the next era; the stand-in serves both, and answers 410 to watches of an earlier era.

--- a/internal/platformapi/doc.go
+++ b/internal/platformapi/doc.go
@@ -16,10 +16,12 @@
 //	PUT    /v1/members/{id}                         register, body is a JSON member
 //	DELETE /v1/members/{id}                         deregister
 //	PUT    /standin/faults                          replace memstore.Faults
+//	PUT    /standin/copy                            keep the state of the store
+//	PUT    /standin/restore                         return to it in the next era
 //	GET    /standin/counts                          memstore.Counts
 //
 // Keys are percent-encoded in the path. Responses are JSON. Status codes: 404
-// not found, 412 version conflict, 413 value too large, 428 precondition missing,
-// 503 unavailable (the call had no effect). If the reply to a write is to be lost, the
+// not found, 410 history gone, 412 version conflict, 413 value too large, 428
+// precondition missing, 503 unavailable (the call had no effect). If the reply to a write is to be lost, the
 // write takes effect and the connection is closed without a reply.
 package platformapi
--- a/internal/platformapi/server.go
+++ b/internal/platformapi/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -39,6 +40,8 @@
 type Server struct {
 	config Config
 	hertz  *server.Hertz
+	// copied is the state that the store can be restored to, or nil.
+	copied atomic.Pointer[memstore.Copy]
 }
 
 // New returns a server that is not yet running.
@@ -90,6 +93,8 @@
 	h.PUT("/v1/members/*id", s.putMember)
 	h.DELETE("/v1/members/*id", s.removeMember)
 	h.PUT("/standin/faults", s.putFaults)
+	h.PUT("/standin/copy", s.copyStore)
+	h.PUT("/standin/restore", s.restoreStore)
 	h.GET("/standin/counts", s.counts)
 }
 
@@ -112,6 +117,8 @@
 		writeError(c, http.StatusNotFound, err.Error())
 	case errors.Is(err, platform.ErrConflict):
 		writeError(c, http.StatusPreconditionFailed, err.Error())
+	case errors.Is(err, platform.ErrHistoryGone):
+		writeError(c, http.StatusGone, err.Error())
 	case errors.Is(err, platform.ErrTooLarge):
 		writeError(c, http.StatusRequestEntityTooLarge, err.Error())
 	default:
--- a/pkg/platform/memstore/store.go
+++ b/pkg/platform/memstore/store.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -16,7 +15,8 @@
 
 // Store is an in-memory platform.Store, safe for concurrent use.
 type Store struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// revision is the version of the last change; see platform.VersionOf.
 	revision uint64
 	objects  map[string]platform.Object
 	// log lists the writes in version order, so that a watch reads only the changes
@@ -217,9 +217,7 @@
 	change()
 	lag := s.faults.MembersLag
 	revision := s.revision
-	// Not nil when it is empty: a nil list means that nothing has changed.
-	list := slices.AppendSeq([]platform.Member{}, maps.Values(s.members))
-	slices.SortFunc(list, func(a, b platform.Member) int { return strings.Compare(a.ID, b.ID) })
+	list := s.memberList()
 	if lag == 0 {
 		s.publish(list, revision)
 	}
@@ -267,6 +265,10 @@
 	if s.faults.Down {
 		return nil, after, nil, platform.ErrUnavailable
 	}
+	era, _ := platform.SplitVersion(s.revision)
+	if afterEra, _ := platform.SplitVersion(after); afterEra != era {
+		return nil, after, nil, platform.ErrHistoryGone
+	}
 	start, _ := slices.BinarySearchFunc(s.log, after+1, func(c change, version uint64) int {
 		return cmp.Compare(c.version, version)
 	})
