Rewrite a daemon's entry after the store was restored

A store that returns to a copy may bring back the entry of an earlier process on a host, whose key no peer can match, or an entry that its daemon has removed. The controller writes its entry again when one of another process comes back in a higher era, follows the version of its own entry, and removes it again while it leaves. In the same era a different entry still belongs to the next process on the host and stays.

--- a/pkg/registration/controller.go
+++ b/pkg/registration/controller.go
@@ -34,17 +34,19 @@
 	mu      sync.Mutex
 	version uint64
 	leaving bool
-	// entryRemoved wakes Run when another daemon has removed the entry.
-	entryRemoved chan struct{}
+	// entryLost wakes Run when the entry is not what it should be: it was removed, or the
+	// store was restored from a copy.
+	entryLost chan struct{}
 }
 
 // Key returns the key of the entry of a host's daemon.
 func Key(host string) string { return platform.DaemonsPrefix + host }
 
 // Provision initializes the controller. Call it before the other methods.
-func (c *Controller) Provision() { c.entryRemoved = make(chan struct{}, 1) }
+func (c *Controller) Provision() { c.entryLost = make(chan struct{}, 1) }
 
-// Run writes the entry, and writes it again if it is removed, until ctx ends.
+// Run writes the entry, and writes it again if it is lost, until ctx ends. After
+// Deregister it removes the entry if it comes back.
 func (c *Controller) Run(ctx context.Context) {
 	for failures := 0; ctx.Err() == nil; {
 		if err := c.register(ctx); err != nil {
@@ -61,8 +63,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.entryRemoved:
-			c.Log.Warn().Msg("registration: entry was removed by another daemon, writing it again")
+		case <-c.entryLost:
+			c.removeIfLeaving(ctx)
 		}
 	}
 }
@@ -117,23 +119,64 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !o.Deleted || o.Version <= c.version || c.leaving {
+	if o.Version <= c.version {
 		return
 	}
+	own := !o.Deleted && entryID(o) == c.Self.ID
+	switch {
+	case own:
+		// A store that was restored from a copy gives the entry a new version.
+		c.version = o.Version
+		if !c.leaving {
+			return
+		}
+		c.Log.Warn().Uint64("version", o.Version).Msg("registration: entry came back after it was removed, removing it again")
+	case c.leaving:
+		return
+	case o.Deleted:
+		c.Log.Warn().Uint64("version", o.Version).Msg("registration: entry was removed by another daemon or lost by the store, writing it again")
+	case c.version == 0 || eraOf(o.Version) == eraOf(c.version):
+		// Run has not written the entry yet, or the next process on the host has.
+		return
+	default:
+		c.Log.Warn().Str("entry", entryID(o)).Uint64("version", o.Version).
+			Msg("registration: store was restored with the entry of another process, writing it again")
+	}
 	select {
-	case c.entryRemoved <- struct{}{}:
+	case c.entryLost <- struct{}{}:
 	default:
 	}
 }
 
+// entryID returns the daemon id in an entry, or "" if the entry cannot be read.
+func entryID(o platform.Object) string {
+	var m platform.Member
+	if json.Unmarshal(o.Value, &m) != nil {
+		return ""
+	}
+	return m.ID
+}
+
+func eraOf(version uint64) uint64 {
+	era, _ := platform.SplitVersion(version)
+	return era
+}
+
 // Deregister removes the entry of this daemon. If that fails, the entry stays until the
 // next process on the host replaces it.
 func (c *Controller) Deregister(ctx context.Context) {
 	c.mu.Lock()
 	c.leaving = true
-	version := c.version
 	c.mu.Unlock()
-	if version == 0 {
+	c.removeIfLeaving(ctx)
+}
+
+// removeIfLeaving removes the entry after Deregister.
+func (c *Controller) removeIfLeaving(ctx context.Context) {
+	c.mu.Lock()
+	leaving, version := c.leaving, c.version
+	c.mu.Unlock()
+	if !leaving || version == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/pkg/registration/doc.go
+++ b/pkg/registration/doc.go
@@ -2,7 +2,7 @@
 // with platforms that have no list of daemons. Entries do not expire.
 //
 //	c := &registration.Controller{Store: store, Self: member, Log: log}
-//	go c.Run(ctx)          // creates the entry, and recreates it if it is removed
+//	go c.Run(ctx)          // creates the entry, and recreates it if it is lost
 //	c.HandleChange(object) // for every change of an entry
 //	c.Deregister(ctx)      // at the start of a graceful shutdown
 //
