Track how old a daemon's knowledge of the configuration is

A daemon that hears of no version for a while cannot tell whether nothing changed or it lost contact, so a revoked key could be accepted for any time.

Relays read the configuration once per second while it has accounts; the age travels on digest comparisons, and a daemon that needs a younger one asks the relays (message "confirm"), then the store, at most once per second. Where no ages are needed no read is made and all messages are as before.

--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -157,7 +157,8 @@
 // the peer propagates the objects that it lacked.
 func (s *Syncer) exchange(ctx context.Context, peer string, timeout time.Duration, mode propagation) (ready bool, err error) {
 	localDigest := s.config.Replica.Digest()
-	body, err := s.callWithTimeout(ctx, timeout, peer, KindDigest, digestMessage{Root: localDigest.Root()})
+	sentAt := s.config.BootTime()
+	body, err := s.callWithTimeout(ctx, timeout, peer, KindDigest, digestMessage{Root: localDigest.Root(), WantAge: s.needsConfirmation()})
 	if err != nil {
 		return false, err
 	}
@@ -165,6 +166,8 @@
 	if err := decode(body, &reply); err != nil {
 		return false, err
 	}
+	// The age counts once the objects that the peer had are applied.
+	defer func() { s.recordStatement(confirmedByComparison, sentAt, reply.age()) }()
 	if len(reply.Buckets) == 0 {
 		return reply.Ready, nil
 	}
@@ -247,6 +250,9 @@
 	if localDigest.Root() != m.Root {
 		reply.Buckets = localDigest[:]
 	}
+	if m.WantAge {
+		reply.confirmedAge = s.statement()
+	}
 	return encode(reply)
 }
 
--- a/pkg/confsync/message.go
+++ b/pkg/confsync/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -21,11 +22,13 @@
 	KindVersions = "versions"
 	// KindCompare asks a daemon to compare its replica with others of its domain.
 	KindCompare = "compare"
+	// KindConfirm asks a relay how old its knowledge of the configuration is.
+	KindConfirm = "confirm"
 )
 
 // Kinds returns all message kinds.
 func Kinds() []string {
-	return []string{KindObjects, KindDigest, KindVersions, KindOffer, KindCompare}
+	return []string{KindObjects, KindDigest, KindVersions, KindOffer, KindCompare, KindConfirm}
 }
 
 // Message limits.
@@ -73,14 +76,44 @@
 // digestMessage is the body of KindDigest.
 type digestMessage struct {
 	Root uint64 `cbor:"1,keyasint"`
+	// WantAge asks for the age in the reply. Earlier versions refuse messages with this
+	// field and replies with an age, so both are left out where ages are not needed.
+	WantAge bool `cbor:"2,keyasint,omitempty"`
 }
 
+// confirmedAge is the age of a daemon's knowledge of the configuration when it replied.
+type confirmedAge struct {
+	// ConfirmedVersion is the version that the store confirmed; 0 means that the age is
+	// unknown.
+	ConfirmedVersion uint64 `cbor:"8,keyasint,omitempty"`
+	// AgeMs is the age in milliseconds, rounded up.
+	AgeMs uint64 `cbor:"9,keyasint,omitempty"`
+}
+
+func newConfirmedAge(a statedAge) confirmedAge {
+	return confirmedAge{ConfirmedVersion: a.Version, AgeMs: uint64((a.Age + time.Millisecond - 1) / time.Millisecond)}
+}
+
+func (a confirmedAge) age() statedAge {
+	if a.AgeMs > uint64(maxStatedAge/time.Millisecond) {
+		return statedAge{}
+	}
+	return statedAge{Version: a.ConfirmedVersion, Age: time.Duration(a.AgeMs) * time.Millisecond}
+}
+
+// confirmMessage is the body of KindConfirm.
+type confirmMessage struct{}
+
+// confirmReply answers KindConfirm.
+type confirmReply struct{ confirmedAge }
+
 // digestReply answers KindDigest.
 type digestReply struct {
 	// Ready is true if the sender's replica is up to date; see Syncer.Ready.
 	Ready bool `cbor:"1,keyasint,omitempty"`
 	// Buckets is the sender's digest if the roots differ, otherwise empty.
 	Buckets []uint64 `cbor:"2,keyasint,omitempty"`
+	confirmedAge
 }
 
 // versionsMessage is the body of KindVersions.
--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -84,6 +84,9 @@
 		p := &poller{syncer: s, prefix: prefix, firstListC: listedC}
 		r.pollers.Go(func() { p.run(ctx) })
 	}
+	if s.config.ConfigurationKey != "" {
+		r.pollers.Go(func() { s.runConfirmations(ctx) })
+	}
 	r.pollers.Go(func() {
 		defer s.established.Store(false)
 		s.reconcileDomain(ctx, listedC)
@@ -214,13 +217,16 @@
 // It returns the changed objects.
 func (p *poller) list(ctx context.Context) ([]platform.Object, error) {
 	s := p.syncer
+	startedAt := s.config.BootTime()
 	objects, revision, err := s.config.Store.List(ctx, p.prefix)
 	if err != nil {
 		return nil, errors.Wrap(err, "list")
 	}
+	configurationVersion := s.configurationVersion(objects)
 	changed := s.config.Replica.ApplyList(p.prefix, p.keepPrevious(objects), revision)
 	p.nextRevision, p.listedAt = revision, s.config.Now()
 	s.boot.recordList(p.prefix)
+	s.recordList(startedAt, configurationVersion)
 	return changed, nil
 }
 
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -12,6 +12,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
 
+	"shallotglade/internal/boottime"
 	"shallotglade/internal/sleep"
 	"shallotglade/pkg/platform"
 )
@@ -92,6 +93,18 @@
 	// IsStandby reports whether this daemon replaces the relays of its domain while none
 	// of them answers. nil means never.
 	IsStandby func() bool
+	// ConfigurationKey is the key of the configuration, of which the daemon knows how old
+	// its knowledge is; see ConfirmedAge. Empty means that no ages are tracked.
+	ConfigurationKey string
+	// NeedsConfirmation reports whether ages are needed. While it returns false, no reads
+	// are made and no ages are sent. nil means never.
+	NeedsConfirmation func() bool
+	// HeldVersion returns the version of the configuration in force. nil means that of the
+	// copy in Replica.
+	HeldVersion func() uint64
+	// BootTime returns the time since the host was booted, including suspensions; nil
+	// means boottime.Now.
+	BootTime func() time.Duration
 	// Rand chooses peers and jitter. The Syncer guards it with a mutex.
 	Rand *rand.Rand
 	Log  zerolog.Logger
@@ -125,8 +138,11 @@
 	PushErrors, DigestErrors uint64
 	// Dropped counts pushes that were not attempted because the pool was full.
 	Dropped uint64
-	// PlatformErrors counts failed lists and watches.
+	// PlatformErrors counts failed lists, watches and reads of the configuration.
 	PlatformErrors uint64
+	// ConfirmedByStore, ConfirmedByList, ConfirmedByRelay and ConfirmedByComparison count
+	// confirmations of the configuration by where they came from.
+	ConfirmedByStore, ConfirmedByList, ConfirmedByRelay, ConfirmedByComparison uint64
 }
 
 // Syncer keeps a Replica up to date. It is safe for concurrent use.
@@ -148,6 +164,8 @@
 	established atomic.Bool
 	// contact tracks whether comparisons with other daemons succeed.
 	contact contact
+	// confirmations tracks the age of the configuration.
+	confirmations confirmations
 
 	pushErrors, digestErrors, droppedPushes, platformErrors atomic.Uint64
 }
@@ -179,6 +197,12 @@
 	if c.CompareOtherDomains == nil {
 		c.CompareOtherDomains = func() bool { return true }
 	}
+	if c.NeedsConfirmation == nil {
+		c.NeedsConfirmation = func() bool { return false }
+	}
+	if c.BootTime == nil {
+		c.BootTime = boottime.Now
+	}
 	if c.BootPeers <= 0 {
 		c.BootPeers = bootPeers
 	}
@@ -208,6 +232,7 @@
 	s.boot = newBootState(c.Now(), c.Prefixes, c.RosterPrefix == "")
 	s.platformLink, s.standby = newPlatformLink(), newStandby()
 	s.contact.lastAnswer = c.Now()
+	s.confirmations.changedC = make(chan struct{})
 	return s, nil
 }
 
@@ -250,6 +275,8 @@
 	return Stats{
 		PushErrors: s.pushErrors.Load(), DigestErrors: s.digestErrors.Load(),
 		Dropped: s.droppedPushes.Load(), PlatformErrors: s.platformErrors.Load(),
+		ConfirmedByStore: s.confirmations.counts[confirmedByStore].Load(), ConfirmedByList: s.confirmations.counts[confirmedByList].Load(),
+		ConfirmedByRelay: s.confirmations.counts[confirmedByRelay].Load(), ConfirmedByComparison: s.confirmations.counts[confirmedByComparison].Load(),
 	}
 }
 
@@ -267,6 +294,8 @@
 		return s.handleOffer(body)
 	case KindCompare:
 		return nil, s.handleCompare(body)
+	case KindConfirm:
+		return s.handleConfirm(body)
 	default:
 		return nil, errors.Wrapf(errInvalidMessage, "kind %.32q", kind)
 	}
