--- a/pkg/confsync/confirm_test.go
+++ b/pkg/confsync/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,9 +11,11 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"shallotglade/pkg/confsync"
 	"shallotglade/pkg/platform"
+	"shallotglade/pkg/platform/memstore"
 )
 
 const configurationKey = "configurations/main"
@@ -306,3 +309,37 @@
 		})).To(Succeed())
 	})
 })
+
+// TestListsOfAStartingDaemonConfirm guards against reads by all daemons of a fleet that
+// has lost power, and against a stale list that counts as a confirmation.
+func TestListsOfAStartingDaemonConfirm(t *testing.T) {
+	for _, mode := range []confsync.DirectList{confsync.ListCurrent, confsync.ListStale} {
+		synctest.Test(t, func(t *testing.T) {
+			store := memstore.New()
+			if _, err := store.Create(t.Context(), configurationKey, []byte("v")); err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			s, err := confsync.New(confsync.Config{
+				Prefixes: []string{"daemons/", "configurations/"}, RosterPrefix: "daemons/", Replica: confsync.NewReplica(), Store: store,
+				Transport: noTransport{}, Peers: func() []confsync.Peer { return nil }, Relays: func(string) []confsync.Peer { return nil },
+				Rand: rand.New(rand.NewPCG(1, 2)), Log: zerolog.Nop(), DirectList: func(int) confsync.DirectList { return mode },
+				ConfigurationKey: configurationKey, NeedsConfirmation: func() bool { return true },
+				BootTime: func() time.Duration { return time.Since(start) },
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, stop := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); s.Run(ctx) }()
+			time.Sleep(time.Second)
+			age, known := s.ConfirmedAge()
+			stop()
+			<-done
+			if known != (mode == confsync.ListCurrent) || age > time.Second {
+				t.Errorf("mode %d: age %v, known %t", mode, age, known)
+			}
+		})
+	}
+}
