--- a/internal/platformapi/doc.go
+++ b/internal/platformapi/doc.go
@@ -16,8 +16,6 @@
 //	PUT    /v1/members/{id}                         register, body is a JSON member
 //	DELETE /v1/members/{id}                         deregister
 //	PUT    /standin/faults                          replace memstore.Faults
-//	PUT    /standin/copy                            keep the state of the store
-//	PUT    /standin/restore                         return to it in the next era
 //	GET    /standin/counts                          memstore.Counts
 //
 // Keys are percent-encoded in the path. Responses are JSON. Status codes: 404
--- a/internal/platformapi/handlers.go
+++ b/internal/platformapi/handlers.go
@@ -143,22 +143,6 @@
 	c.JSON(http.StatusOK, f)
 }
 
-// copyStore keeps the current state for restoreStore.
-func (s *Server) copyStore(_ context.Context, c *app.RequestContext) {
-	s.copied.Store(s.config.Store.Copy())
-	c.JSON(http.StatusOK, struct{}{})
-}
-
-func (s *Server) restoreStore(_ context.Context, c *app.RequestContext) {
-	copied := s.copied.Load()
-	if copied == nil {
-		writeError(c, http.StatusConflict, "there is no copy")
-		return
-	}
-	s.config.Store.Restore(copied)
-	c.JSON(http.StatusOK, struct{}{})
-}
-
 func (s *Server) counts(_ context.Context, c *app.RequestContext) {
 	c.JSON(http.StatusOK, s.config.Store.Counts())
 }
--- a/internal/platformapi/server.go
+++ b/internal/platformapi/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -40,8 +39,6 @@
 type Server struct {
 	config Config
 	hertz  *server.Hertz
-	// copied is the state that the store can be restored to, or nil.
-	copied atomic.Pointer[memstore.Copy]
 }
 
 // New returns a server that is not yet running.
@@ -93,8 +90,6 @@
 	h.PUT("/v1/members/*id", s.putMember)
 	h.DELETE("/v1/members/*id", s.removeMember)
 	h.PUT("/standin/faults", s.putFaults)
-	h.PUT("/standin/copy", s.copyStore)
-	h.PUT("/standin/restore", s.restoreStore)
 	h.GET("/standin/counts", s.counts)
 }
 
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -101,6 +101,32 @@
 		Expect(standings(board, "s")).To(Equal(map[string]string{"u1": "ejected", "u2": "normal"}))
 	})
 
+	// Guards against a daemon that keeps in force what a restored store has lost, because the
+	// revisions of the restored objects are lower.
+	DescribeTable("replaces what a store restored from a copy has lost", func(configuration bool) {
+		const restored = 1 << 44
+		put := func(version uint64, service string) {
+			o := documentObject("s", version, "service: s\nupstreams: {membership: "+service+"}")
+			if configuration {
+				d := document.New("s")
+				d.Upstreams.Membership = service
+				value, err := (&document.Configuration{Version: version, Services: []*document.Service{d}}).Encode()
+				Expect(err).NotTo(HaveOccurred())
+				o = platform.Object{Key: document.ConfigurationsPrefix + "main", Version: version, Value: value}
+			}
+			c.Apply(o)
+		}
+		put(8, "lost")
+		c.Apply(recordObject("s", 7, "u1"))
+		c.Apply(upstreamObject("u1", "kept", 1))
+		c.Apply(upstreamObject("vanished", "kept", 6))
+		put(restored|3, "kept")
+		put(9, "lost")
+		c.Apply(recordObject("s", restored|2))
+		c.Apply(platform.Object{Key: platform.MembersPrefix + "vanished", Version: restored | 5, Deleted: true})
+		Expect(standings(board, "s")).To(Equal(map[string]string{"u1": "normal"}))
+	}, Entry("as documents", false), Entry("as a configuration", true))
+
 	// Guards against waiting requests for a removed service that are sent to a leaving upstream.
 	It("tells a removed service with waiting requests which upstreams are leaving", func() {
 		configure := func(version uint64, services ...string) {
--- a/pkg/confsync/confirm.go
+++ b/pkg/confsync/confirm.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// confirmInterval is the time between a relay's reads of the configuration, and the
-	// least time between those of another daemon. Daemons must know of a version within
+	// confirmInterval is the time between two reads of the configuration by a relay, and
+	// the least time between those of another daemon. Daemons must know of a version within
 	// two seconds, and a read costs as much as all messages of one daemon.
 	confirmInterval = time.Second
 	// confirmReadTimeout limits one read. The probes of the platform notice a store that
@@ -51,7 +51,7 @@
 	// runningC is closed at the end of the confirmation in progress; nil if there is none.
 	runningC chan struct{}
 	// nextRunAt and nextReadAt are the earliest times of the next confirmation on request
-	// and of the next read outside the relay role.
+	// and of the next read.
 	nextRunAt, nextReadAt time.Duration
 	// unheldVersion is the last version in the store that was logged as not in force.
 	unheldVersion uint64
@@ -348,25 +348,34 @@
 func (s *Syncer) runConfirmations(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		startedAt := s.config.Now()
+		pause := confirmInterval
 		if s.needsConfirmation() {
-			s.takeRead()
-			changed, err := s.readConfiguration(ctx)
-			if ctx.Err() != nil {
-				return
-			}
-			s.pushAll(changed)
-			if failures = s.recordRelayRead(failures, err); err != nil {
-				s.askRelays(ctx, s.otherDomainRelays(), confirmTarget)
+			if s.takeRead() {
+				changed, err := s.readConfiguration(ctx)
+				if ctx.Err() != nil {
+					return
+				}
+				s.pushAll(changed)
+				if failures = s.recordRelayRead(failures, err); err != nil {
+					s.askRelays(ctx, s.otherDomainRelays(), confirmTarget)
+				}
 			}
+			pause = s.untilRead()
 		}
-		pause := confirmInterval - s.config.Now().Sub(startedAt)
-		if !sleep.For(ctx, max(pause, confirmInterval/10)) {
+		if !sleep.For(ctx, pause) {
 			return
 		}
 	}
 }
 
+// untilRead returns the time until the next read, at least a tenth of the interval.
+func (s *Syncer) untilRead() time.Duration {
+	c := &s.confirmations
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(c.nextReadAt-s.config.BootTime(), confirmInterval/10)
+}
+
 // recordRelayRead logs when reads begin to fail or succeed again, and returns the number
 // of consecutive failures.
 func (s *Syncer) recordRelayRead(failures int, err error) int {
--- a/pkg/confsync/fleet_test.go
+++ b/pkg/confsync/fleet_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,6 +43,8 @@
 	blocked, replyLost func(from, to int) bool
 	// domainWithoutPlatform is a domain that cannot reach the platform.
 	domainWithoutPlatform string
+	// domainWithoutReads is a domain that gets lists and replies to watches only.
+	domainWithoutReads string
 	// staleConnections holds pairs of caller and target whose next call uses a stale
 	// connection to an earlier process of the target, and is not answered.
 	staleConnections map[[2]int]bool
@@ -57,6 +60,8 @@
 	syncer  *confsync.Syncer
 	stop    context.CancelFunc
 	done    chan struct{}
+	// reads counts the reads of single objects.
+	reads atomic.Int32
 }
 
 func newFleet() *fleet { return newFleetWith(nil) }
@@ -185,6 +190,17 @@
 	return s.d.peer.Domain == s.d.f.domainWithoutPlatform
 }
 
+func (s domainStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	s.d.reads.Add(1)
+	s.d.f.mu.Lock()
+	refused := s.d.peer.Domain == s.d.f.domainWithoutReads
+	s.d.f.mu.Unlock()
+	if refused || s.cutOff() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
 func (s domainStore) List(ctx context.Context, p string) ([]platform.Object, uint64, error) {
 	if s.cutOff() {
 		return nil, 0, platform.ErrUnavailable
