--- a/pkg/confsync/confirm_test.go
+++ b/pkg/confsync/confirm_test.go
@@ -98,7 +98,7 @@
 	// it take its knowledge for young, against one that stops although it has a path, and
 	// against reads for each request.
 	DescribeTable("covers no unknown version and is young at each daemon with a path to the store",
-		func(usable bool, fewestReads, mostReads int32, inject func(*fleet)) {
+		func(failures int, fewestReads, mostReads int32, inject func(*fleet)) {
 			Expect(runWithAccounts(true, func(a *accountsFleet) error {
 				a.update(func() { inject(a.fleet) })
 				cutAt, before := time.Now(), a.daemons[cut].reads.Load()
@@ -109,10 +109,10 @@
 					return err
 				}
 				failed, reads := a.unconfirmed(), a.daemons[cut].reads.Load()-before
-				if slices.Contains(failed, cut) == usable || len(failed) > 1 || reads < fewestReads || reads > mostReads {
+				if len(failed) != failures || slices.Contains(failed, cut) != (failures > 0) || reads < fewestReads || reads > mostReads {
 					return errors.Newf("%d reads; daemons %v cannot confirm", reads, failed)
 				}
-				if age, _ := a.daemons[cut].syncer.ConfirmedAge(); !usable && age < time.Since(cutAt) {
+				if age, _ := a.daemons[cut].syncer.ConfirmedAge(); failures > 0 && age < time.Since(cutAt) {
 					return errors.Newf("age %v, cut off for %v", age, time.Since(cutAt))
 				}
 				a.update(func() { a.blocked, a.replyLost, a.domainWithoutPlatform = never, never, "" })
@@ -125,15 +125,18 @@
 				return errors.CombineErrors(err, a.check(o))
 			})).To(Succeed())
 		},
-		Entry("no fault", true, int32(0), int32(0), noFault),
-		Entry("all messages lost", false, int32(5), int32(12), func(f *fleet) { f.blocked, f.domainWithoutPlatform = isCut, "fes" }),
-		Entry("messages from it lost", false, int32(5), int32(12), func(f *fleet) { f.blocked, f.domainWithoutPlatform = fromCut, "fes" }),
-		Entry("replies to it lost", false, int32(5), int32(12), func(f *fleet) { f.replyLost, f.domainWithoutPlatform = fromCut, "fes" }),
-		Entry("only its relays lost", true, int32(0), int32(0), func(f *fleet) {
+		Entry("no fault", 0, int32(0), int32(0), noFault),
+		Entry("all messages lost", 1, int32(5), int32(12), func(f *fleet) { f.blocked, f.domainWithoutPlatform = isCut, "fes" }),
+		Entry("messages from it lost", 1, int32(5), int32(12), func(f *fleet) { f.blocked, f.domainWithoutPlatform = fromCut, "fes" }),
+		Entry("replies to it lost", 1, int32(5), int32(12), func(f *fleet) { f.replyLost, f.domainWithoutPlatform = fromCut, "fes" }),
+		Entry("its domain cut off", 12, int32(5), int32(12), func(f *fleet) {
+			f.blocked, f.domainWithoutPlatform = func(from, to int) bool { return inFes(from) != inFes(to) }, "fes"
+		}),
+		Entry("only its relays lost", 0, int32(0), int32(0), func(f *fleet) {
 			f.blocked = func(from, to int) bool { return from == cut && (to == 2 || to == 5) }
 		}),
-		Entry("its relays get replies to watches only", true, int32(0), int32(1), func(f *fleet) { f.domainWithoutReads = "fes" }),
-		Entry("only the store answers it", true, int32(5), int32(12), func(f *fleet) { f.blocked = isCut }),
+		Entry("its relays get replies to watches only", 0, int32(0), int32(1), func(f *fleet) { f.domainWithoutReads = "fes" }),
+		Entry("only the store answers it", 0, int32(5), int32(12), func(f *fleet) { f.blocked = isCut }),
 	)
 
 	// Guards against cost where there are no accounts.
