Merge the freshness of the configuration and the restored store; wire both account checks

Cause: the checks of freshness and allowances existed without callers.

Change: the adapter names the object that holds the configuration; the daemon confirms its age, checks it before accepting keys, leaves itself out of address answers when it is stale, and admits requests of accounts with a rate through the grantor. The test of two daemons that share an allowance now uses the accounts of the board.

--- a/internal/platformapi/doc.go
+++ b/internal/platformapi/doc.go
@@ -19,7 +19,7 @@
 //	GET    /standin/counts                          memstore.Counts
 //
 // Keys are percent-encoded in the path. Responses are JSON. Status codes: 404
-// not found, 412 version conflict, 413 value too large, 428 precondition missing,
-// 503 unavailable (the call had no effect). If the reply to a write is to be lost, the
+// not found, 410 history gone, 412 version conflict, 413 value too large, 428
+// precondition missing, 503 unavailable (the call had no effect). If the reply to a write is to be lost, the
 // write takes effect and the connection is closed without a reply.
 package platformapi
--- a/internal/platformapi/server.go
+++ b/internal/platformapi/server.go
@@ -112,6 +112,8 @@
 		writeError(c, http.StatusNotFound, err.Error())
 	case errors.Is(err, platform.ErrConflict):
 		writeError(c, http.StatusPreconditionFailed, err.Error())
+	case errors.Is(err, platform.ErrHistoryGone):
+		writeError(c, http.StatusGone, err.Error())
 	case errors.Is(err, platform.ErrTooLarge):
 		writeError(c, http.StatusRequestEntityTooLarge, err.Error())
 	default:
--- a/pkg/account/directory.go
+++ b/pkg/account/directory.go
@@ -21,8 +21,13 @@
 	// their accounts.
 	digests []Digest
 	owners  []uint32
+	// hasRates is true if any account has a rate.
+	hasRates bool
 }
 
+// HasRates reports whether any account has an allowance.
+func (d *Directory) HasRates() bool { return d.hasRates }
+
 // NewDirectory returns the directory of the accounts. It keeps the slice, which must not
 // change afterwards. An error names an account that is invalid, or two accounts that have
 // the same name or a key in common.
@@ -34,6 +39,7 @@
 			return nil, err
 		}
 		d.byName[i] = uint32(i)
+		d.hasRates = d.hasRates || accounts[i].Rate > 0
 		keys += len(accounts[i].Keys)
 	}
 	slices.SortFunc(d.byName, func(a, b uint32) int { return strings.Compare(accounts[a].Name, accounts[b].Name) })
--- a/pkg/blackboard/board.go
+++ b/pkg/blackboard/board.go
@@ -142,6 +142,15 @@
 	return n
 }
 
+// HasAllowances reports whether any account in force has an allowance.
+func (b *Board) HasAllowances() bool {
+	return slices.ContainsFunc(b.routes.Load().accounts, (*account.Directory).HasRates)
+}
+
+// RoutesVersion returns the platform version of the active configuration, or of the newest
+// active document.
+func (b *Board) RoutesVersion() uint64 { return b.routes.Load().version }
+
 // ServicesAt returns the names of the services behind the routes of a host, in no
 // particular order.
 func (b *Board) ServicesAt(host string) []string { return b.routes.Load().servicesAt(host) }
--- a/pkg/daemon/adapter.go
+++ b/pkg/daemon/adapter.go
@@ -20,6 +20,10 @@
 	// document.ConfigurationsPrefix. It is nil if Store returns such values in the
 	// encoding of document.DecodeConfiguration.
 	DecodeConfiguration catalog.ConfigurationDecoder
+	// ConfigurationKey is the key of the one object that holds the configuration in force,
+	// with all accounts. It is empty if each service has a document of its own, and then the
+	// age of the accounts is not known.
+	ConfigurationKey string
 	// Prefixes are the key prefixes of the objects that the daemon replicates.
 	Prefixes []string
 	// Dialect holds the header names and formats that callers and upstreams use.
--- a/pkg/daemon/allowances.go
+++ b/pkg/daemon/allowances.go
@@ -4,7 +4,9 @@
 	"context"
 	"strconv"
 
+	"shallotglade/pkg/account"
 	"shallotglade/pkg/allowance"
+	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/peer"
 	"shallotglade/pkg/placement"
 )
@@ -43,6 +45,18 @@
 	d.metrics.RegisterGauge("allowance_leases", "Leases of grantors that this daemon holds.", func() float64 { return float64(stats().Held) })
 }
 
+// boardAccounts is the allowance.Directory of the accounts in force.
+type boardAccounts struct{ board *blackboard.Board }
+
+// Version implements allowance.Directory.
+func (a boardAccounts) Version() uint64 { return a.board.RoutesVersion() }
+
+// Find implements allowance.Directory.
+func (a boardAccounts) Find(name string) (*account.Account, bool) { return a.board.Account(name) }
+
+// HasRates implements allowance.Directory.
+func (a boardAccounts) HasRates() bool { return a.board.HasAllowances() }
+
 // grantorCandidates returns the daemons that can be the grantor of a shard, in order of
 // preference.
 func (d *Daemon) grantorCandidates(shard int) []allowance.Candidate {
@@ -69,9 +83,6 @@
 // releaseAllowances gives up the leases of this daemon at the start of its shutdown, so that
 // another daemon is the grantor at once.
 func (d *Daemon) releaseAllowances() {
-	if d.allowances == nil {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Platform.Timeout)
 	defer cancel()
 	d.allowances.Release(ctx)
--- a/pkg/daemon/allowances_test.go
+++ b/pkg/daemon/allowances_test.go
@@ -2,37 +2,31 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"shallotglade/pkg/account"
-	"shallotglade/pkg/allowance"
+	"shallotglade/pkg/document"
 )
 
-// oneAccount is a configuration with one account.
-type oneAccount struct{ account.Account }
-
-func (o *oneAccount) Version() uint64                      { return 1 }
-func (o *oneAccount) HasRates() bool                       { return true }
-func (o *oneAccount) Find(string) (*account.Account, bool) { return &o.Account, true }
-
 // Guards against daemons that each admit the whole allowance, because they do not find the
 // grantor over the peer transport, and against a stopping daemon that keeps its lease.
 func TestDaemonsShareAnAllowance(t *testing.T) {
 	hosts := []string{"fes-1", "fes-2"}
 	f := newRestartedFleet(t, hosts)
-	accounts := &oneAccount{account.Account{Name: "a", Rate: 0.01, Burst: 60}}
+	caller := account.Account{Name: "a", Rate: 0.01, Burst: 60}
+	configuration := document.Configuration{RequireKeys: true, Accounts: []account.Account{caller}}
 	var daemons []*Daemon
 	for _, host := range hosts {
 		d := f.start(t, host)
-		d.provisionAllowances(allowance.Limits{}, accounts)
-		go d.allowances.Run(t.Context())
+		f.g.Expect(d.board.PutConfiguration(&configuration, math.MaxInt64)).To(BeTrue())
 		daemons = append(daemons, d)
 	}
 	admit := func(d *Daemon) bool {
-		_, refusal := d.allowances.Admit(context.Background(), &accounts.Account, time.Now().Add(time.Second))
+		_, refusal := d.allowances.Admit(context.Background(), &caller, time.Now().Add(time.Second))
 		return refusal == nil
 	}
 	held := func(d *Daemon) uint64 { return d.allowances.Stats().Held }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -69,7 +69,8 @@
 	proxy          *proxy.Proxy
 	callerServer   *proxy.Server
 	admin          *admin.Server
-	// allowances is nil unless provisionAllowances was called.
+	// freshness is nil if the age of the accounts is not known.
+	freshness  *freshness
 	allowances *allowance.Controller
 
 	registration *registration.Controller
@@ -244,6 +245,10 @@
 		Rand:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Log:            d.log,
 	}
+	if d.adapter.ConfigurationKey != "" {
+		config.ConfigurationKey = d.adapter.ConfigurationKey
+		config.NeedsConfirmation, config.HeldVersion = d.board.NeedsKeys, d.board.ConfigurationVersion
+	}
 	if d.adapter.SelfRegistration {
 		config.RosterPrefix, config.OnRosterLoaded = platform.DaemonsPrefix, d.onRosterLoaded
 		config.DirectList = d.directList
@@ -319,9 +324,25 @@
 		return nil, nil
 	})
 	d.node.Handle(kindStatus, d.handleStatus)
+	d.provisionAccounts()
 	return nil
 }
 
+// provisionAccounts creates the checks of accounts in the request path. They have no effect
+// while the configuration in force has no accounts.
+func (d *Daemon) provisionAccounts() {
+	a := d.settings.Accounts
+	if d.adapter.ConfigurationKey != "" {
+		d.freshness = newFreshness(freshnessConfig{
+			Source: d.syncer, Stats: d.syncer.Stats, Needed: d.board.NeedsKeys,
+			FailClosed: a.FailClosed, Bound: a.Revocation, Registerer: d.metrics.Registry, Log: d.log,
+		})
+		d.proxy.Freshness = d.freshness
+	}
+	d.provisionAllowances(allowance.Limits{Window: a.Quota.Window, Overshoot: a.Quota.Overshoot, Extra: a.Quota.Extra}, boardAccounts{d.board})
+	d.proxy.Allowances = d.allowances
+}
+
 func (d *Daemon) provisionServers() error {
 	ln, err := net.Listen("tcp", d.settings.Listen.Callers)
 	if err != nil {
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -450,10 +450,13 @@
 	hosts, demand := d.roster.hosts, d.roster.demands[q.Service]
 	d.roster.mu.Unlock()
 	demand.PerDomain = max(demand.PerDomain, 1)
-	answer := placement.Addresses(placement.Query{
+	query := placement.Query{
 		Service: s.Group(), Domain: q.Domain, Caller: q.Caller, Failed: q.Failed, Now: time.Now(),
 		AnyOrder: d.adapter.Dialect.Addresses.AnyOrder,
-	}, hosts, demand)
+	}
+	answer := d.freshness.addresses(query, d.settings.Listen.Callers, func(q placement.Query) placement.Answer {
+		return placement.Addresses(q, hosts, demand)
+	})
 	lifetime := scaledLifetime(answer.Lifetime, d.reloadable.Load().Addresses.Lifetime)
 	if d.logsDecisions() {
 		d.log.Info().Str("service", q.Service).Str("caller", q.Caller).Str("domain", q.Domain).Strs("failed", q.Failed).
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -27,13 +27,10 @@
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	var background sync.WaitGroup
-	loops := []func(context.Context){d.syncer.Run, d.roster.run, d.health.Run}
+	loops := []func(context.Context){d.syncer.Run, d.roster.run, d.health.Run, d.allowances.Run}
 	if d.registration != nil {
 		loops = append(loops, d.registration.Run, d.lookup.Run)
 	}
-	if d.allowances != nil {
-		loops = append(loops, d.allowances.Run)
-	}
 	for _, loop := range loops {
 		background.Add(1)
 		go func() {
--- a/pkg/registration/registration_test.go
+++ b/pkg/registration/registration_test.go
@@ -174,4 +174,29 @@
 		controller.Deregister(context.Background())
 		Expect(registered()).To(Equal("h1.next"))
 	})
+
+	// Guards against a daemon that no other one accepts because the store was restored with
+	// the entry of an earlier process, against two processes that replace each other's
+	// entries, and against an entry that outlives its daemon.
+	It("corrects its entry when the store is restored from a copy", func() {
+		run()
+		Eventually(registered).Should(Equal(controller.Self.ID))
+		own := platformStore.entries()[key].Value
+		put := func(version uint64, value []byte) {
+			platformStore.mu.Lock()
+			platformStore.revision = version - 1
+			o := platformStore.put(key, value)
+			platformStore.mu.Unlock()
+			controller.HandleChange(o)
+		}
+		put(1<<44|1, []byte(`{"id":"h1.earlier"}`))
+		Eventually(registered).Should(Equal(controller.Self.ID))
+		put(1<<44|9, []byte(`{"id":"h1.next"}`))
+		Consistently(registered, 300*time.Millisecond).Should(Equal("h1.next"), "in the same era")
+		put(2<<44|1, own)
+		controller.Deregister(context.Background())
+		Expect(platformStore.entries()).To(BeEmpty())
+		put(3<<44|1, own)
+		Eventually(platformStore.entries).Should(BeEmpty())
+	})
 })
