--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -21,6 +21,7 @@
 	maxCount     = 1_000_000
 	maxCores     = 4096
 	maxLinkMbps  = 1_000_000
+	maxMemoryMB  = 1_000_000
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`)
@@ -43,6 +44,7 @@
 	c.name("domain", s.Domain)
 	c.require(s.Capacity.Cores >= 0 && s.Capacity.Cores <= maxCores, "capacity.cores", fmt.Sprintf("0 to %d", maxCores))
 	c.require(s.Capacity.LinkMbps >= 0 && s.Capacity.LinkMbps <= maxLinkMbps, "capacity.linkMbps", fmt.Sprintf("0 to %d", maxLinkMbps))
+	c.require(s.Capacity.MemoryMB >= 0 && s.Capacity.MemoryMB <= maxMemoryMB, "capacity.memoryMB", fmt.Sprintf("0 to %d", maxMemoryMB))
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.peers", s.Listen.Peers)
 	c.address("listen.admin", s.Listen.Admin)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -60,6 +60,9 @@
 	// LinkMbps is the bandwidth of the host's network link in Mbit/s. Default: 0,
 	// unknown.
 	LinkMbps float64 `yaml:"linkMbps"`
+	// MemoryMB is the memory that the daemon may use, in units of 1,000,000 bytes.
+	// Default: 0, unknown.
+	MemoryMB int `yaml:"memoryMB"`
 }
 
 // Listen holds the addresses (IP:port) that the daemon binds.
