Reject upstream answers without a valid status, or with control characters in a field

The check of the status line accepted any three digits, and the HTTP library reports 000 as 200. A status below 200 was read as an interim answer, so the bytes of its body were taken for the next head. Fields with a carriage return or a zero byte were passed on. Such an answer is now a failed attempt that may have run: in requests and probes (AwaitHead), and in the answers of homes (DecodeForwardAnswer).

Six new cases of "classifies the outcome of an attempt" fail on the code before and pass now.

--- a/internal/netconn/head.go
+++ b/internal/netconn/head.go
@@ -73,6 +73,9 @@
 	if err := CheckField(line); err != nil {
 		return err
 	}
+	if bytes.IndexByte(line, 0) >= 0 || bytes.IndexByte(line, '\r') >= 0 {
+		return errors.Newf("a header field has a control character: %.20q", line)
+	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	if !strings.EqualFold(string(name), "Content-Length") {
 		return nil
@@ -98,18 +101,23 @@
 	return nil
 }
 
-// statusLinePattern is the pattern of the start of a status line; each 0 matches any digit.
-const statusLinePattern = "HTTP/1.0 000"
+// statusLinePattern is the pattern of the start of a status line; each 0 matches any digit, and
+// S those that begin a status of 100 to 599. The HTTP library would report 000 as 200, and other
+// codes below 200 as interim answers.
+const statusLinePattern = "HTTP/1.0 S00"
 
 // isStatusLinePrefix reports whether the bytes begin with a status line or are the start
 // of one.
 func isStatusLinePrefix(b []byte) bool {
 	for i := range min(len(b), len(statusLinePattern)) {
-		if statusLinePattern[i] == '0' {
-			if b[i] < '0' || b[i] > '9' {
-				return false
-			}
-		} else if b[i] != statusLinePattern[i] {
+		ok := b[i] == statusLinePattern[i]
+		switch statusLinePattern[i] {
+		case '0':
+			ok = b[i] >= '0' && b[i] <= '9'
+		case 'S':
+			ok = b[i] >= '1' && b[i] <= '5'
+		}
+		if !ok {
 			return false
 		}
 	}
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net/http"
 	"slices"
 	"time"
 
@@ -294,12 +295,18 @@
 	return cbor.Marshal(m)
 }
 
+// maxStatus is the largest status of an answer.
+const maxStatus = 599
+
 // DecodeForwardAnswer decodes the reply to a forward message.
 func DecodeForwardAnswer(b []byte) (*Answer, error) {
 	var m forwardAnswer
 	if err := forwardDecoder.Unmarshal(b, &m); err != nil {
 		return nil, errors.Wrap(err, "proxy: decode forwarded answer")
 	}
+	if m.Status < http.StatusOK || m.Status > maxStatus {
+		return nil, errors.Newf("proxy: forwarded answer has the status %d", m.Status)
+	}
 	a := &Answer{
 		Status: m.Status, Headers: m.Headers, Body: m.Body, Verdict: verdict.Parse(m.Verdict), Upstream: m.Upstream,
 		Replayed: m.Replayed, Waited: time.Duration(m.WaitedUS) * time.Microsecond, LeavingIncarnation: m.LeavingIncarnation,
--- a/pkg/proxy/proxy_test.go
+++ b/pkg/proxy/proxy_test.go
@@ -306,6 +306,14 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Headers).To(Equal(in.Headers))
 	})
+
+	// Guards against an answer of a home that has read one without a valid status.
+	DescribeTable("has no answer with the status", func(status int) {
+		encoded, err := proxy.EncodeForwardAnswer(&proxy.Answer{Status: status, Verdict: verdict.Ran})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = proxy.DecodeForwardAnswer(encoded)
+		Expect(err).To(HaveOccurred())
+	}, Entry(nil, 0), Entry(nil, 99), Entry(nil, 100), Entry(nil, 600))
 })
 
 func FuzzDecodeForward(f *testing.F) {
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -130,6 +130,14 @@
 		Entry("body delimited only by the end of the connection", "HTTP/1.1 200 OK\r\n\r\nno delimiter CUT", upstream.Truncated, verdict.MayHaveRun, false),
 		Entry("connection closed without a response", "", upstream.Lost, verdict.MayHaveRun, false),
 		Entry("response to another request", completeResponse("x", "Shallotglade-Request-Id: r2\r\n"), upstream.Failure, verdict.MayHaveRun, false),
+		// Guards against answers that are none and reach the caller: the HTTP library reports the status 000 as 200, and what
+		// follows a status below 200 is read as the next head.
+		Entry("status 000", "HTTP/1.1 000 E\r\nContent-Length: 0\r\n\r\n", upstream.Failure, verdict.MayHaveRun, false),
+		Entry("status 000 whose body looks like a response", "HTTP/1.1 000 E\r\n\r\n"+completeResponse("x"), upstream.Failure, verdict.MayHaveRun, false),
+		Entry("status 099 whose body looks like a response", "HTTP/1.1 099 E\r\n\r\n"+completeResponse("x"), upstream.Failure, verdict.MayHaveRun, false),
+		Entry("status 600", "HTTP/1.1 600 E\r\nContent-Length: 0\r\n\r\n", upstream.Failure, verdict.MayHaveRun, false),
+		Entry("carriage return in a field", completeResponse("x", "X-A: a\rX-B: b\r\n"), upstream.Failure, verdict.MayHaveRun, false),
+		Entry("zero byte in a field", completeResponse("x", "X-A: a\x00b\r\n"), upstream.Failure, verdict.MayHaveRun, false),
 	)
 
 	// Guards against a response that was broken off and reaches the caller as a complete one.
