Put all that a daemon holds for callers and upstreams under one memory budget

Bodies and responses had a limit each. Headers, requests read ahead, answers that nobody reads, copies between daemons and what chunked bodies held while they waited had none. pkg/memory now accounts for all of them; pkg/ingress, pkg/upstream and the forwards of pkg/daemon reserve from it. The holder without progress for the longest time is evicted first.

Bodies for paths without a route and at the listeners for addresses and readiness are not kept. Large bodies are written to the socket without a copy.

--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -21,8 +21,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// directReadBytes is the minimum size of a read that bypasses an empty read buffer.
-const directReadBytes = 4096
+const (
+	// directReadBytes is the minimum size of a read that bypasses an empty read buffer.
+	directReadBytes = 4096
+	// directWriteBytes is the minimum size of a write that bypasses the output buffer, which
+	// copies what it holds to write it in one piece.
+	directWriteBytes = 64 << 10
+)
 
 // Conn is a TCP connection with buffers for the codec. One reader and one writer may
 // use it concurrently.
@@ -33,6 +38,9 @@
 	raw syscall.RawConn
 	// readErr is the last read error other than a timeout.
 	readErr error
+	// writeErr is the error of a write that bypassed the output buffer. The codec ignores
+	// errors of WriteBinary, so Flush reports it.
+	writeErr error
 	// maxReplyBytes is DialConfig.MaxReplyBytes, and replyBytes the bytes counted toward it.
 	maxReplyBytes, replyBytes int
 }
@@ -209,10 +217,24 @@
 func (s *Conn) Malloc(n int) ([]byte, error) { return s.out.Malloc(n) }
 
 // WriteBinary implements network.Writer.
-func (s *Conn) WriteBinary(b []byte) (int, error) { return s.out.WriteBinary(b) }
+func (s *Conn) WriteBinary(b []byte) (int, error) {
+	if len(b) < directWriteBytes {
+		return s.out.WriteBinary(b)
+	}
+	if err := s.Flush(); err != nil {
+		s.writeErr = err
+		return 0, err
+	}
+	n, err := s.Conn.Write(b)
+	s.writeErr = err
+	return n, err
+}
 
 // Flush implements network.Writer.
 func (s *Conn) Flush() error {
+	if s.writeErr != nil {
+		return s.writeErr
+	}
 	if s.out.MallocLen() == 0 {
 		return nil
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"shallotglade/pkg/health"
 	"shallotglade/pkg/history"
 	"shallotglade/pkg/ingress"
+	"shallotglade/pkg/memory"
 	"shallotglade/pkg/peer"
 	"shallotglade/pkg/platform"
 	"shallotglade/pkg/proxy"
@@ -63,6 +64,7 @@
 	syncer         *confsync.Syncer
 	catalog        *catalog.Catalog
 	health         *health.Controller
+	memory         *memory.Budget
 	upstreamClient *upstream.Client
 	ledger         claims.Ledger
 	proxy          *proxy.Proxy
@@ -105,6 +107,7 @@
 }
 
 func (d *Daemon) provision(adapters map[string]AdapterFactory) error {
+	d.provisionMemory()
 	if err := d.provisionPlatform(adapters); err != nil {
 		return err
 	}
@@ -148,7 +151,7 @@
 }
 
 func (d *Daemon) provisionPeers() error {
-	config := peer.Config{Listen: d.settings.Listen.Peers, Logger: d.log}
+	config := peer.Config{Listen: d.settings.Listen.Peers, Logger: d.log, Hold: d.holdFrame}
 	if d.settings.Peers.Trust == settings.TrustRegistered {
 		var err error
 		if config.RegisteredKeys, err = peer.NewRegisteredKeys(registration.NewID(d.settings.Host)); err != nil {
@@ -271,7 +274,7 @@
 }
 
 func (d *Daemon) provisionRequestPath() error {
-	d.upstreamClient = upstream.NewClient(d.adapter.Dialect)
+	d.upstreamClient = upstream.NewClientWithMemory(d.adapter.Dialect, d.memory)
 	var err error
 	d.ledger, err = claims.New(claims.Config{Store: d.store})
 	if err != nil {
@@ -292,13 +295,18 @@
 	if err := d.health.Provision(); err != nil {
 		return errors.Wrap(err, "health")
 	}
-	forward := &forwarder{node: d.node, recordReachability: d.roster.members.Observe}
+	forward := &forwarder{node: d.node, memory: d.memory, recordReachability: d.roster.members.Observe}
 	d.proxy = &proxy.Proxy{
 		Forwarder: forward, Drain: proxy.NewDrain(),
 		Dialect: d.adapter.Dialect, Board: d.board, Sender: d.upstreamClient, Ledger: d.ledger, Directory: d.roster,
 		Notifier: d.health, Log: d.log, Metrics: d.metrics, LogDecisions: d.logsDecisions,
 	}
 	d.node.Handle(proxy.ForwardKind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
+		release, err := reserveCopies(d.memory, len(body))
+		if err != nil {
+			return nil, errors.Mark(err, peer.ErrRefused)
+		}
+		defer release()
 		reply, err := d.proxy.HandleForward(ctx, body)
 		if errors.Is(err, proxy.ErrUnknownService) {
 			err = errors.Mark(err, peer.ErrRefused)
@@ -332,6 +340,10 @@
 	if err := d.provisionInfoServers(); err != nil {
 		return err
 	}
+	for _, s := range append([]*ingress.Server{d.callerServer.Server}, d.infoServers...) {
+		s.ShareMemory(d.memory)
+		s.LimitsMemory = d.settings.Capacity.MemoryMB > 0
+	}
 	return d.provisionAdmin()
 }
 
@@ -353,13 +365,23 @@
 
 // forwarder sends requests to homes over the peer transport.
 type forwarder struct {
-	node *peer.Node
+	node   *peer.Node
+	memory *memory.Budget
 	// recordReachability records whether a daemon could be reached.
 	recordReachability func(id string, reachable bool)
 }
 
 // Forward implements proxy.Forwarder.
 func (f *forwarder) Forward(ctx context.Context, to proxy.Peer, in *proxy.Incoming, remaining time.Duration) (*proxy.Answer, error) {
+	size := forwardBytes(in)
+	if size > maxForwardBytes {
+		return nil, errors.Mark(peer.ErrTooLarge, proxy.ErrNotSent)
+	}
+	release, err := reserveCopies(f.memory, size)
+	if err != nil {
+		return nil, errors.Mark(err, proxy.ErrNotSent)
+	}
+	defer release()
 	body, err := proxy.EncodeForward(in, remaining)
 	if err != nil {
 		return nil, errors.Mark(err, proxy.ErrNotSent)
--- a/pkg/daemon/info_servers.go
+++ b/pkg/daemon/info_servers.go
@@ -35,7 +35,9 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen for address queries or readiness checks on %s", l.address)
 		}
-		d.infoServers = append(d.infoServers, ingress.New(ln, func() ingress.Limits { return infoServerLimits }, l.handler, d.log))
+		server := ingress.New(ln, func() ingress.Limits { return infoServerLimits }, l.handler, d.log)
+		server.DiscardBody = func(*ingress.Request) bool { return true }
+		d.infoServers = append(d.infoServers, server)
 	}
 	return nil
 }
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -11,6 +11,7 @@
 	}{
 		{"peer_dials_total", "Handshakes begun with other daemons.", func() uint64 { return d.node.Stats().Dials }},
 		{"peer_dial_errors_total", "Handshakes begun with other daemons that failed.", func() uint64 { return d.node.Stats().DialErrors }},
+		{"memory_evictions_total", "Connections and responses closed because others needed their memory.", func() uint64 { return d.memory.Stats().Evicted }},
 		{"sync_comparison_errors_total", "Failed comparisons of copies with other daemons.", func() uint64 { return d.syncer.Stats().DigestErrors }},
 		{"sync_push_errors_total", "Changes that another daemon did not acknowledge.", func() uint64 { return d.syncer.Stats().PushErrors }},
 		{"sync_pushes_dropped_total", "Changes not sent because too many were in progress.", func() uint64 { return d.syncer.Stats().Dropped }},
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
@@ -17,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"shallotglade/internal/netconn"
+	"shallotglade/pkg/memory"
 )
 
 const (
@@ -39,11 +41,19 @@
 
 // conn is one caller's connection.
 type conn struct {
-	server  *Server
-	netConn *netconn.Conn
-	remote  string
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
+	server    *Server
+	transport *transport
+	netConn   *netconn.Conn
+	account   *memory.Account
+	remote    string
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+
+	// reading is true while a request arrives, writing while an answer is written, and evicted once
+	// the connection was told to close for others.
+	reading, writing, evicted atomic.Bool
+	// heldBytes is the memory of the connection's requests and answers.
+	heldBytes atomic.Int64
 
 	mu sync.Mutex
 	// lastAnswered is closed when the answer to the latest request has been
@@ -63,8 +73,9 @@
 	changed *sync.Cond
 }
 
-func newConn(s *Server, nc *netconn.Conn) *conn {
-	c := &conn{server: s, netConn: nc, remote: nc.RemoteAddr().String()}
+func newConn(s *Server, t *transport, nc *netconn.Conn) *conn {
+	c := &conn{server: s, transport: t, netConn: nc, remote: nc.RemoteAddr().String()}
+	c.transport.lastRead.Store(sinceStart())
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.changed = sync.NewCond(&c.mu)
 	return c
@@ -81,8 +92,14 @@
 	// earlierAnswered is closed when all earlier requests of the connection have
 	// been answered. It is nil if there was none in progress.
 	earlierAnswered <-chan struct{}
-	// reservedBytes is the memory reserved for the body.
-	reservedBytes int64
+	// Discarded is true if the request had a body that was not kept; see Server.DiscardBody.
+	Discarded bool
+
+	// usage is the memory reserved for the request, bodyBytes that for its body. fields is the
+	// number of header fields.
+	usage     usage
+	bodyBytes int64
+	fields    int
 }
 
 // WaitForEarlierAnswers waits until the earlier requests of the connection have been
@@ -114,8 +131,7 @@
 			return
 		}
 		if !c.startHandler(r) {
-			c.release(r)
-			protocol.ReleaseRequest(r.Request)
+			c.recycle(r)
 			if c.hasEnded() {
 				return
 			}
@@ -132,6 +148,10 @@
 	}
 	c.mu.Unlock()
 	c.netConn.Close()
+	c.account.Close()
+	if c.evicted.Load() {
+		c.server.log.Info().Str("remote", c.remote).Msg("ingress: connection without progress closed for others")
+	}
 	c.server.removeConn(c)
 }
 
@@ -142,12 +162,18 @@
 	if _, err := c.netConn.Peek(1); err != nil {
 		return nil, err
 	}
+	c.transport.markRead()
+	c.reading.Store(true)
+	defer c.reading.Store(false)
 	limits := c.server.limits()
 	r := &Request{Request: protocol.AcquireRequest(), Remote: c.remote, Began: time.Now()}
 	c.setDeadline(func() { c.requestDeadline = r.Began.Add(limits.RequestArrival) })
 	if err := req.ReadHeaderWithLimit(&r.Header, c.netConn, limits.MaxHeaderBytes); err != nil {
 		return r, err
 	}
+	if err := c.reserveHeader(r); err != nil {
+		return r, err
+	}
 	if r.MayContinue() {
 		if err := c.sendContinue(); err != nil {
 			return r, err
@@ -175,6 +201,8 @@
 	switch {
 	case c.ended:
 		return
+	case c.evicted.Load():
+		deadline = time.Now()
 	case !c.requestDeadline.IsZero():
 		deadline = c.requestDeadline
 	case c.pending == 0 && c.server.draining.Load():
@@ -212,7 +240,12 @@
 func (c *conn) startHandler(r *Request) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.pending >= maxPipelinedRequests && !c.ended {
+	if c.pending > 0 && c.server.endsConnections() {
+		// It must not wait for the memory of the answers before it and then be handled.
+		c.dropped = true
+		return false
+	}
+	for !c.ended && (c.pending >= maxPipelinedRequests || c.pending > 0 && c.heldBytes.Load()-r.usage.bytes > maxReadAheadBytes) {
 		c.changed.Wait()
 	}
 	if c.ended {
@@ -241,14 +274,17 @@
 	answer.Header.SetNoDefaultContentType(true)
 	answer.Header.SetNoDefaultDate(true)
 	c.server.handler(c.ctx, r, answer)
+	ending := r.Header.ConnectionClose() || answer.ConnectionClose()
+	answer.SkipBody = answer.SkipBody || string(r.Header.Method()) == "HEAD"
+	held := c.holdAnswer(answer)
+	c.recycle(r)
 	if earlierAnswered != nil {
 		<-earlierAnswered
 	}
-	c.writeAnswer(r, answer, answered)
+	c.writeAnswer(answer, ending, answered)
 	close(answered)
-	c.release(r)
-	protocol.ReleaseRequest(r.Request)
 	protocol.ReleaseResponse(answer)
+	c.releaseAnswer(held)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
@@ -261,8 +297,8 @@
 }
 
 // writeAnswer writes the answer unless the connection has ended meanwhile. answered is the
-// channel of its request.
-func (c *conn) writeAnswer(r *Request, answer *protocol.Response, answered chan<- struct{}) {
+// channel of its request, and ending is true if the connection ends with the answer.
+func (c *conn) writeAnswer(answer *protocol.Response, ending bool, answered chan<- struct{}) {
 	c.mu.Lock()
 	ended := c.ended || c.ctx.Err() != nil
 	// A stopping server does not drop requests that it handles already.
@@ -274,11 +310,10 @@
 		}
 		return
 	}
-	ending := r.Header.ConnectionClose() || answer.ConnectionClose() || stopsHere
+	ending = ending || stopsHere
 	if ending {
 		answer.SetConnectionClose()
 	}
-	answer.SkipBody = answer.SkipBody || string(r.Header.Method()) == "HEAD"
 	if err := c.writeResponse(answer); err != nil {
 		c.abort(errors.Wrap(err, "write the answer"))
 		return
@@ -292,6 +327,9 @@
 	if err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
+	c.transport.lastWrite.Store(sinceStart())
+	c.writing.Store(true)
+	defer c.writing.Store(false)
 	if err := resp.Write(answer, c.netConn); err != nil {
 		return err
 	}
@@ -312,10 +350,7 @@
 	c.ended = true
 	c.changed.Broadcast()
 	c.cancel(errConnectionEnding)
-	if tcp, ok := c.netConn.Conn.(*net.TCPConn); ok {
-		// It fails only if the connection is closed already.
-		_ = tcp.CloseWrite()
-	}
+	c.transport.closeWrite()
 	_ = c.netConn.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
@@ -359,6 +394,9 @@
 		c.linger()
 		return
 	}
+	if r != nil && c.evicted.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errNoMemory
+	}
 	status, reason := refusalFor(r, err)
 	if status == 0 {
 		c.cancel(ErrCallerGone)
@@ -408,7 +446,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return 408, "the request did not arrive in time"
 	case errors.Is(err, errNoMemory):
-		return http.StatusServiceUnavailable, "there is no memory for the body"
+		return http.StatusServiceUnavailable, "there is no memory for the request"
 	case errors.Is(err, hertzerrors.ErrBodyTooLarge):
 		return 413, "the body is too large"
 	case errors.Is(err, hertzerrors.ErrHeaderTooLarge):
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -11,9 +11,9 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/semaphore"
 
 	"shallotglade/internal/netconn"
+	"shallotglade/pkg/memory"
 )
 
 // Limits holds the limits of connections and requests.
@@ -52,9 +52,16 @@
 	// It must be set before Run.
 	OnRefusal func(*protocol.Response)
 
-	// bodyMemory holds what is left of maxBodyMemoryBytes.
-	bodyMemory *semaphore.Weighted
+	// DiscardBody, if set, reports whether the body of a request is not needed, which is decided
+	// on its header. Such a body is read and not kept. It must be set before Run.
+	DiscardBody func(*Request) bool
+	// LimitsMemory limits the connections by the size of the memory budget. It must be set before
+	// Run.
+	LimitsMemory bool
 
+	memory *memory.Budget
+	// evictions counts the connections told to close for others.
+	evictions atomic.Int64
 	// unanswered counts the requests that were read and not answered, because an earlier
 	// answer closed the connection.
 	unanswered atomic.Int64
@@ -66,6 +73,8 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// closing is the number of connections told to close for new ones.
+	closing int
 	// acceptEnded is closed when Run returns. It is nil before Run.
 	acceptEnded chan struct{}
 	allClosed   chan struct{} // closed and replaced when the last connection closes
@@ -76,10 +85,18 @@
 func New(ln net.Listener, limits func() Limits, handler Handler, log zerolog.Logger) *Server {
 	return &Server{
 		listener: ln, limits: limits, handler: handler, log: log,
-		bodyMemory: semaphore.NewWeighted(maxBodyMemoryBytes), conns: map[*conn]struct{}{}, allClosed: make(chan struct{}),
+		memory: memory.New(0), conns: map[*conn]struct{}{}, allClosed: make(chan struct{}),
 	}
 }
 
+// ShareMemory makes the server use a memory budget that others use too. It must be called before
+// Run.
+func (s *Server) ShareMemory(b *memory.Budget) { s.memory = b }
+
+// Evictions returns how many connections were told to close because others needed their memory
+// or their place.
+func (s *Server) Evictions() int64 { return s.evictions.Load() }
+
 const (
 	// acceptRetryDelay is how long the server waits after a failed accept, which happens
 	// when file descriptors run out.
@@ -114,6 +131,9 @@
 			}
 		default:
 			s.log.Warn().Err(err).Msg("ingress: connection not accepted")
+			s.mu.Lock()
+			s.evictIdlest()
+			s.mu.Unlock()
 			time.Sleep(acceptRetryDelay)
 		}
 	}
@@ -149,16 +169,18 @@
 	return err
 }
 
-// serveConn serves a connection, or closes it if there are too many.
+// serveConn serves a connection. If there are too many, it closes the one without progress for
+// the longest time, or the new one if all make progress.
 func (s *Server) serveConn(nc net.Conn) {
-	wrapped, err := netconn.Wrap(nc)
+	t := &transport{Conn: nc}
+	wrapped, err := netconn.Wrap(t)
 	if err != nil {
 		s.log.Debug().Err(err).Msg("ingress: accepted connection is unusable")
 		return
 	}
-	c := newConn(s, wrapped)
+	c := newConn(s, t, wrapped)
 	s.mu.Lock()
-	if len(s.conns) >= s.limits().Connections {
+	if len(s.conns)-s.closing >= s.connectionLimit() && !s.evictIdlest() {
 		s.mu.Unlock()
 		nc.Close()
 		s.log.Warn().Str("remote", c.remote).Msg("ingress: too many connections; new connection closed")
@@ -166,6 +188,7 @@
 	}
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
+	c.account = s.memory.Open(false, c)
 	go c.serve()
 }
 
--- /dev/null
+++ b/pkg/memory/memory.go
@@ -0,0 +1,297 @@
+package memory
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Class is what memory is held for. It decides how much of the budget a reservation may use.
+type Class uint8
+
+// Classes of reservations.
+const (
+	// Small is for requests of up to SmallBytes.
+	Small Class = iota
+	// Large is for larger requests.
+	Large
+	// Response is for the answers of upstreams.
+	Response
+)
+
+const (
+	// DefaultBytes is the budget if the memory of the host is unknown: half of the 184 MB of the
+	// smallest host.
+	DefaultBytes = 184_000_000 / 2
+	// SmallBytes is the largest reservation of class Small.
+	SmallBytes = 1 << 20
+	// StalledAfter is how long a holder may make no progress before it can be evicted. It
+	// is longer than the retransmission of a lost packet takes twice in a row (200 and 400 ms).
+	StalledAfter = time.Second
+	// releaseTime is how long an evicted holder usually takes at most to release its memory. A
+	// request that continues at its upstream takes longer.
+	releaseTime = 500 * time.Millisecond
+	// scanInterval limits how often all holders are examined, which many may cause at a time.
+	scanInterval = 10 * time.Millisecond
+)
+
+// Holder is something that holds memory of a budget and can be made to release it.
+type Holder interface {
+	// StalledSince returns when the holder last made progress, if it waits for its peer to
+	// send or to read. It is called with the lock of the budget held.
+	StalledSince() (since time.Time, waits bool)
+	// Evict makes the holder release its memory soon. It must not call the budget.
+	Evict()
+}
+
+// Account is the memory that one holder has reserved.
+type Account struct {
+	budget *Budget
+	holder Holder
+	// bytes are those reserved, large those of them of class Large.
+	bytes, large int64
+	// response is true for the response of an upstream.
+	response bool
+	// evicted is true once the holder was told to release its memory.
+	evicted bool
+}
+
+// Budget is the memory of one daemon for callers and upstreams.
+type Budget struct {
+	total, requestLimit int64
+
+	mu sync.Mutex
+	// used are the bytes reserved, large those of them of class Large.
+	used, large int64
+	accounts    map[*Account]struct{}
+	// released is closed and replaced when memory is released. It is nil while nobody waits.
+	released chan struct{}
+	// evicting are the bytes of evicted accounts, the latest of which was evicted at evictedAt.
+	evicting  int64
+	evictedAt time.Time
+	// scanned is when stalled holders were last looked for.
+	scanned   time.Time
+	evictions uint64
+}
+
+// New returns the budget of a host with the given memory in units of 1,000,000 bytes, or
+// the default if it is 0. Half of the memory is left to the rest of the daemon and to garbage.
+func New(memoryMB int) *Budget {
+	b := &Budget{total: DefaultBytes, accounts: map[*Account]struct{}{}}
+	// Without a known memory, the responses keep the half that they always had.
+	b.requestLimit = b.total / 2
+	if memoryMB > 0 {
+		b.total = int64(memoryMB) * 1_000_000 / 2
+		// At 184 MB this is 69 MB, which holds the users' largest body of 64 MiB.
+		b.requestLimit = b.total / 4 * 3
+	}
+	return b
+}
+
+// Total returns the size of the budget in bytes.
+func (b *Budget) Total() int64 { return b.total }
+
+// MaxLarge returns the memory for reservations of class Large.
+func (b *Budget) MaxLarge() int64 { return b.requestLimit }
+
+// Open returns an empty account. Close releases it.
+func (b *Budget) Open(response bool, holder Holder) *Account {
+	a := &Account{budget: b, holder: holder, response: response}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.accounts[a] = struct{}{}
+	return a
+}
+
+// Close releases all memory of the account.
+func (a *Account) Close() {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.add(-a.bytes, -a.large)
+	delete(a.budget.accounts, a)
+}
+
+// add changes the bytes of the account. The caller holds the lock.
+func (a *Account) add(n, large int64) {
+	b := a.budget
+	a.bytes += n
+	a.large += large
+	b.used += n
+	b.large += large
+	if a.evicted {
+		b.evicting += n
+	}
+	if n < 0 {
+		b.notify()
+	}
+}
+
+func (b *Budget) notify() {
+	if b.released != nil {
+		close(b.released)
+		b.released = nil
+	}
+}
+
+// Add counts memory that is in use already, beyond the limit if need be.
+func (a *Account) Add(n int64) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.add(n, 0)
+}
+
+// Release releases n bytes, large of them of class Large.
+func (a *Account) Release(n, large int64) {
+	if n == 0 {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.add(-n, -large)
+}
+
+// Evicted reports whether the holder was told to release its memory.
+func (a *Account) Evicted() bool {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	return a.evicted
+}
+
+// Result is the outcome of Grow.
+type Result uint8
+
+// Outcomes of Grow.
+const (
+	// Granted means that the memory is reserved.
+	Granted Result = iota
+	// Evicting means that other holders are releasing memory.
+	Evicting
+	// Short means that no holder can be evicted now.
+	Short
+	// Evicted means that the account itself was evicted.
+	Evicted
+)
+
+// Grow reserves n more bytes. If they do not fit, it evicts the holder that has made no
+// progress for the longest time, if that is StalledAfter or more. A response that still does not
+// fit evicts the largest response, which may be itself, so that an endless one lets the others
+// complete. The channel is closed when memory is released; it is nil unless the result is
+// Evicting or Short.
+func (a *Account) Grow(now time.Time, class Class, n int64) (Result, <-chan struct{}) {
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.evicted {
+		return Evicted, nil
+	}
+	if b.fits(class, n) {
+		large := int64(0)
+		if class == Large {
+			large = n
+		}
+		a.add(n, large)
+		return Granted, nil
+	}
+	b.evictStalled(now, a, n)
+	if class == Response && !b.awaitsRelease(now) {
+		largest := b.largestResponse(a, n)
+		b.evict(now, largest)
+		if largest == a {
+			return Evicted, nil
+		}
+		largest.holder.Evict()
+	}
+	if b.released == nil {
+		b.released = make(chan struct{})
+	}
+	if b.awaitsRelease(now) {
+		return Evicting, b.released
+	}
+	return Short, b.released
+}
+
+// requestShare is the part of the budget, in eighths, that requests may use. The rest is for
+// the responses that they wait for.
+const requestShare = 7
+
+// fits reports whether n more bytes of a class may be reserved.
+func (b *Budget) fits(class Class, n int64) bool {
+	switch class {
+	case Response:
+		return b.used+n <= b.total
+	case Large:
+		return b.large+n <= b.requestLimit && b.used+n <= b.total/8*requestShare
+	default:
+		return b.used+n <= b.total/8*requestShare
+	}
+}
+
+// evictStalled evicts the holders that have made no progress for the longest time until n bytes
+// are being released, or none is left.
+func (b *Budget) evictStalled(now time.Time, requester *Account, n int64) {
+	if b.awaitsRelease(now) && b.evicting >= n || now.Sub(b.scanned) < scanInterval {
+		return
+	}
+	type stalled struct {
+		account *Account
+		since   time.Time
+	}
+	var found []stalled
+	before := now.Add(-StalledAfter)
+	for a := range b.accounts {
+		if a == requester || a.bytes == 0 || a.evicted {
+			continue
+		}
+		if since, waits := a.holder.StalledSince(); waits && !since.After(before) {
+			found = append(found, stalled{a, since})
+		}
+	}
+	b.scanned = now
+	slices.SortFunc(found, func(x, y stalled) int { return x.since.Compare(y.since) })
+	for _, s := range found {
+		if b.evicting >= n {
+			return
+		}
+		b.evict(now, s.account)
+		s.account.holder.Evict()
+	}
+}
+
+// evict marks an account as evicted. The caller holds the lock.
+func (b *Budget) evict(now time.Time, a *Account) {
+	a.evicted = true
+	b.evictions++
+	b.evicting += a.bytes
+	b.evictedAt = now
+}
+
+// awaitsRelease reports whether holders that were evicted a short time ago hold memory.
+func (b *Budget) awaitsRelease(now time.Time) bool {
+	return b.evicting > 0 && now.Sub(b.evictedAt) < releaseTime
+}
+
+// largestResponse returns the account that would be the largest response if requester had n
+// more bytes.
+func (b *Budget) largestResponse(requester *Account, n int64) *Account {
+	largest, size := requester, requester.bytes+n
+	for a := range b.accounts {
+		if a.response && !a.evicted && a.bytes > size {
+			largest, size = a, a.bytes
+		}
+	}
+	return largest
+}
+
+// Stats are the figures of a budget.
+type Stats struct {
+	// UsedBytes are the bytes reserved, and Evicted counts the holders evicted.
+	UsedBytes int64
+	Evicted   uint64
+}
+
+// Stats returns the figures of the budget.
+func (b *Budget) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Stats{UsedBytes: b.used, Evicted: b.evictions}
+}
--- a/pkg/peer/call.go
+++ b/pkg/peer/call.go
@@ -95,7 +95,9 @@
 }
 
 func (n *Node) readReply(stream *quic.Stream) (reply, error) {
-	frame, err := readFrame(stream, n.config.MaxFrameBytes)
+	release := func() {}
+	defer func() { release() }()
+	frame, err := readFrame(stream, n.config.MaxFrameBytes, func(size int) { release = n.hold(size) })
 	if err != nil {
 		return reply{}, err
 	}
--- a/pkg/peer/config.go
+++ b/pkg/peer/config.go
@@ -45,6 +45,8 @@
 	// MaxStreamsPerConn is the maximum number of concurrent calls over one
 	// connection; further calls wait at the sender.
 	MaxStreamsPerConn int
+	// Hold, if set, counts the memory of a frame of minHeldBytes or more until release is called.
+	Hold func(bytes int) (release func())
 	// Drop is for tests: a packet from one IP:port to another is dropped when
 	// it returns true. It is called for both sent and received packets.
 	Drop func(from, to string) bool
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -80,9 +80,24 @@
 	return frame, nil
 }
 
+const (
+	// minHeldBytes is the smallest frame that Config.Hold counts. Most are smaller.
+	minHeldBytes = 64 << 10
+	// frameCopies is how often the content of a frame is in memory: in the frame and decoded.
+	frameCopies = 2
+)
+
+// hold counts the memory of a frame of a size with Config.Hold.
+func (n *Node) hold(size int) (release func()) {
+	if n.config.Hold == nil || size < minHeldBytes {
+		return func() {}
+	}
+	return n.config.Hold(size * frameCopies)
+}
+
 // readFrame reads a length prefix and a frame of at most limit bytes, and returns
-// the frame.
-func readFrame(r io.Reader, limit int) ([]byte, error) {
+// the frame. hold is called with its size before it is read.
+func readFrame(r io.Reader, limit int, hold func(size int)) ([]byte, error) {
 	var length [lengthBytes]byte
 	if _, err := io.ReadFull(r, length[:]); err != nil {
 		return nil, errors.Wrap(err, "read the frame length")
@@ -91,6 +106,7 @@
 	if uint64(size) > uint64(limit) {
 		return nil, errors.Wrapf(ErrTooLarge, "frame of %d bytes", size)
 	}
+	hold(int(size))
 	var buffer bytes.Buffer
 	buffer.Grow(min(int(size), maxInitialBufferBytes))
 	if n, err := io.CopyN(&buffer, r, int64(size)); err != nil {
--- a/pkg/peer/frame_test.go
+++ b/pkg/peer/frame_test.go
@@ -18,7 +18,7 @@
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x83})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		const limit = 1 << 16
-		frame, err := readFrame(bytes.NewReader(data), limit)
+		frame, err := readFrame(bytes.NewReader(data), limit, func(int) {})
 		if err != nil {
 			return
 		}
--- a/pkg/peer/incoming.go
+++ b/pkg/peer/incoming.go
@@ -137,7 +137,9 @@
 	defer n.tasks.Done()
 	refusal := n.beginHandler(c, stream.StreamID())
 	defer n.endHandler(c, refusal)
-	answer, ok := n.handleRequest(c, stream, refusal)
+	release := func() {}
+	defer func() { release() }()
+	answer, ok := n.handleRequest(c, stream, refusal, func(size int) { release = n.hold(size) })
 	if !ok {
 		stream.CancelRead(codeCancelled)
 		stream.CancelWrite(codeCancelled)
@@ -181,8 +183,8 @@
 }
 
 // handleRequest reads a request and returns its reply. It returns false if the
-// request did not arrive.
-func (n *Node) handleRequest(c *incoming, stream *quic.Stream, refusal string) (reply, bool) {
+// request did not arrive. hold is called with the size of the request.
+func (n *Node) handleRequest(c *incoming, stream *quic.Stream, refusal string, hold func(size int)) (reply, bool) {
 	if refusal != "" {
 		stream.CancelRead(codeCancelled)
 		return n.newRefusal(refusal), true
@@ -190,7 +192,7 @@
 	if err := stream.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
 		return reply{}, false
 	}
-	frame, err := readFrame(stream, n.config.MaxFrameBytes)
+	frame, err := readFrame(stream, n.config.MaxFrameBytes, hold)
 	if errors.Is(err, ErrTooLarge) {
 		stream.CancelRead(codeCancelled)
 		return n.newRefusal("request too large"), true
@@ -252,6 +254,7 @@
 // stream to confirm the arrival. Closing the connection earlier would discard
 // the reply.
 func (n *Node) writeReply(stream *quic.Stream, answer reply) error {
+	defer n.hold(len(answer.Body))()
 	frame, err := encodeFrame(answer)
 	if err != nil {
 		return err
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -99,6 +99,11 @@
 		in.unrouted = true
 		return p.finish(in, "", refusalAnswer(routeNotFound(configured)))
 	}
+	if in.bodyDiscarded {
+		e := verdict.Refuse(503, "route-added", "The route was added while the body of the request arrived.")
+		e.RetryAfter = shedRetryAfter
+		return p.finish(in, service.Name, refusalAnswer(e))
+	}
 	in.idempotent = route.Idempotent(service.Document(), in.Method, in.Path)
 	return p.serveRule(ctx, route.Rule, service, in)
 }
--- a/pkg/proxy/request.go
+++ b/pkg/proxy/request.go
@@ -64,6 +64,8 @@
 	configurationVersion uint64
 	// unrouted is true if no route matches the request.
 	unrouted bool
+	// bodyDiscarded is true if the body was not kept, because no route matched the header.
+	bodyDiscarded bool
 	// forwarderDrain tells when the daemon that forwarded the request stops. It is nil for a
 	// request that was not forwarded.
 	forwarderDrain *Drain
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -38,6 +38,7 @@
 func NewServer(ln net.Listener, limits func() settings.Callers, p *Proxy, addresses AddressResolver) *Server {
 	s := &Server{proxy: p, addresses: addresses}
 	s.Server = ingress.New(ln, func() ingress.Limits { return ingressLimits(limits(), p.Board.Connections()) }, s.handle, p.Log)
+	s.DiscardBody = s.isUnrouted
 	s.OnRefusal = func(resp *protocol.Response) {
 		if p.Dialect.Verdict != "" {
 			resp.Header.Set(p.Dialect.Verdict, verdict.NotRun.String())
@@ -46,6 +47,13 @@
 	return s
 }
 
+// isUnrouted reports whether no route matches a request, whose body is then not needed.
+func (s *Server) isUnrouted(r *ingress.Request) bool {
+	path, _, _ := strings.Cut(string(r.Header.RequestURI()), "?")
+	_, _, ok := s.proxy.Board.Route(string(r.Header.Peek(HeaderService)), string(r.Header.Host()), path)
+	return !ok
+}
+
 // ingressLimits returns the limits of the settings, overridden by those that the
 // current configuration sets.
 func ingressLimits(c settings.Callers, configured document.Connections) ingress.Limits {
@@ -109,7 +117,7 @@
 		Method:  string(h.Method()),
 		Host:    string(h.Host()),
 		URI:     string(h.RequestURI()),
-		Body:    r.Body(),
+		Body:    r.Body(), bodyDiscarded: r.Discarded,
 		HasBody: h.ContentLength() > 0 || h.ContentLength() == chunkedLength,
 	}
 	if !d.CallerSetsRequestID {
--- a/pkg/upstream/body.go
+++ b/pkg/upstream/body.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	// maxBodyBytes is the largest response body. A body is buffered completely before
+	// maxBodyBytes is the largest response body: three quarters of a quarter of the 184 MB of
+	// the smallest host. A body is buffered completely before
 	// any byte is sent to the caller. The smaller buffers that it outgrew add up to a
 	// third of its size until they are garbage-collected.
-	maxBodyBytes = maxBufferedBytes / 4 * 3
+	maxBodyBytes = 184_000_000 / 4 / 4 * 3
 	// growthFactor is the factor by which a full buffer grows.
 	growthFactor = 4
 	// initialBufferBytes is the initial size of a body buffer. A larger Content-Length
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -14,13 +14,14 @@
 	"github.com/cockroachdb/errors"
 
 	"shallotglade/pkg/dialect"
+	"shallotglade/pkg/memory"
 	"shallotglade/pkg/verdict"
 )
 
 // Client is the Sender that speaks HTTP/1.1.
 type Client struct {
 	dialect *dialect.Dialect
-	budget  *memoryBudget
+	memory  *memory.Budget
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -30,9 +31,12 @@
 
 var _ Sender = (*Client)(nil)
 
-// NewClient returns a client. Close releases its resources.
-func NewClient(d *dialect.Dialect) *Client {
-	c := &Client{dialect: d, budget: newMemoryBudget(), pools: map[string]*pool{}, stop: make(chan struct{}), done: make(chan struct{})}
+// NewClient returns a client with a memory budget of its own. Close releases its resources.
+func NewClient(d *dialect.Dialect) *Client { return NewClientWithMemory(d, memory.New(0)) }
+
+// NewClientWithMemory returns a client whose responses share a memory budget with others.
+func NewClientWithMemory(d *dialect.Dialect, budget *memory.Budget) *Client {
+	c := &Client{dialect: d, memory: budget, pools: map[string]*pool{}, stop: make(chan struct{}), done: make(chan struct{})}
 	go c.expireLoop()
 	return c
 }
@@ -48,25 +52,41 @@
 	}
 }
 
+const (
+	// maxPooledFields is the largest number of header fields of a request whose memory returns
+	// to the library's pool.
+	maxPooledFields = 256
+	// inFlightShare is the part of the memory budget that the bodies in flight to one upstream
+	// may take together. A single body may be larger.
+	inFlightShare = 2
+)
+
 // Do implements Sender.
 func (c *Client) Do(ctx context.Context, target Target, request *Request) Result {
 	start := time.Now()
 	p := c.pool(target.Address)
+	if !p.beginRequest(len(request.Body), c.memory.Total()/inFlightShare) {
+		return Result{Kind: Refused, Verdict: verdict.NotRun, Err: errTooManyBytes}
+	}
 	conn, err := p.get(target, request, start)
 	if err != nil {
+		p.endRequest(len(request.Body))
 		return Result{Kind: Refused, Verdict: verdict.NotRun, Err: err}
 	}
+	defer p.endRequest(len(request.Body))
 	// The result does not refer to their memory, so both return to the library's pool.
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(req)
+	if len(request.Headers) <= maxPooledFields {
+		defer protocol.ReleaseRequest(req)
+	}
 	defer protocol.ReleaseResponse(resp)
 	c.buildRequest(ctx, req, target, request)
 	resp.SkipBody = request.Method == "HEAD"
 	stop := context.AfterFunc(ctx, conn.close)
 	reused := conn.hasServed
-	memory := c.budget.newReservation(conn)
-	defer memory.close()
-	reusable, err := conn.exchange(req, resp, request.ID, memory)
+	reserved := c.newReservation(conn)
+	defer reserved.close()
+	reusable, err := conn.exchange(req, resp, request.ID, reserved)
 	stop()
 	result := c.classify(ctx, request, resp, err)
 	result.Latency, result.Reused = time.Since(start), reused
--- a/pkg/upstream/memory.go
+++ b/pkg/upstream/memory.go
@@ -1,106 +1,62 @@
 package upstream
 
 import (
-	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"shallotglade/pkg/memory"
 )
 
-// maxBufferedBytes limits the memory of all responses being received: a quarter of the
-// 184 MB of the smallest host. Another quarter is for the rest of the daemon, and the
-// garbage collector lets the heap double before it frees memory.
-const maxBufferedBytes = 184_000_000 / 4
+// evictionRecheck is how often a response that waits for the memory of an evicted holder
+// checks again whether another one must be evicted.
+const evictionRecheck = 100 * time.Millisecond
 
 var (
 	errBodyTooLarge = errors.New("the response is too large to buffer")
-	errEvicted      = errors.New("the response was the largest when the response buffers reached their memory limit")
+	errEvicted      = errors.New("the response was the largest when the memory for requests and responses reached its limit")
 )
 
-// memoryBudget limits the total memory of the responses being received.
-type memoryBudget struct {
-	mu           sync.Mutex
-	usedBytes    int
-	reservations map[*reservation]struct{}
-	// changed is signalled when a reservation is closed or evicted.
-	changed *sync.Cond
-}
-
 // reservation is the memory reserved for one response.
 type reservation struct {
-	budget *memoryBudget
-	conn   *conn
-	bytes  int
-	// evicted is true if the response is aborted to free memory for others.
-	evicted bool
-}
-
-func newMemoryBudget() *memoryBudget {
-	m := &memoryBudget{reservations: map[*reservation]struct{}{}}
-	m.changed = sync.NewCond(&m.mu)
-	return m
+	account *memory.Account
+	conn    *conn
 }
 
 // newReservation returns an empty reservation for a response on a connection. close
 // releases it.
-func (m *memoryBudget) newReservation(c *conn) *reservation {
-	r := &reservation{budget: m, conn: c}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.reservations[r] = struct{}{}
+func (c *Client) newReservation(conn *conn) *reservation {
+	r := &reservation{conn: conn}
+	r.account = c.memory.Open(true, r)
 	return r
 }
 
-func (r *reservation) close() {
-	r.budget.mu.Lock()
-	defer r.budget.mu.Unlock()
-	r.budget.usedBytes -= r.bytes
-	delete(r.budget.reservations, r)
-	r.budget.changed.Broadcast()
-}
+// StalledSince implements memory.Holder. Timeouts end a response whose upstream stalls.
+func (r *reservation) StalledSince() (time.Time, bool) { return time.Time{}, false }
+
+// Evict implements memory.Holder. The reader of the response fails and releases the memory.
+func (r *reservation) Evict() { r.conn.close() }
+
+func (r *reservation) close() { r.account.Close() }
 
-// grow adds n bytes to the reservation. If they exceed the limit, it evicts the largest
-// response and waits for the memory. An endless response becomes the largest, so the
-// others can complete.
+// grow adds n bytes to the reservation, or waits while other holders are being evicted.
 func (r *reservation) grow(n int) error {
-	r.budget.mu.Lock()
-	defer r.budget.mu.Unlock()
-	for !r.evicted {
-		if r.budget.usedBytes+n <= maxBufferedBytes {
-			r.bytes += n
-			r.budget.usedBytes += n
+	for {
+		result, released := r.account.Grow(time.Now(), memory.Response, int64(n))
+		switch result {
+		case memory.Granted:
 			return nil
+		case memory.Evicted:
+			return errEvicted
 		}
-		largest := r.budget.largest(r, n)
-		if largest != r {
-			// Its reader fails when the connection is closed and releases the memory.
-			largest.conn.close()
-		}
-		if !largest.evicted {
-			largest.evicted = true
-			r.budget.changed.Broadcast()
-		}
-		if !r.evicted {
-			r.budget.changed.Wait()
+		timer := time.NewTimer(evictionRecheck)
+		select {
+		case <-released:
+		case <-timer.C:
 		}
+		timer.Stop()
 	}
-	return errEvicted
-}
-
-// largest returns the reservation that would be the largest if requester had n more
-// bytes. The caller holds the lock.
-func (m *memoryBudget) largest(requester *reservation, n int) *reservation {
-	largest, size := requester, requester.bytes+n
-	for r := range m.reservations {
-		if r.bytes > size {
-			largest, size = r, r.bytes
-		}
-	}
-	return largest
 }
 
 // isEvicted reports whether the response was aborted to free memory.
-func (r *reservation) isEvicted() bool {
-	r.budget.mu.Lock()
-	defer r.budget.mu.Unlock()
-	return r.evicted
-}
+func (r *reservation) isEvicted() bool { return r.account.Evicted() }
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -23,7 +23,10 @@
 	longIdleThreshold = 4 * time.Second
 )
 
-var errTooManyConnections = errors.New("the connection limit of the upstream is reached")
+var (
+	errTooManyConnections = errors.New("the connection limit of the upstream is reached")
+	errTooManyBytes       = errors.New("the bodies in flight to the upstream take all memory that one upstream may take")
+)
 
 // pool holds the connections to one address.
 type pool struct {
@@ -32,6 +35,27 @@
 	mu        sync.Mutex
 	idle      []*conn
 	openCount int
+	// inFlightBytes are the bodies of the requests in flight.
+	inFlightBytes int64
+}
+
+// beginRequest counts a body in flight. It returns false if the bodies exceed the limit
+// together. An upstream that runs out of memory for its requests crashes.
+func (p *pool) beginRequest(bodyBytes int, limit int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.inFlightBytes > 0 && bodyBytes > 0 && p.inFlightBytes+int64(bodyBytes) > limit {
+		return false
+	}
+	p.inFlightBytes += int64(bodyBytes)
+	return true
+}
+
+// endRequest ends what beginRequest began.
+func (p *pool) endRequest(bodyBytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inFlightBytes -= int64(bodyBytes)
 }
 
 // get returns the idle connection that was used last, or a new one if there is none
