Test the memory budget, evictions, discarded bodies and bytes in flight

Also fixed on the way: an evicted connection that still had requests in progress dropped them, and connections told to close were counted as closing for ever.

--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -225,7 +225,7 @@
 		s.writeErr = err
 		return 0, err
 	}
-	n, err := s.Conn.Write(b)
+	n, err := s.Write(b)
 	s.writeErr = err
 	return n, err
 }
--- a/internal/netconn/conn_test.go
+++ b/internal/netconn/conn_test.go
@@ -136,3 +136,23 @@
 		return c.Release()
 	}
 }
+
+// brokenConn is a connection whose writes fail.
+type brokenConn struct{ net.Conn }
+
+var errBroken = errors.New("broken")
+
+func (brokenConn) Write([]byte) (int, error) { return 0, errBroken }
+
+// Guards against a large body whose write failed and whose connection is used again: the codec
+// ignores errors of WriteBinary.
+func TestFlushReportsFailedLargeWrite(t *testing.T) {
+	c, err := netconn.Wrap(brokenConn{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = c.WriteBinary(make([]byte, 1<<20))
+	if err := c.Flush(); !errors.Is(err, errBroken) {
+		t.Errorf("flush returned %v", err)
+	}
+}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -302,7 +302,7 @@
 		Notifier: d.health, Log: d.log, Metrics: d.metrics, LogDecisions: d.logsDecisions,
 	}
 	d.node.Handle(proxy.ForwardKind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
-		release, err := reserveCopies(d.memory, len(body))
+		release, err := reserveCopies(d.memory, receivedCopies*len(body))
 		if err != nil {
 			return nil, errors.Mark(err, peer.ErrRefused)
 		}
@@ -377,7 +377,7 @@
 	if size > maxForwardBytes {
 		return nil, errors.Mark(peer.ErrTooLarge, proxy.ErrNotSent)
 	}
-	release, err := reserveCopies(f.memory, size)
+	release, err := reserveCopies(f.memory, sentCopies*size)
 	if err != nil {
 		return nil, errors.Mark(err, proxy.ErrNotSent)
 	}
--- a/pkg/daemon/memory.go
+++ b/pkg/daemon/memory.go
@@ -16,9 +16,9 @@
 	// the garbage collector runs more often. The rest is for the program text and for buffers of
 	// the kernel that count towards the host's limit.
 	runtimeMemoryShare = 0.85
-	// forwardCopies is how often a forwarded request is in memory besides the request itself:
-	// as the message, as the frame, and in the encoder.
-	forwardCopies = 3
+	// sentCopies is how often a request that is forwarded is in memory besides the request itself:
+	// as the message, as the frame, and in the encoder. A received one is there once besides its frame.
+	sentCopies, receivedCopies = 3, 1
 	// maxForwardBytes is the largest request that fits into a frame. Its other fields, which are
 	// limited by the size of a header, take the rest.
 	maxForwardBytes = peer.DefaultMaxFrameBytes - 256<<10
@@ -52,10 +52,10 @@
 // errNoForwardMemory means that there is no memory for the copies of a forwarded request.
 var errNoForwardMemory = errors.New("no memory for a forwarded request")
 
-// reserveCopies reserves the copies of a forwarded request of a size.
+// reserveCopies reserves memory for the copies of a forwarded request, or fails at once.
 func reserveCopies(b *memory.Budget, bytes int) (release func(), err error) {
 	a := b.Open(false, heldCopy{})
-	if result, _ := a.Grow(time.Now(), memory.Small, int64(forwardCopies*bytes)); result != memory.Granted {
+	if result, _ := a.Grow(time.Now(), memory.Small, int64(bytes)); result != memory.Granted {
 		a.Close()
 		return nil, errNoForwardMemory
 	}
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -52,6 +52,8 @@
 	// reading is true while a request arrives, writing while an answer is written, and evicted once
 	// the connection was told to close for others.
 	reading, writing, evicted atomic.Bool
+	// countedAsClosing is true if the connection counts in Server.closing, whose lock guards it.
+	countedAsClosing bool
 	// heldBytes is the memory of the connection's requests and answers.
 	heldBytes atomic.Int64
 
@@ -220,13 +222,11 @@
 // sendContinue sends "100 Continue", which the caller awaits before it sends the
 // body, after the answers to earlier requests.
 func (c *conn) sendContinue() error {
-	c.mu.Lock()
-	for c.pending > 0 && !c.ended {
-		c.changed.Wait()
-	}
-	ended := c.ended
-	c.mu.Unlock()
-	if ended {
+	// The caller waits for the daemon meanwhile.
+	c.reading.Store(false)
+	defer c.reading.Store(true)
+	defer c.transport.markRead()
+	if c.awaitAnswers() {
 		return errConnectionEnding
 	}
 	if _, err := c.netConn.WriteBinary([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
@@ -387,6 +387,17 @@
 	return c.pending
 }
 
+// awaitAnswers waits until all requests of the connection have been answered, and reports
+// whether the connection has ended.
+func (c *conn) awaitAnswers() (ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.pending > 0 && !c.ended {
+		c.changed.Wait()
+	}
+	return c.ended
+}
+
 // handleReadError ends the connection after a failed read. A malformed or late
 // request gets an error answer, after the answers to earlier requests.
 func (c *conn) handleReadError(r *Request, err error) {
@@ -394,7 +405,13 @@
 		c.linger()
 		return
 	}
-	if r != nil && c.evicted.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+	evicted := c.evicted.Load() && errors.Is(err, os.ErrDeadlineExceeded)
+	if evicted && r == nil {
+		// The requests that it has begun are answered before it closes.
+		c.awaitAnswers()
+		return
+	}
+	if evicted {
 		err = errNoMemory
 	}
 	status, reason := refusalFor(r, err)
@@ -402,13 +419,7 @@
 		c.cancel(ErrCallerGone)
 		return
 	}
-	c.mu.Lock()
-	for c.pending > 0 && !c.ended {
-		c.changed.Wait()
-	}
-	ended := c.ended
-	c.mu.Unlock()
-	if ended {
+	if c.awaitAnswers() {
 		return
 	}
 	c.server.log.Info().Str("remote", c.remote).Int("status", status).Str("reason", reason).AnErr("cause", err).
--- a/pkg/ingress/memory.go
+++ b/pkg/ingress/memory.go
@@ -166,6 +166,7 @@
 		return false
 	}
 	s.closing++
+	idlest.countedAsClosing = true
 	idlest.Evict()
 	return true
 }
--- /dev/null
+++ b/pkg/ingress/memory_test.go
@@ -0,0 +1,108 @@
+package ingress_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"shallotglade/pkg/ingress"
+	"shallotglade/pkg/memory"
+)
+
+var _ = Describe("Server with little memory", func() {
+	var address string
+	var server *ingress.Server
+	budget := memory.New(4) // 2 MB, 1.5 of them for large requests
+	BeforeEach(func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address = ln.Addr().String()
+		limits := ingress.Limits{Connections: 3, MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 20, RequestArrival: 20 * time.Second, Idle: time.Minute}
+		server = ingress.New(ln, func() ingress.Limits { return limits }, func(_ context.Context, r *ingress.Request, resp *protocol.Response) {
+			if strings.HasPrefix(string(r.Path()), "/large") {
+				resp.SetBodyRaw(make([]byte, 8<<20)) // more than the socket buffers hold
+				return
+			}
+			resp.SetBodyString(fmt.Sprintf("%v %d", r.Discarded, len(r.Body())))
+		}, zerolog.Nop())
+		server.ShareMemory(budget)
+		server.DiscardBody = func(r *ingress.Request) bool { return strings.HasPrefix(string(r.Path()), "/unknown") }
+		go func() { _ = server.Run() }()
+		DeferCleanup(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			_ = server.Shutdown(ctx)
+			Eventually(func() int64 { return budget.Stats().UsedBytes }).Should(BeZero(), "memory stays counted")
+		})
+	})
+	upload := func(path string, sent int) *caller {
+		c := dial(address)
+		c.send("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n%s", path, strings.Repeat("x", sent))
+		return c
+	}
+
+	// serves reports whether a request on a new connection is answered with 200.
+	serves := func() bool {
+		c, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		_, _ = fmt.Fprintf(c, get, "new")
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		status := make([]byte, len("HTTP/1.1 200"))
+		_, _ = io.ReadFull(c, status)
+		return string(status) == "HTTP/1.1 200"
+	}
+
+	// Guards against bodies that stop short of their end and keep the memory from others, and against
+	// an untrue or missing answer to their callers.
+	It("refuses the request that has stalled and serves the one that waits", func() {
+		stalled := upload("/a", 999_000)
+		Eventually(func() int64 { return budget.Stats().UsedBytes }).Should(BeNumerically(">", 1_000_000))
+		served := upload("/b", 1_000_000)
+		_, body := served.answer()
+		Expect(body).To(Equal("false 1000000"))
+		r, _ := stalled.answer()
+		Expect(r.StatusCode).To(Equal(503))
+		Expect(r.Header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	// Guards against answers for callers that do not read, which keep the memory from others.
+	It("closes the connection of a caller that does not read its answer", func() {
+		unread := dial(address)
+		unread.send(get, "large")
+		Eventually(func() int64 { return budget.Stats().UsedBytes }).Should(BeNumerically(">=", 8<<20))
+		// It is refused until the other connection counts as stalled.
+		Eventually(serves, 5*time.Second, 100*time.Millisecond).Should(BeTrue())
+		Expect(server.Evictions()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against bodies in memory for which there is no use.
+	It("reads bodies that are not needed without keeping them", func() {
+		c := upload("/unknown", 1_000_000)
+		_, body := c.answer()
+		Expect(body).To(Equal("true 0"))
+		c.send("POST /unknown HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+		_, body = c.answer()
+		Expect(body).To(Equal("true 0"))
+	})
+
+	// Guards against idle connections that keep new callers out.
+	It("closes the connection that is idle for the longest time at the limit", func() {
+		first := dial(address)
+		first.send(get, "1")
+		_, _ = first.answer()
+		for range 2 {
+			dial(address)
+		}
+		Eventually(serves, 5*time.Second, 100*time.Millisecond).Should(BeTrue())
+		Expect(first.ended()).To(BeEmpty())
+	})
+})
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -196,6 +196,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	if c.countedAsClosing {
+		s.closing--
+	}
 	if len(s.conns) == 0 {
 		close(s.allClosed)
 		s.allClosed = make(chan struct{})
--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -96,11 +96,17 @@
 
 // Open returns an empty account. Close releases it.
 func (b *Budget) Open(response bool, holder Holder) *Account {
-	a := &Account{budget: b, holder: holder, response: response}
+	a := &Account{}
+	b.OpenIn(a, response, holder)
+	return a
+}
+
+// OpenIn is Open for an account that is part of its holder.
+func (b *Budget) OpenIn(a *Account, response bool, holder Holder) {
+	*a = Account{budget: b, holder: holder, response: response}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.accounts[a] = struct{}{}
-	return a
 }
 
 // Close releases all memory of the account.
--- a/pkg/proxy/server_test.go
+++ b/pkg/proxy/server_test.go
@@ -14,7 +14,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/dialect"
+	"shallotglade/pkg/document"
 	"shallotglade/pkg/platform/memstore"
 	"shallotglade/pkg/proxy"
 	"shallotglade/pkg/settings"
@@ -49,6 +51,7 @@
 var _ = Describe("Server", func() {
 	var address string
 	var server *proxy.Server
+	var board *blackboard.Board
 	var sender *slowSender
 	BeforeEach(func() {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -56,6 +59,7 @@
 		address = ln.Addr().String()
 		sender = &slowSender{scriptedSender: scriptedSender{runs: map[string]int{}}, begun: make(chan struct{}), release: make(chan struct{})}
 		p := newProxy("home-1", ordersDocument+"requests: {key: optional}\ntimeouts: {request: 200ms}\n", memstore.New(), sender, &directory{})
+		board = p.Board
 		server = proxy.NewServer(ln, func() settings.Callers {
 			return settings.Callers{
 				MaxConnections: 200, MaxHeaderBytes: 4096, MaxBodyBytes: 1000, RequestArrival: 200 * time.Millisecond, Idle: time.Second,
@@ -99,6 +103,25 @@
 		Entry("an invalid host", "GET / HTTP/1.1\r\nHost: a/b@c\r\nShallotglade-Service: orders\r\n\r\n", 400),
 	)
 
+	// Guards against serving a request whose body was dropped because it had no route yet.
+	It("does not serve a request without its body when its route appears meanwhile", func() {
+		c, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		_, err = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: x\r\nShallotglade-Service: late\r\nContent-Length: 4\r\n\r\nab")
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(50 * time.Millisecond)
+		doc, problems := document.Parse("d", []byte("service: late\nrequests: {key: none}\n"))
+		Expect(problems).To(BeEmpty())
+		Expect(board.PutDocument(doc, 2, nil)).To(BeTrue())
+		_, err = io.WriteString(c, "cd")
+		Expect(err).NotTo(HaveOccurred())
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.StatusCode).To(Equal(503))
+		Expect(r.Header.Get(verdict.Header)).To(Equal("not-run"))
+	})
+
 	// Guards against a slow client that keeps its connection open forever.
 	It("closes the connection of a request that arrives too slowly", func() {
 		c, err := net.Dial("tcp", address)
--- a/pkg/upstream/memory.go
+++ b/pkg/upstream/memory.go
@@ -19,7 +19,7 @@
 
 // reservation is the memory reserved for one response.
 type reservation struct {
-	account *memory.Account
+	account memory.Account
 	conn    *conn
 }
 
@@ -27,7 +27,7 @@
 // releases it.
 func (c *Client) newReservation(conn *conn) *reservation {
 	r := &reservation{conn: conn}
-	r.account = c.memory.Open(true, r)
+	c.memory.OpenIn(&r.account, true, r)
 	return r
 }
 
