--- a/internal/hostile/hostile_test.go
+++ b/internal/hostile/hostile_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -179,6 +180,16 @@
 	return head + strings.Repeat(field, (bytes-len(head)-2)/len(field))
 }
 
+// endless yields the same byte for ever.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+
 var chunk = fmt.Sprintf("%x\r\n%s\r\n", 512<<10, strings.Repeat("x", 512<<10))
 
 var _ = Describe("A daemon", func() {
@@ -230,6 +241,19 @@
 		h.expectHealthy(crowdMemoryMB)
 	})
 
+	// Guards against a chunked body of legal size that takes more than its size while its buffer grows.
+	It("serves the largest legal body in chunks within 184 MB", func() {
+		h := startHost(184, 64<<20)
+		body := io.LimitReader(endless{}, 64<<20)
+		r, err := http.NewRequest("POST", "http://"+h.CallerAddress+"/routed/large", body)
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.DefaultClient.Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(200))
+		h.expectHealthy(184)
+	})
+
 	// Guards against limits under which a request that is legal finds no memory.
 	It("serves the largest legal body and header within 184 MB", func() {
 		h := startHost(184, 64<<20)
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -304,7 +304,7 @@
 	d.node.Handle(proxy.ForwardKind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
 		release, err := reserveCopies(d.memory, receivedCopies*len(body))
 		if err != nil {
-			return nil, errors.Mark(err, peer.ErrRefused)
+			return proxy.RefuseForward()
 		}
 		defer release()
 		reply, err := d.proxy.HandleForward(ctx, body)
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -100,6 +100,8 @@
 	case retried && answer.hasReason(reasonBadForward):
 		// A home of an earlier build cannot read forwardRequest.Launched.
 		return forwardNotRun
+	case answer.hasReason(reasonNoMemory):
+		return forwardNotRun
 	case stoppingHere || !answer.hasReason(reasonStopping):
 		return forwardAnswered
 	case answer.Verdict == verdict.NotRun:
@@ -337,6 +339,17 @@
 	return EncodeForwardAnswer(p.serveRule(ctx, in.rule, service, in))
 }
 
+// RefuseForward returns the reply to a forward message that this daemon has no memory for. It
+// answers so that the daemon that forwarded the request does not take this one for unreachable.
+func RefuseForward() ([]byte, error) {
+	e := verdict.Refuse(503, reasonNoMemory, "A home of the service has no memory for the request.")
+	e.RetryAfter = shedRetryAfter
+	return EncodeForwardAnswer(refusalAnswer(e))
+}
+
+// reasonNoMemory is the reason of refusals of forwarded requests for which there is no memory.
+const reasonNoMemory = "no-memory"
+
 // reasonBadForward is the reason of refusals of forward messages that cannot be decoded.
 const reasonBadForward = "bad-forward"
 
--- a/pkg/proxy/lost_home_test.go
+++ b/pkg/proxy/lost_home_test.go
@@ -44,6 +44,17 @@
 		sender.calls = 0
 	}
 
+	// Guards against denying a request, also one that may run once, whose home has no memory for it.
+	It("is served here if the home has no memory for it", func() {
+		d.forward = func(*proxy.Incoming) (*proxy.Answer, error) {
+			reply, err := proxy.RefuseForward()
+			Expect(err).NotTo(HaveOccurred())
+			return proxy.DecodeForwardAnswer(reply)
+		}
+		Expect(p.Serve(context.Background(), request("POST", "k", "x")).Status).To(Equal(200))
+		Expect(sender.calls).To(Equal(1))
+	})
+
 	// Guards against more attempts than the route allows: the lost home may have made
 	// one.
 	DescribeTable("counts a lost home as one of the route's attempts",
