--- a/internal/hostile/hostile_test.go
+++ b/internal/hostile/hostile_test.go
@@ -213,7 +213,7 @@
 	// Guards against bodies that are held in memory for a path that has no route.
 	It("holds no bodies for paths without a route", func() {
 		h := startHost(crowdMemoryMB, crowdBodyBytes)
-		h.crowd(250, head("POST", "/-/readyz", "Transfer-Encoding: chunked\r\n\r\n"), chunk, 15)
+		h.crowd(250, head("POST", "/readyz", "Transfer-Encoding: chunked\r\n\r\n"), chunk, 15)
 		h.expectHealthy(crowdMemoryMB / 2)
 	})
 
