--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
@@ -17,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"shallotglade/internal/netconn"
+	"shallotglade/pkg/memory"
 )
 
 const (
@@ -39,11 +41,21 @@
 
 // conn is one caller's connection.
 type conn struct {
-	server  *Server
-	netConn *netconn.Conn
-	remote  string
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
+	server    *Server
+	transport *transport
+	netConn   *netconn.Conn
+	account   *memory.Account
+	remote    string
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+
+	// reading is true while a request arrives, writing while an answer is written, and evicted once
+	// the connection was told to close for others.
+	reading, writing, evicted atomic.Bool
+	// countedAsClosing is true if the connection counts in Server.closing, whose lock guards it.
+	countedAsClosing bool
+	// heldBytes is the memory of the connection's requests and answers.
+	heldBytes atomic.Int64
 
 	mu sync.Mutex
 	// lastAnswered is closed when the answer to the latest request has been
@@ -63,8 +75,9 @@
 	changed *sync.Cond
 }
 
-func newConn(s *Server, nc *netconn.Conn) *conn {
-	c := &conn{server: s, netConn: nc, remote: nc.RemoteAddr().String()}
+func newConn(s *Server, t *transport, nc *netconn.Conn) *conn {
+	c := &conn{server: s, transport: t, netConn: nc, remote: nc.RemoteAddr().String()}
+	c.transport.lastRead.Store(sinceStart())
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.changed = sync.NewCond(&c.mu)
 	return c
@@ -81,8 +94,14 @@
 	// earlierAnswered is closed when all earlier requests of the connection have
 	// been answered. It is nil if there was none in progress.
 	earlierAnswered <-chan struct{}
-	// reservedBytes is the memory reserved for the body.
-	reservedBytes int64
+	// Discarded is true if the request had a body that was not kept; see Server.DiscardBody.
+	Discarded bool
+
+	// usage is the memory reserved for the request, bodyBytes that for its body. fields is the
+	// number of header fields.
+	usage     usage
+	bodyBytes int64
+	fields    int
 }
 
 // WaitForEarlierAnswers waits until the earlier requests of the connection have been
@@ -114,8 +133,7 @@
 			return
 		}
 		if !c.startHandler(r) {
-			c.release(r)
-			protocol.ReleaseRequest(r.Request)
+			c.recycle(r)
 			if c.hasEnded() {
 				return
 			}
@@ -132,6 +150,10 @@
 	}
 	c.mu.Unlock()
 	c.netConn.Close()
+	c.account.Close()
+	if c.evicted.Load() {
+		c.server.log.Info().Str("remote", c.remote).Msg("ingress: connection without progress closed for others")
+	}
 	c.server.removeConn(c)
 }
 
@@ -142,12 +164,18 @@
 	if _, err := c.netConn.Peek(1); err != nil {
 		return nil, err
 	}
+	c.transport.markRead()
+	c.reading.Store(true)
+	defer c.reading.Store(false)
 	limits := c.server.limits()
 	r := &Request{Request: protocol.AcquireRequest(), Remote: c.remote, Began: time.Now()}
 	c.setDeadline(func() { c.requestDeadline = r.Began.Add(limits.RequestArrival) })
 	if err := req.ReadHeaderWithLimit(&r.Header, c.netConn, limits.MaxHeaderBytes); err != nil {
 		return r, err
 	}
+	if err := c.reserveHeader(r); err != nil {
+		return r, err
+	}
 	if c.server.Screen != nil {
 		if refusal := c.server.Screen(r); refusal != nil {
 			return r, refusal
@@ -180,6 +208,8 @@
 	switch {
 	case c.ended:
 		return
+	case c.evicted.Load():
+		deadline = time.Now()
 	case !c.requestDeadline.IsZero():
 		deadline = c.requestDeadline
 	case c.pending == 0 && c.server.draining.Load():
@@ -197,13 +227,11 @@
 // sendContinue sends "100 Continue", which the caller awaits before it sends the
 // body, after the answers to earlier requests.
 func (c *conn) sendContinue() error {
-	c.mu.Lock()
-	for c.pending > 0 && !c.ended {
-		c.changed.Wait()
-	}
-	ended := c.ended
-	c.mu.Unlock()
-	if ended {
+	// The caller waits for the daemon meanwhile.
+	c.reading.Store(false)
+	defer c.reading.Store(true)
+	defer c.transport.markRead()
+	if c.awaitAnswers() {
 		return errConnectionEnding
 	}
 	if _, err := c.netConn.WriteBinary([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
@@ -217,7 +245,12 @@
 func (c *conn) startHandler(r *Request) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.pending >= maxPipelinedRequests && !c.ended {
+	if c.pending > 0 && c.server.endsConnections() {
+		// It must not wait for the memory of the answers before it and then be handled.
+		c.dropped = true
+		return false
+	}
+	for !c.ended && (c.pending >= maxPipelinedRequests || c.pending > 0 && c.heldBytes.Load()-r.usage.bytes > maxReadAheadBytes) {
 		c.changed.Wait()
 	}
 	if c.ended {
@@ -246,14 +279,17 @@
 	answer.Header.SetNoDefaultContentType(true)
 	answer.Header.SetNoDefaultDate(true)
 	c.server.handler(c.ctx, r, answer)
+	ending := r.Header.ConnectionClose() || answer.ConnectionClose()
+	answer.SkipBody = answer.SkipBody || string(r.Header.Method()) == "HEAD"
+	held := c.holdAnswer(answer)
+	c.recycle(r)
 	if earlierAnswered != nil {
 		<-earlierAnswered
 	}
-	c.writeAnswer(r, answer, answered)
+	c.writeAnswer(answer, ending, answered)
 	close(answered)
-	c.release(r)
-	protocol.ReleaseRequest(r.Request)
 	protocol.ReleaseResponse(answer)
+	c.releaseAnswer(held)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
@@ -266,8 +302,8 @@
 }
 
 // writeAnswer writes the answer unless the connection has ended meanwhile. answered is the
-// channel of its request.
-func (c *conn) writeAnswer(r *Request, answer *protocol.Response, answered chan<- struct{}) {
+// channel of its request, and ending is true if the connection ends with the answer.
+func (c *conn) writeAnswer(answer *protocol.Response, ending bool, answered chan<- struct{}) {
 	c.mu.Lock()
 	ended := c.ended || c.ctx.Err() != nil
 	// A stopping server does not drop requests that it handles already.
@@ -279,11 +315,10 @@
 		}
 		return
 	}
-	ending := r.Header.ConnectionClose() || answer.ConnectionClose() || stopsHere
+	ending = ending || stopsHere
 	if ending {
 		answer.SetConnectionClose()
 	}
-	answer.SkipBody = answer.SkipBody || string(r.Header.Method()) == "HEAD"
 	if err := c.writeResponse(answer); err != nil {
 		c.abort(errors.Wrap(err, "write the answer"))
 		return
@@ -297,6 +332,9 @@
 	if err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
+	c.transport.lastWrite.Store(sinceStart())
+	c.writing.Store(true)
+	defer c.writing.Store(false)
 	if err := resp.Write(answer, c.netConn); err != nil {
 		return err
 	}
@@ -317,10 +355,7 @@
 	c.ended = true
 	c.changed.Broadcast()
 	c.cancel(errConnectionEnding)
-	if tcp, ok := c.netConn.Conn.(*net.TCPConn); ok {
-		// It fails only if the connection is closed already.
-		_ = tcp.CloseWrite()
-	}
+	c.transport.closeWrite()
 	_ = c.netConn.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
@@ -357,6 +392,17 @@
 	return c.pending
 }
 
+// awaitAnswers waits until all requests of the connection have been answered, and reports
+// whether the connection has ended.
+func (c *conn) awaitAnswers() (ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.pending > 0 && !c.ended {
+		c.changed.Wait()
+	}
+	return c.ended
+}
+
 // handleReadError ends the connection after a failed read. A malformed or late
 // request gets an error answer, after the answers to earlier requests.
 func (c *conn) handleReadError(r *Request, err error) {
@@ -364,18 +410,21 @@
 		c.linger()
 		return
 	}
+	evicted := c.evicted.Load() && errors.Is(err, os.ErrDeadlineExceeded)
+	if evicted && r == nil {
+		// The requests that it has begun are answered before it closes.
+		c.awaitAnswers()
+		return
+	}
+	if evicted {
+		err = errNoMemory
+	}
 	status, reason := refusalFor(r, err)
 	if status == 0 {
 		c.cancel(ErrCallerGone)
 		return
 	}
-	c.mu.Lock()
-	for c.pending > 0 && !c.ended {
-		c.changed.Wait()
-	}
-	ended := c.ended
-	c.mu.Unlock()
-	if ended {
+	if c.awaitAnswers() {
 		return
 	}
 	c.server.log.Info().Str("remote", c.remote).Int("status", status).Str("reason", reason).AnErr("cause", loggable(err)).
@@ -432,7 +481,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return 408, "the request did not arrive in time"
 	case errors.Is(err, errNoMemory):
-		return http.StatusServiceUnavailable, "there is no memory for the body"
+		return http.StatusServiceUnavailable, "there is no memory for the request"
 	case errors.Is(err, hertzerrors.ErrBodyTooLarge):
 		return 413, "the body is too large"
 	case errors.Is(err, hertzerrors.ErrHeaderTooLarge):
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -13,9 +13,9 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/semaphore"
 
 	"shallotglade/internal/netconn"
+	"shallotglade/pkg/memory"
 )
 
 // Limits holds the limits of connections and requests.
@@ -79,9 +79,16 @@
 	// the refusal. It must be set before Run.
 	Screen func(r *Request) *Refusal
 
-	// bodyMemory holds what is left of maxBodyMemoryBytes.
-	bodyMemory *semaphore.Weighted
+	// DiscardBody, if set, reports whether the body of a request is not needed, which is decided
+	// on its header. Such a body is read and not kept. It must be set before Run.
+	DiscardBody func(*Request) bool
+	// LimitsMemory limits the connections by the size of the memory budget. It must be set before
+	// Run.
+	LimitsMemory bool
 
+	memory *memory.Budget
+	// evictions counts the connections told to close for others.
+	evictions atomic.Int64
 	// unanswered counts the requests that were read and not answered, because an earlier
 	// answer closed the connection.
 	unanswered atomic.Int64
@@ -93,6 +100,8 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// closing is the number of connections told to close for new ones.
+	closing int
 	// acceptEnded is closed when Run returns. It is nil before Run.
 	acceptEnded chan struct{}
 	allClosed   chan struct{} // closed and replaced when the last connection closes
@@ -103,10 +112,18 @@
 func New(ln net.Listener, limits func() Limits, handler Handler, log zerolog.Logger) *Server {
 	return &Server{
 		listener: ln, limits: limits, handler: handler, log: log,
-		bodyMemory: semaphore.NewWeighted(maxBodyMemoryBytes), conns: map[*conn]struct{}{}, allClosed: make(chan struct{}),
+		memory: memory.New(0), conns: map[*conn]struct{}{}, allClosed: make(chan struct{}),
 	}
 }
 
+// ShareMemory makes the server use a memory budget that others use too. It must be called before
+// Run.
+func (s *Server) ShareMemory(b *memory.Budget) { s.memory = b }
+
+// Evictions returns how many connections were told to close because others needed their memory
+// or their place.
+func (s *Server) Evictions() int64 { return s.evictions.Load() }
+
 const (
 	// acceptRetryDelay is how long the server waits after a failed accept, which happens
 	// when file descriptors run out.
@@ -141,6 +158,9 @@
 			}
 		default:
 			s.log.Warn().Err(err).Msg("ingress: connection not accepted")
+			s.mu.Lock()
+			s.evictIdlest()
+			s.mu.Unlock()
 			time.Sleep(acceptRetryDelay)
 		}
 	}
@@ -176,16 +196,18 @@
 	return err
 }
 
-// serveConn serves a connection, or closes it if there are too many.
+// serveConn serves a connection. If there are too many, it closes the one without progress for
+// the longest time, or the new one if all make progress.
 func (s *Server) serveConn(nc net.Conn) {
-	wrapped, err := netconn.Wrap(nc)
+	t := &transport{Conn: nc}
+	wrapped, err := netconn.Wrap(t)
 	if err != nil {
 		s.log.Debug().Err(err).Msg("ingress: accepted connection is unusable")
 		return
 	}
-	c := newConn(s, wrapped)
+	c := newConn(s, t, wrapped)
 	s.mu.Lock()
-	if len(s.conns) >= s.limits().Connections {
+	if len(s.conns)-s.closing >= s.connectionLimit() && !s.evictIdlest() {
 		s.mu.Unlock()
 		nc.Close()
 		s.log.Warn().Str("remote", c.remote).Msg("ingress: too many connections; new connection closed")
@@ -193,6 +215,7 @@
 	}
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
+	c.account = s.memory.Open(false, c)
 	go c.serve()
 }
 
@@ -200,6 +223,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	if c.countedAsClosing {
+		s.closing--
+	}
 	if len(s.conns) == 0 {
 		close(s.allClosed)
 		s.allClosed = make(chan struct{})
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net/http"
 	"slices"
 	"time"
 
@@ -99,6 +100,8 @@
 		return forwardLost
 	case newFields && answer.hasReason(reasonBadForward):
 		return forwardNotRun
+	case answer.hasReason(reasonNoMemory):
+		return forwardNotRun
 	case stoppingHere || !answer.hasReason(reasonStopping):
 		return forwardAnswered
 	case answer.Verdict == verdict.NotRun:
@@ -322,12 +325,18 @@
 	return cbor.Marshal(m)
 }
 
+// maxStatus is the largest status of an answer.
+const maxStatus = 599
+
 // DecodeForwardAnswer decodes the reply to a forward message.
 func DecodeForwardAnswer(b []byte) (*Answer, error) {
 	var m forwardAnswer
 	if err := forwardDecoder.Unmarshal(b, &m); err != nil {
 		return nil, errors.Wrap(err, "proxy: decode forwarded answer")
 	}
+	if m.Status < http.StatusOK || m.Status > maxStatus {
+		return nil, errors.Newf("proxy: forwarded answer has the status %d", m.Status)
+	}
 	a := &Answer{
 		Status: m.Status, Headers: m.Headers, Body: m.Body, Verdict: verdict.Parse(m.Verdict), Upstream: m.Upstream,
 		Replayed: m.Replayed, Waited: time.Duration(m.WaitedUS) * time.Microsecond, LeavingIncarnation: m.LeavingIncarnation,
@@ -358,6 +367,17 @@
 	return EncodeForwardAnswer(p.serveRule(ctx, in.rule, service, in))
 }
 
+// RefuseForward returns the reply to a forward message that this daemon has no memory for. It
+// answers so that the daemon that forwarded the request does not take this one for unreachable.
+func RefuseForward() ([]byte, error) {
+	e := verdict.Refuse(503, reasonNoMemory, "A home of the service has no memory for the request.")
+	e.RetryAfter = shedRetryAfter
+	return EncodeForwardAnswer(refusalAnswer(e))
+}
+
+// reasonNoMemory is the reason of refusals of forwarded requests for which there is no memory.
+const reasonNoMemory = "no-memory"
+
 // reasonBadForward is the reason of refusals of forward messages that cannot be decoded.
 const reasonBadForward = "bad-forward"
 
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -21,7 +21,7 @@
 	maxCount     = 1_000_000
 	maxCores     = 4096
 	maxLinkMbps  = 1_000_000
-	maxMemoryMB  = 100_000_000
+	maxMemoryMB  = 1_000_000
 )
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -63,8 +63,8 @@
 	// LinkMbps is the bandwidth of the host's network link in Mbit/s. Default: 0,
 	// unknown.
 	LinkMbps float64 `yaml:"linkMbps"`
-	// MemoryMB is the memory of the host in megabytes (1,000,000 bytes). Default: 0,
-	// unknown.
+	// MemoryMB is the memory that the daemon may use, in units of 1,000,000 bytes.
+	// Default: 0, unknown.
 	MemoryMB float64 `yaml:"memoryMB"`
 }
 
