--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -95,7 +95,7 @@
 // account was closed.
 func TestReservationsStayWithinTheBudget(t *testing.T) {
 	testkit.Check(t, func(r *rapid.T) {
-		b := memory.New(rapid.IntRange(0, 200).Draw(r, "memory"))
+		b := memory.New(float64(rapid.IntRange(0, 200).Draw(r, "memory")))
 		now := start
 		var holders []*holder
 		for range rapid.IntRange(1, 60).Draw(r, "steps") {
