--- a/pkg/limits/gate.go
+++ b/pkg/limits/gate.go
@@ -24,8 +24,14 @@
 	ReserveAfter time.Time
 	// ExpectedDuration is the expected duration of the request; zero means unknown.
 	ExpectedDuration time.Duration
+	// AccountPriority is the priority of the account, or Priority if the account has none.
+	// It takes precedence over Priority; 0 is the highest.
+	AccountPriority int
 	// Priority is the priority of the request; 0 is the highest.
 	Priority int
+	// Weight is the relative share of the account under overload; 0 means that of the
+	// policy.
+	Weight float64
 }
 
 // Gate is a blocking wrapper around a Queue for the request path. It is safe for
@@ -59,7 +65,8 @@
 	now := g.clock()
 	g.lastID++
 	ticket := Ticket{
-		ID: g.lastID, Caller: r.Caller, Deadline: r.Deadline, Target: r.Target, ReserveAfter: r.ReserveAfter, ExpectedDuration: r.ExpectedDuration, Priority: r.Priority,
+		ID: g.lastID, Caller: r.Caller, Deadline: r.Deadline, Target: r.Target, ReserveAfter: r.ReserveAfter, ExpectedDuration: r.ExpectedDuration,
+		AccountPriority: r.AccountPriority, Priority: r.Priority, Weight: r.Weight,
 	}
 	d := g.queue.Offer(now, ticket)
 	g.notify(nil, g.queue.Expire(now))
--- a/pkg/limits/policy.go
+++ b/pkg/limits/policy.go
@@ -87,8 +87,14 @@
 	// ExpectedDuration is the expected duration of the request; zero means unknown,
 	// and the measured service time is used instead.
 	ExpectedDuration time.Duration
+	// AccountPriority is the priority of the account, or Priority if the account has none.
+	// It takes precedence over Priority; 0 is the highest.
+	AccountPriority int
 	// Priority is the priority of the request; 0 is the highest.
 	Priority int
+	// Weight is the relative share of the account under overload; 0 means that of the
+	// policy.
+	Weight float64
 }
 
 // Action tells the caller of Offer what to do with the request.
