Count overdue requests of other homes as absent for retests only

Change: placementCost no longer treats it as free; cost does so for an upstream that is due for a retest.

--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -225,7 +225,8 @@
 func (c *Candidate) othersActive() float64 { return max(c.OthersInFlight-c.OthersOverdue, 0) }
 
 // onlyOverdueInFlight reports whether all requests in flight are overdue ones of other
-// homes. They hold no slot if they never arrived at the upstream.
+// homes. They hold no slot if they never arrived at the upstream, which only a retest may
+// assume: an upstream that is slow runs them.
 func (c *Candidate) onlyOverdueInFlight() bool {
 	return c.OwnInFlight == 0 && c.OthersOverdue > 0 && c.othersActive() < 0.5
 }
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -212,6 +212,9 @@
 // cost returns the cost of an attempt at the candidate, in lost requests. placementCost
 // is that of the candidate in the domain of the request.
 func (c *Candidate) cost(req *Request, placementCost float64) float64 {
+	if c.onlyOverdueInFlight() && !c.hasOwnFreeSlot() && c.dueForRetest(req) {
+		placementCost = c.freeSlotCost(req.Domain)
+	}
 	cost := placementCost + c.FailureProbability*req.failureCost()
 	if placementCost >= contendedCost {
 		return cost
@@ -225,16 +228,21 @@
 // placementCost returns the part of the cost that is the same for all requests of a home
 // in the failure domain.
 func (c *Candidate) placementCost(domain string) float64 {
-	load, cost := c.load(), 0.0
 	switch {
-	case c.hasOwnFreeSlot(), c.onlyOverdueInFlight():
+	case c.hasOwnFreeSlot():
+		return c.freeSlotCost(domain)
 	case c.mayBorrow(c.OwnInFlight):
-		cost = borrowedCost
+		return borrowedCost + c.freeSlotCost(domain)
 	default:
 		// The request queues at the upstream for a time proportional to the load.
-		return contendedCost + load
+		return contendedCost + c.load()
 	}
-	cost += loadCost * load / (1 + load)
+}
+
+// freeSlotCost returns the placementCost of a candidate with a free slot of this home.
+func (c *Candidate) freeSlotCost(domain string) float64 {
+	load := c.load()
+	cost := loadCost * load / (1 + load)
 	if domain != "" && c.Domain != domain {
 		cost += otherDomainCost
 	}
