Order the queue by account priority, priority, share and age

Cause: the tickets of a caller ran in order of arrival whatever their priority, and a full queue refused urgent tickets. Weights of accounts had no effect. Late tickets ran before others that then became late too. Each offer and dispatch looped over all waiting tickets. Change: a flow per caller and class (account priority, priority). Accounts within their share over 3 s and 6 tickets rank equal, then tickets that meet their target, then the oldest; callers without account share ticket by ticket as before. A late ticket runs first only if all others have three times the time that they need. A full queue gives places to urgent tickets and to callers with few, whose displaced tickets are refused (queue-full). RetryAfter is drawn between once and twice the drain time, at most until the latest start. Times of targets count from a monotonic origin. A rate-limit refusal had RetryAfter 0 by rounding (rapid); it is at least 1 ns now.

--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -129,7 +129,7 @@
 		poison:         poison.NewTracker(self, []string{self}),
 		rng:            rand.New(rand.NewPCG(xxhash.Sum64String(self), xxhash.Sum64String(d.Service))),
 	}
-	s.Gate = limits.NewGate(gatePolicy(d), 1, time.Now)
+	s.Gate = limits.NewGate(gatePolicy(d), 1, time.Now, rand.New(rand.NewPCG(xxhash.Sum64String(d.Service), xxhash.Sum64String(self))))
 	return s
 }
 
--- a/pkg/limits/bench_test.go
+++ b/pkg/limits/bench_test.go
@@ -11,7 +11,7 @@
 )
 
 func BenchmarkGate(b *testing.B) {
-	g := limits.NewGate(limits.DefaultPolicy(), 24, time.Now)
+	g := limits.NewGate(limits.DefaultPolicy(), 24, time.Now, newRand())
 	ctx := context.Background()
 	b.ReportAllocs()
 	for b.Loop() {
@@ -45,3 +45,40 @@
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(q.Callers()), "B/caller")
 	}
 }
+
+// BenchmarkWaiting measures a ticket that is refused (offer), and one that ends and lets
+// another start (done), while many tickets wait, some of which have missed their target.
+func BenchmarkWaiting(b *testing.B) {
+	for _, n := range []int{100, 1000} {
+		for _, callers := range []int{10, 500} {
+			now := epoch
+			q := limits.NewQueue(limits.Policy{MaxQueue: 4 * n, MaxWait: time.Hour}, 1)
+			id := uint64(0)
+			offer := func(deadline time.Duration) (limits.Ticket, limits.Decision) {
+				id++
+				t := limits.Ticket{ID: id, Caller: fmt.Sprint("c", id%uint64(callers)), Deadline: now.Add(deadline), Target: now.Add(time.Duration(id%7) * time.Minute)}
+				return t, q.Offer(now, t)
+			}
+			running, _ := offer(time.Hour)
+			for q.Waiting() < n {
+				offer(time.Hour)
+			}
+			now = now.Add(time.Second)
+			b.Run(fmt.Sprintf("offer/%d/%d", n, callers), func(b *testing.B) {
+				for b.Loop() {
+					if _, d := offer(26 * time.Millisecond); d.Action != limits.Refuse {
+						b.Fatal("not refused")
+					}
+				}
+			})
+			b.Run(fmt.Sprintf("done/%d/%d", n, callers), func(b *testing.B) {
+				for b.Loop() {
+					running = q.Done(now, running)[0]
+					for q.Waiting() < n {
+						offer(time.Hour)
+					}
+				}
+			})
+		}
+	}
+}
--- a/pkg/limits/caller.go
+++ b/pkg/limits/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"math"
 	"time"
 )
 
@@ -14,28 +15,28 @@
 	refilledAt time.Time // time of the last update of tokens
 	lastOffer  time.Time // time of the last call to Offer
 	running    int
-	// nextStart is the virtual start time of the oldest waiting ticket. Only tickets
-	// that run advance it: an expired or cancelled ticket costs no share.
-	nextStart float64
-	// startInterval is the mean interval between starts from the queue since the
-	// caller began to wait; lastStart is the latest of these starts.
-	startInterval time.Duration
-	lastStart     time.Time
-	waiting       list.List // of *waiter, oldest first
-	lruElement    *list.Element
+	waiting    int // waiting tickets in all flows
+	// flows holds the caller's flows, also those without waiting tickets whose use of
+	// the capacity still counts. It is nil for a caller whose tickets never waited.
+	flows      []*flow
+	lruElement *list.Element
 }
 
 // waiter is a waiting ticket.
 type waiter struct {
 	ticket Ticket
-	caller *caller
-	// targetStart is the latest start that meets the target, or zero; latestStart is
-	// the latest start that meets the deadline.
-	targetStart, latestStart time.Time
-	element                  *list.Element
-	heapIndex                int // index in Queue.expiries, or -1 once popped
+	flow   *flow
+	// targetStart is the latest start that meets the target, in nanoseconds since Queue.origin, or
+	// noTarget; latestStart is the latest start that meets the deadline.
+	targetStart int64
+	latestStart time.Time
+	element     *list.Element
+	heapIndex   int // index in Queue.expiries, or -1 once popped
 }
 
+// noTarget is the targetStart of a ticket without a target.
+const noTarget = math.MaxInt64
+
 // takeToken consumes one token, or returns the time until the next one.
 func (c *caller) takeToken(now time.Time) (time.Duration, bool) {
 	if c.policy.Rate <= 0 {
@@ -43,7 +44,7 @@
 	}
 	c.refill(now)
 	if c.tokens < 1 {
-		return time.Duration((1 - c.tokens) / c.policy.Rate * float64(time.Second)), false
+		return max(1, time.Duration((1-c.tokens)/c.policy.Rate*float64(time.Second))), false
 	}
 	c.tokens--
 	return 0, true
@@ -56,24 +57,21 @@
 	}
 }
 
-// eligible reports whether the concurrency limit lets the caller's oldest ticket run.
-func (c *caller) eligible() bool {
-	return c.waiting.Len() > 0 && (c.policy.Concurrency <= 0 || c.running < c.policy.Concurrency)
-}
-
-// recordStart updates the mean interval between starts.
-func (c *caller) recordStart(now time.Time) {
-	if !c.lastStart.IsZero() {
-		c.startInterval += time.Duration(startIntervalSmoothing * float64(now.Sub(c.lastStart)-c.startInterval))
-	}
-	c.lastStart = now
+// atConcurrencyLimit reports whether no further ticket of the caller may run.
+func (c *caller) atConcurrencyLimit() bool {
+	return c.policy.Concurrency > 0 && c.running >= c.policy.Concurrency
 }
 
 // idle reports whether removing the state changes no later decision.
-func (c *caller) idle(now time.Time, virtualTime float64) bool {
-	if c.running > 0 || c.waiting.Len() > 0 || c.nextStart > virtualTime {
+func (c *caller) idle(now time.Time) bool {
+	if c.running > 0 || c.waiting > 0 {
 		return false
 	}
+	for _, f := range c.flows {
+		if f.class.active() && f.lead() > 0 {
+			return false
+		}
+	}
 	if c.policy.Rate <= 0 {
 		return true
 	}
@@ -81,8 +79,6 @@
 	return c.tokens >= c.policy.Burst
 }
 
-func (c *caller) head() *waiter { return c.waiting.Front().Value.(*waiter) }
-
 // expiryHeap is a min-heap of waiters by latest start.
 type expiryHeap []*waiter
 
--- a/pkg/limits/doc.go
+++ b/pkg/limits/doc.go
@@ -13,9 +13,13 @@
 //	if err != nil { /* *verdict.Error, not run */ }
 //	defer permit.Release()
 //
-// The queue uses start-time fair queueing: callers share the capacity by weight,
-// regardless of how much they offer. Within one caller the oldest request runs
-// first. A request is refused at once if its position in the queue and the
-// measured service time show that it cannot start before its deadline, so that
-// the queue holds no work that would end too late. See docs/decisions/queueing.md.
+// Tickets run by account priority, then by route priority, then by the shares of the
+// callers, whose weights come with the tickets or the policy (start-time fair queueing),
+// and then by age. Within one caller and priority the oldest request runs first. Requests
+// that can still meet their target precede those that cannot, as long as the shares hold
+// over some seconds, see rank. A request is refused at once if its position in the queue
+// and the measured service time show that it cannot start before its deadline, so that
+// the queue holds no work that would end too late. If the queue is full, more urgent
+// tickets and those of callers with few take the places of others. See
+// docs/decisions/queueing.md and docs/design/overload.md.
 package limits
--- a/pkg/limits/gate.go
+++ b/pkg/limits/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -37,16 +38,19 @@
 // Gate is a blocking wrapper around a Queue for the request path. It is safe for
 // concurrent use.
 type Gate struct {
-	mu      sync.Mutex
-	queue   *Queue
-	clock   func() time.Time
-	lastID  uint64
-	pending map[uint64]chan bool // by ticket ID; receives true if admitted, false if expired
+	mu     sync.Mutex
+	queue  *Queue
+	clock  func() time.Time
+	lastID uint64
+	// pending maps ticket IDs to channels that receive Admitted, or the reason of a refusal.
+	pending map[uint64]chan Reason
+	rng     *rand.Rand
 }
 
-// NewGate returns a gate in front of a new queue.
-func NewGate(p Policy, capacity int, clock func() time.Time) *Gate {
-	return &Gate{queue: NewQueue(p, capacity), clock: clock, pending: map[uint64]chan bool{}}
+// NewGate returns a gate in front of a new queue. rng spreads the times after which
+// refused callers return; the gate uses it under its own lock.
+func NewGate(p Policy, capacity int, clock func() time.Time, rng *rand.Rand) *Gate {
+	return &Gate{queue: NewQueue(p, capacity), clock: clock, pending: map[uint64]chan Reason{}, rng: rng}
 }
 
 // Permit allows one request to run. Call Release when the request has ended.
@@ -69,14 +73,17 @@
 		AccountPriority: r.AccountPriority, Priority: r.Priority, Weight: r.Weight,
 	}
 	d := g.queue.Offer(now, ticket)
-	g.notify(nil, g.queue.Expire(now))
-	var result chan bool
+	g.notify(nil, now)
+	var result chan Reason
 	if d.Action == Wait {
-		result = make(chan bool, 1)
+		result = make(chan Reason, 1)
 		g.pending[ticket.ID] = result
 	}
 	latestStart := g.queue.latestStart(now, ticket)
 	details := g.queue.decisionDetails(d, latestStart.Sub(now))
+	if d.Action == Refuse && d.Reason != RateLimit {
+		d.RetryAfter = RetryAfter(d.RetryAfter, latestStart.Sub(now), g.rng)
+	}
 	g.mu.Unlock()
 	switch d.Action {
 	case Run:
@@ -93,7 +100,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock()
-	g.notify(g.queue.Done(now, p.ticket), g.queue.Expire(now))
+	g.notify(g.queue.Done(now, p.ticket), now)
 }
 
 // SetCapacity sets how many requests may run at once (capacity), and how many
@@ -102,7 +109,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock()
-	g.notify(g.queue.SetCapacity(now, capacity, reserve), g.queue.Expire(now))
+	g.notify(g.queue.SetCapacity(now, capacity, reserve), now)
 }
 
 // SetPolicy replaces the limits.
@@ -110,7 +117,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock()
-	g.notify(g.queue.SetPolicy(now, p), g.queue.Expire(now))
+	g.notify(g.queue.SetPolicy(now, p), now)
 }
 
 // Stats is a snapshot of a gate's counters for metrics.
@@ -129,54 +136,62 @@
 	}
 }
 
-// wait blocks until the ticket runs or expires, or ctx ends.
-func (g *Gate) wait(ctx context.Context, t Ticket, result chan bool, enqueuedAt, latestStart time.Time) (*Permit, error) {
+// wait blocks until the ticket runs or is refused, or ctx ends.
+func (g *Gate) wait(ctx context.Context, t Ticket, result chan Reason, enqueuedAt, latestStart time.Time) (*Permit, error) {
 	timer := time.NewTimer(latestStart.Sub(enqueuedAt))
 	defer timer.Stop()
-	var admitted bool
+	var reason Reason
 	var cause error
 	select {
-	case admitted = <-result:
+	case reason = <-result:
 	case <-timer.C:
-		admitted = g.withdraw(t, result)
+		reason = g.withdraw(t, result)
 	case <-ctx.Done():
-		if g.withdraw(t, result) {
+		if g.withdraw(t, result) == Admitted {
 			// The ticket was admitted at the same moment; free its slot.
 			(&Permit{gate: g, ticket: t}).Release()
 		}
 		cause = ctx.Err()
 	}
-	if admitted {
-		return &Permit{gate: g, ticket: t, Waited: g.clock().Sub(enqueuedAt)}, nil
-	}
 	if cause != nil {
 		e := verdict.Refuse(statusClientClosedRequest, "cancelled", "The caller cancelled the request while it waited.")
 		e.Cause = cause
 		return nil, e
 	}
-	return nil, refusal(TooLate, g.Stats().ServiceTime, errors.Newf("waited %v in the queue", g.clock().Sub(enqueuedAt)))
+	waited := g.clock().Sub(enqueuedAt)
+	if reason == Admitted {
+		return &Permit{gate: g, ticket: t, Waited: waited}, nil
+	}
+	g.mu.Lock()
+	retryAfter := RetryAfter(g.queue.backlog(), latestStart.Sub(enqueuedAt)-waited, g.rng)
+	g.mu.Unlock()
+	return nil, refusal(reason, retryAfter, errors.Newf("waited %v in the queue", waited))
 }
 
-// withdraw removes a ticket from the queue. It returns true if the ticket was
-// admitted before.
-func (g *Gate) withdraw(t Ticket, result chan bool) bool {
+// withdraw removes a ticket from the queue and returns TooLate, or the earlier decision
+// on the ticket.
+func (g *Gate) withdraw(t Ticket, result chan Reason) Reason {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.queue.Cancel(t) {
 		delete(g.pending, t.ID)
-		return false
+		return TooLate
 	}
 	return <-result
 }
 
-// notify wakes the goroutines of the given tickets. The caller must hold g.mu.
-func (g *Gate) notify(admitted, expired []Ticket) {
-	for _, t := range admitted {
-		g.pending[t.ID] <- true
-		delete(g.pending, t.ID)
-	}
-	for _, t := range expired {
-		g.pending[t.ID] <- false
+// notify wakes the goroutines of the admitted tickets and of those that were removed from
+// the queue. The caller must hold g.mu.
+func (g *Gate) notify(admitted []Ticket, now time.Time) {
+	expired, displaced := g.queue.removed(now)
+	g.send(admitted, Admitted)
+	g.send(expired, TooLate)
+	g.send(displaced, QueueFull)
+}
+
+func (g *Gate) send(tickets []Ticket, r Reason) {
+	for _, t := range tickets {
+		g.pending[t.ID] <- r
 		delete(g.pending, t.ID)
 	}
 }
--- a/pkg/limits/limits_test.go
+++ b/pkg/limits/limits_test.go
@@ -72,4 +72,50 @@
 		}
 		Expect(waiting).To(Equal(map[string]int{"a": 4, "b": 2, "c": 1}))
 	})
+
+	// Guards against callers with many waiting tickets, or many less urgent tickets, that
+	// fill the queue and so keep all others out.
+	It("gives places of a full queue to urgent tickets and to callers with few", func() {
+		p := limits.DefaultPolicy()
+		p.MaxQueue = 8
+		q := limits.NewQueue(p, 1)
+		offer := func(id uint64, caller string, priority int) limits.Action {
+			t := ticket(id, caller, time.Hour)
+			t.Priority = priority
+			return q.Offer(epoch, t).Action
+		}
+		offer(0, "a", 2)
+		for id := uint64(1); id <= 8; id++ {
+			Expect(offer(id, []string{"a", "a", "a", "a", "b", "b", "c", "d"}[id-1], 2)).To(Equal(limits.Wait))
+		}
+		displaced := func() []uint64 {
+			var ids []uint64
+			for _, t := range q.Expire(epoch) {
+				ids = append(ids, t.ID)
+			}
+			return ids
+		}
+		Expect(offer(10, "e", 2)).To(Equal(limits.Wait))
+		Expect(displaced()).To(Equal([]uint64{4}), "the newest of the caller with most")
+		Expect(offer(11, "b", 2)).To(Equal(limits.Refuse), "it would hold as many as the caller with most")
+		Expect(offer(12, "f", 0)).To(Equal(limits.Wait))
+		Expect(displaced()).To(Equal([]uint64{3}))
+		Expect(offer(13, "f", 3)).To(Equal(limits.Refuse))
+		Expect(q.Waiting()).To(Equal(8))
+	})
+
+	// Guards against refused callers that return together, or when it is too late.
+	It("spreads the return of refused callers", func() {
+		rng, firstHalf := newRand(), 0
+		for range 1000 {
+			d := limits.RetryAfter(time.Second, 0, rng)
+			Expect(d).To(And(BeNumerically(">=", time.Second), BeNumerically("<=", 2*time.Second)))
+			if d < 1500*time.Millisecond {
+				firstHalf++
+			}
+			Expect(limits.RetryAfter(time.Second, 600*time.Millisecond, rng)).To(And(BeNumerically(">=", 300*time.Millisecond), BeNumerically("<=", 600*time.Millisecond)))
+			Expect(limits.RetryAfter(0, -time.Second, rng)).To(BeNumerically(">", 10*time.Millisecond))
+		}
+		Expect(firstHalf).To(BeNumerically("~", 500, 100))
+	})
 })
--- a/pkg/limits/policy.go
+++ b/pkg/limits/policy.go
@@ -147,6 +147,7 @@
 	Reason Reason
 	// ExpectedWait is the estimated time in the queue.
 	ExpectedWait time.Duration
-	// RetryAfter is when it may be worth sending a refused request again.
+	// RetryAfter is the time in which what stands before a refused request drains, or in
+	// which its caller may send again. See func RetryAfter.
 	RetryAfter time.Duration
 }
--- a/pkg/limits/property_test.go
+++ b/pkg/limits/property_test.go
@@ -149,8 +149,8 @@
 })
 
 var _ = Describe("Queue under random operations", func() {
-	// Guards against lost, duplicate, late or surplus tickets, and against slots that
-	// stay idle while an eligible ticket waits.
+	// Guards against lost, duplicate, late or surplus tickets, against slots that stay idle
+	// while an eligible ticket waits, and against tickets that run before more urgent ones.
 	It("keeps its invariants", func() {
 		testkit.Check(GinkgoT(), func(t *rapid.T) {
 			p := limits.Policy{MaxQueue: 20, MaxWait: time.Second, Callers: map[string]limits.CallerPolicy{
@@ -161,8 +161,19 @@
 			q := limits.NewQueue(p, capacity)
 			now, lastID := epoch, uint64(0)
 			running, waiting := map[uint64]limits.Ticket{}, map[uint64]limits.Ticket{}
+			moreUrgent := func(a, b limits.Ticket) bool {
+				return a.AccountPriority < b.AccountPriority || a.AccountPriority == b.AccountPriority && a.Priority < b.Priority
+			}
 			start := func(ts []limits.Ticket) {
+				for _, ticket := range q.Expire(now) {
+					delete(waiting, ticket.ID)
+				}
 				for _, ticket := range ts {
+					for _, other := range waiting {
+						if len(running) < capacity && moreUrgent(other, ticket) && other.Caller != "c1" && other.Caller != "c3" {
+							t.Fatalf("ticket %v starts before %v", ticket, other)
+						}
+					}
 					if _, ok := waiting[ticket.ID]; !ok || now.After(ticket.Deadline) {
 						t.Fatalf("ticket %v was not waiting or is late", ticket)
 					}
@@ -181,7 +192,12 @@
 					lastID++
 					ticket := limits.Ticket{
 						ID: lastID, Caller: fmt.Sprintf("c%d", rapid.IntRange(0, 4).Draw(t, "caller")),
-						Deadline: now.Add(time.Duration(rapid.IntRange(-5, 400).Draw(t, "deadline")) * time.Millisecond),
+						Deadline:        now.Add(time.Duration(rapid.IntRange(-5, 400).Draw(t, "deadline")) * time.Millisecond),
+						AccountPriority: rapid.IntRange(0, 1).Draw(t, "accountPriority"), Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+						Weight: rapid.SampledFrom([]float64{0, 0.1, 300, 1e300}).Draw(t, "weight"),
+					}
+					if rapid.Bool().Draw(t, "hasTarget") {
+						ticket.Target = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "target")) * time.Millisecond)
 					}
 					if rapid.Bool().Draw(t, "usesReserve") {
 						ticket.ReserveAfter = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "reserveAfter")) * time.Millisecond)
@@ -265,7 +281,7 @@
 	// Guards against more running requests than the capacity, and against a slot lost
 	// when a caller cancels at the moment of its admission.
 	It("admits and cancels concurrently without losing slots", func() {
-		g := limits.NewGate(limits.DefaultPolicy(), 4, time.Now)
+		g := limits.NewGate(limits.DefaultPolicy(), 4, time.Now, newRand())
 		var running, maxRunning atomic.Int64
 		var wg sync.WaitGroup
 		for i := range 32 {
--- a/pkg/limits/queue.go
+++ b/pkg/limits/queue.go
@@ -25,6 +25,9 @@
 	// minCallerRetention is how long an idle caller is kept at least. It avoids
 	// evicting and recreating frequent callers.
 	minCallerRetention = 10 * time.Second
+	// noCapacityRetry is the RetryAfter of a service without any usable upstream. One
+	// may be listed or recover at any moment.
+	noCapacityRetry = time.Second
 	// maxCallers is the maximum number of callers kept, more than the 62,000 existing
 	// accounts. Beyond it, the least recently used caller without waiting or running
 	// tickets is evicted and its rate-limit state is lost.
@@ -36,20 +39,23 @@
 type Queue struct {
 	policy   Policy
 	capacity int
+	// origin is the time of the first Offer. Times of targets count from it: it has a
+	// monotonic clock reading, while the wall clock may jump.
+	origin time.Time
 	// reserve is how many more requests may run at upstreams that are likely to fail.
 	reserve int
 	callers map[string]*caller
 	lru     list.List // of *caller, most recently used first
-	// waitingCallers holds the callers with waiting tickets.
-	waitingCallers map[*caller]struct{}
-	expiries       expiryHeap
-	waiting        map[uint64]*waiter
-	running        map[uint64]runningRequest
-	expired        []Ticket
-	virtualTime    float64 // virtual start time of the last ticket that ran
-	// maxNextStart is the highest nextStart of any caller. When the queue becomes
-	// empty, the virtual time advances to it, so that all callers start even again.
-	maxNextStart         float64
+	// classes holds the classes with waiting tickets, the most urgent first.
+	classes []*classQueue
+	// targets holds the waiting tickets with a target, sorted by target start.
+	targets  []*waiter
+	expiries expiryHeap
+	waiting  map[uint64]*waiter
+	running  map[uint64]runningRequest
+	expired  []Ticket
+	// displaced holds the tickets that left a full queue for others.
+	displaced            []Ticket
 	serviceTime          time.Duration // mean from start to Done
 	serviceTimeDeviation time.Duration // mean absolute deviation from that mean
 }
@@ -64,12 +70,15 @@
 func NewQueue(p Policy, capacity int) *Queue {
 	return &Queue{
 		policy: p.withDefaults(), capacity: capacity, serviceTime: DefaultServiceTime,
-		callers: map[string]*caller{}, waitingCallers: map[*caller]struct{}{}, waiting: map[uint64]*waiter{}, running: map[uint64]runningRequest{},
+		callers: map[string]*caller{}, waiting: map[uint64]*waiter{}, running: map[uint64]runningRequest{},
 	}
 }
 
 // Offer admits, queues or refuses a new request.
 func (q *Queue) Offer(now time.Time, t Ticket) Decision {
+	if q.origin.IsZero() {
+		q.origin = now
+	}
 	q.evict(now)
 	q.expire(now)
 	c := q.caller(now, t.Caller)
@@ -77,19 +86,22 @@
 		return Decision{Reason: TooLate, RetryAfter: q.serviceTime}
 	}
 	if q.capacity <= 0 {
-		return Decision{Reason: NoCapacity, RetryAfter: q.policy.MaxWait}
+		return Decision{Reason: NoCapacity, RetryAfter: noCapacityRetry}
 	}
-	wait := q.expectedWait(now, c, t, q.capacity)
+	p := q.position(c, t)
+	wait := q.expectedWait(now, c, t, p, q.capacity)
 	latestStart := q.latestStart(now, t)
+	var displaced *waiter
 	if wait > 0 {
 		any := wait
 		if q.reserve > 0 && !t.ReserveAfter.IsZero() && t.ReserveAfter.Before(latestStart) {
-			any = q.expectedWait(now, c, t, q.capacity+q.reserve)
+			any = q.expectedWait(now, c, t, p, q.capacity+q.reserve)
 		}
 		if excess := any - time.Duration(maxWaitFraction*float64(latestStart.Sub(now))); excess > 0 {
 			return Decision{Reason: TooLate, ExpectedWait: wait, RetryAfter: max(excess, q.serviceTime)}
 		}
-		if c.waiting.Len() >= q.policy.MaxQueue-len(q.waiting) {
+		var ok bool
+		if displaced, ok = q.findPlace(c, t); !ok {
 			return Decision{Reason: QueueFull, ExpectedWait: wait, RetryAfter: max(wait, q.serviceTime)}
 		}
 	}
@@ -103,7 +115,16 @@
 		q.start(now, t.ID, c)
 		return Decision{Action: Run}
 	}
-	q.enqueue(&waiter{ticket: t, caller: c, targetStart: q.targetStart(t), latestStart: latestStart})
+	if displaced != nil {
+		q.remove(displaced)
+		q.displaced = append(q.displaced, displaced.ticket)
+		p = q.position(c, t) // the class of the displaced ticket may have become empty
+	}
+	w := &waiter{ticket: t, targetStart: q.targetStart(t), latestStart: latestStart}
+	q.enqueue(c, p, w)
+	q.waiting[t.ID] = w
+	q.addTarget(w)
+	heap.Push(&q.expiries, w)
 	return Decision{Action: Wait, ExpectedWait: wait}
 }
 
@@ -150,12 +171,20 @@
 }
 
 // Expire returns the tickets that were removed from the queue because they can no
-// longer start in time. Their requests must be refused.
+// longer start in time, or because others displaced them when the queue was full. Their
+// requests must be refused.
 func (q *Queue) Expire(now time.Time) []Ticket {
+	expired, displaced := q.removed(now)
+	return append(expired, displaced...)
+}
+
+// removed returns the tickets that can no longer start in time, and those that were
+// displaced, since the last call.
+func (q *Queue) removed(now time.Time) (expired, displaced []Ticket) {
 	q.expire(now)
-	out := q.expired
-	q.expired = nil
-	return out
+	expired, displaced = q.expired, q.displaced
+	q.expired, q.displaced = nil, nil
+	return expired, displaced
 }
 
 // Cancel removes a waiting ticket. It returns false if the ticket is not waiting.
@@ -179,31 +208,71 @@
 // ServiceTime returns the mean time from the start of a ticket to its Done.
 func (q *Queue) ServiceTime() time.Duration { return q.serviceTime }
 
+// findPlace reports whether the queue has a place for a ticket. A caller may hold as many
+// places as are free, which leaves some for others; tickets of less urgent classes do not
+// count. If the queue is full, the ticket may take the place of the returned one: the
+// newest of the caller that holds most places of the least urgent class.
+func (q *Queue) findPlace(c *caller, t Ticket) (displaced *waiter, ok bool) {
+	free, lessUrgent := q.policy.MaxQueue-len(q.waiting), 0
+	for _, k := range q.classes {
+		if k.class.compare(t.class()) > 0 {
+			lessUrgent += k.waiting
+		}
+	}
+	withinPart := c.waiting < free+lessUrgent
+	if free > 0 || len(q.classes) == 0 {
+		return nil, withinPart
+	}
+	k := q.classes[len(q.classes)-1]
+	longest := k.flows[0]
+	for _, f := range k.flows {
+		if f.waiting.Len() > longest.waiting.Len() {
+			longest = f
+		}
+	}
+	sameClass := k.class == t.class() && c.waiting+1 < longest.caller.waiting
+	if !sameClass && (lessUrgent == 0 || !withinPart) {
+		return nil, false
+	}
+	return longest.waiting.Back().Value.(*waiter), true
+}
+
 // expectedWait estimates how long a new ticket of the caller waits at the given
 // capacity, from the tickets that would run before it. Zero means that it runs at
 // once.
-func (q *Queue) expectedWait(now time.Time, c *caller, t Ticket, capacity int) time.Duration {
-	atConcurrencyLimit := c.policy.Concurrency > 0 && c.running >= c.policy.Concurrency
-	if !atConcurrencyLimit && c.waiting.Len() == 0 && !q.anyEligible() && len(q.running) < capacity {
+func (q *Queue) expectedWait(now time.Time, c *caller, t Ticket, p position, capacity int) time.Duration {
+	if p.ownWaiting == 0 && len(q.running) < capacity && !c.atConcurrencyLimit() && !q.anyEligible() {
 		return 0
 	}
-	ownWaiting := float64(c.waiting.Len())
-	newRank := rank{
-		priority: t.Priority, virtualStart: max(q.virtualTime, c.nextStart) + ownWaiting/c.policy.Weight,
-		targetStart: q.targetStart(t), id: t.ID,
-	}
-	newRank.missedTarget = newRank.isPastTarget(now)
-	ahead := 0.0
-	for _, w := range q.waiting {
-		if w.caller != c && w.rank(now).before(newRank) {
-			ahead++
+	ahead := p.ownWaiting
+	for _, k := range q.classes {
+		order := k.class.compare(t.class())
+		if order > 0 {
+			break
+		}
+		if order < 0 {
+			ahead += k.waiting
+			continue
+		}
+		window, account, at := q.window(k), t.Weight > 0, q.since(now)
+		newTicket := waiter{ticket: t, targetStart: q.targetStart(t)}
+		var newRank rank
+		newRank.set(at, &newTicket, p.virtualStart-k.base(account), allowedLead(window, p.weight, account), account)
+		for _, f := range k.flows {
+			if f != p.flow {
+				ahead += f.ticketsBefore(at, window, &newRank)
+			}
 		}
 	}
-	wait := (ahead + ownWaiting + 1) / float64(capacity)
+	wait := float64(ahead+1) / float64(capacity)
 	if c.policy.Concurrency > 0 {
-		wait = max(wait, (ownWaiting+1)/float64(c.policy.Concurrency))
+		wait = max(wait, float64(c.waiting+1)/float64(c.policy.Concurrency))
+	}
+	var startInterval time.Duration
+	if p.flow != nil {
+		startInterval = p.flow.startInterval
 	}
-	return max(1, time.Duration(wait*float64(q.serviceTime)), time.Duration((ownWaiting+1)*float64(c.startInterval)))
+	return max(1, time.Duration(wait*float64(q.serviceTime)), time.Duration(p.ownWaiting+1)*startInterval)
 }
 
 // latestStart returns the latest start at which the response is still in time. If
@@ -225,10 +294,10 @@
 }
 
 // targetStart returns the latest start at which the response meets the target, or
-// the deadline if that is earlier. It is zero without a target.
-func (q *Queue) targetStart(t Ticket) time.Time {
+// the deadline if that is earlier, as waiter.targetStart.
+func (q *Queue) targetStart(t Ticket) int64 {
 	if t.Target.IsZero() {
-		return time.Time{}
+		return noTarget
 	}
 	if !t.Deadline.IsZero() && t.Deadline.Before(t.Target) {
 		t.Target = t.Deadline
@@ -237,9 +306,11 @@
 	if duration == 0 {
 		duration = q.serviceTime
 	}
-	return t.Target.Add(-duration)
+	return q.since(t.Target.Add(-duration))
 }
 
+func (q *Queue) since(t time.Time) int64 { return int64(t.Sub(q.origin)) }
+
 func (q *Queue) recordServiceTime(sample time.Duration) {
 	diff := sample - q.serviceTime
 	q.serviceTime += time.Duration(serviceTimeSmoothing * float64(diff))
@@ -269,31 +340,32 @@
 
 // admit starts a waiting ticket.
 func (q *Queue) admit(now time.Time, w *waiter) Ticket {
-	c := w.caller
-	q.virtualTime = max(q.virtualTime, c.nextStart)
-	c.nextStart += 1 / c.policy.Weight
-	c.recordStart(now)
-	q.maxNextStart = max(q.maxNextStart, c.nextStart)
+	w.flow.charge(now, q.window(w.flow.class))
 	q.remove(w)
-	q.start(now, w.ticket.ID, c)
+	q.start(now, w.ticket.ID, w.flow.caller)
 	return w.ticket
 }
 
-// selectForReserve returns the ticket with the earliest latest start among those
-// that may use the reserve capacity, or nil.
+// selectForReserve returns the ticket with the earliest latest start among those of the
+// most urgent class that may use the reserve capacity, or nil.
 func (q *Queue) selectForReserve(now time.Time) *waiter {
-	var first *waiter
-	for c := range q.waitingCallers {
-		if !c.eligible() {
-			continue
+	for _, k := range q.classes {
+		var first *waiter
+		for _, f := range k.flows {
+			if f.caller.atConcurrencyLimit() {
+				continue
+			}
+			w := f.oldest
+			mayUseReserve := !w.ticket.ReserveAfter.IsZero() && !now.Before(w.ticket.ReserveAfter)
+			if mayUseReserve && (first == nil || w.startsBefore(first)) {
+				first = w
+			}
 		}
-		w := c.head()
-		mayUseReserve := !w.ticket.ReserveAfter.IsZero() && !now.Before(w.ticket.ReserveAfter)
-		if mayUseReserve && (first == nil || w.startsBefore(first)) {
-			first = w
+		if first != nil {
+			return first
 		}
 	}
-	return first
+	return nil
 }
 
 // startsBefore orders tickets by latest start.
@@ -309,31 +381,13 @@
 	q.running[id] = runningRequest{caller: c, startedAt: now}
 }
 
-func (q *Queue) enqueue(w *waiter) {
-	c := w.caller
-	if c.waiting.Len() == 0 {
-		c.nextStart = max(q.virtualTime, c.nextStart)
-		q.waitingCallers[c] = struct{}{}
-	}
-	w.element = c.waiting.PushBack(w)
-	q.waiting[w.ticket.ID] = w
-	heap.Push(&q.expiries, w)
-}
-
 func (q *Queue) remove(w *waiter) {
-	c := w.caller
-	c.waiting.Remove(w.element)
+	q.dequeue(w)
+	q.removeTarget(w)
 	delete(q.waiting, w.ticket.ID)
 	if w.heapIndex >= 0 {
 		heap.Remove(&q.expiries, w.heapIndex)
 	}
-	if c.waiting.Len() == 0 {
-		delete(q.waitingCallers, c)
-		c.startInterval, c.lastStart = 0, time.Time{}
-	}
-	if len(q.waiting) == 0 {
-		q.virtualTime = max(q.virtualTime, q.maxNextStart)
-	}
 }
 
 func (q *Queue) expire(now time.Time) {
@@ -370,8 +424,8 @@
 		if now.Sub(c.lastOffer) < minCallerRetention && !full {
 			return // all other callers were used more recently
 		}
-		inactive := c.running == 0 && c.waiting.Len() == 0
-		if !c.idle(now, q.virtualTime) && (!inactive || !full) {
+		inactive := c.running == 0 && c.waiting == 0
+		if !c.idle(now) && (!inactive || !full) {
 			q.lru.MoveToFront(oldest)
 			return
 		}
--- /dev/null
+++ b/pkg/limits/retryafter.go
@@ -0,0 +1,28 @@
+package limits
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// minRetryAfter is the shortest time that a refused caller is told to wait. A shorter one
+// lets callers return before anything has changed.
+const minRetryAfter = 50 * time.Millisecond
+
+// RetryAfter returns when the caller of a refused request should send it again: at random
+// between once and twice the time in which what stands before the request drains, so that
+// callers that are refused together do not return together. It is not later than useful,
+// the time until the latest start that is in time; useful is 0 if that is unknown or has
+// passed.
+func RetryAfter(drain, useful time.Duration, rng *rand.Rand) time.Duration {
+	earliest, latest := max(drain, minRetryAfter), 2*max(drain, minRetryAfter)
+	if useful >= minRetryAfter && useful < latest {
+		earliest, latest = min(earliest, useful/2), useful
+	}
+	return earliest + time.Duration(rng.Float64()*float64(latest-earliest))
+}
+
+// backlog returns the time in which the waiting tickets start if no others come.
+func (q *Queue) backlog() time.Duration {
+	return time.Duration(float64(len(q.waiting)+1) / float64(max(q.capacity, 1)) * float64(q.serviceTime))
+}
