Divide the requests of each account over a route's services by weight

Cause: one round robin for all accounts. Ten accounts that take turns got one service each, so that a service that is short of capacity is short for some accounts only (test). At each daemon and configuration the first request went to the heaviest service, and a daemon sees few requests of an account. Change: Route.ServiceFor(account) takes the points of a golden-ratio sequence, with a counter and a starting point that depends on the account, the daemon and the version. Without an account the round robin stays.

--- a/pkg/blackboard/routes.go
+++ b/pkg/blackboard/routes.go
@@ -1,9 +1,12 @@
 package blackboard
 
 import (
+	"math/bits"
 	"strings"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"shallotglade/pkg/document"
 )
 
@@ -15,8 +18,14 @@
 	backends []backend
 
 	mu sync.Mutex
+	// accountRequests counts the requests of accounts, by a hash of their names. It is
+	// nil before the first. An account with a hash in common only shares the count.
+	accountRequests *[accountCounters]uint32
 }
 
+// accountCounters is the number of counters of a route with several services.
+const accountCounters = 256
+
 // backend is a service that receives a share of a route's requests. credit is the
 // state of smooth weighted round robin, which keeps the shares accurate over few
 // requests too.
@@ -46,6 +55,54 @@
 	return r.backends[selected].service, true
 }
 
+// goldenRatio is 2^64 divided by the golden ratio. Multiples of it, modulo 2^64, are spread
+// evenly, also if any regular part of them is left out.
+const goldenRatio = 0x9E3779B97F4A7C15
+
+// ServiceFor returns the service for the next request of an account. Each account's
+// requests are divided by the weights: a round robin for all accounts can give one of them
+// all of a short service, when they take turns. An account starts at a different point at
+// each daemon and in each version, because a daemon may see few of its requests before
+// the next configuration. An empty account stands for requests without one.
+func (r *Route) ServiceFor(account string) (*Service, bool) {
+	if account == "" || len(r.backends) < 2 {
+		return r.next()
+	}
+	name := xxhash.Sum64String(account)
+	var start xxhash.Digest
+	start.ResetWithSeed(name ^ r.Version)
+	_, _ = start.WriteString(r.backends[0].service.self)
+	_, _ = start.Write([]byte{0})
+	_, _ = start.WriteString(r.Name)
+	r.mu.Lock()
+	if r.accountRequests == nil {
+		r.accountRequests = new([accountCounters]uint32)
+	}
+	counter := &r.accountRequests[name%accountCounters]
+	n := *counter
+	*counter++
+	r.mu.Unlock()
+	return r.at(start.Sum64() + uint64(n)*goldenRatio)
+}
+
+// at returns the service at a point of the circle of 2^64 points that the services divide
+// by weight.
+func (r *Route) at(point uint64) (*Service, bool) {
+	total := 0
+	for i := range r.backends {
+		total += max(r.backends[i].weight, 0)
+	}
+	position, _ := bits.Mul64(point, uint64(total))
+	for i := range r.backends {
+		b := &r.backends[i]
+		if position < uint64(max(b.weight, 0)) {
+			return b.service, true
+		}
+		position -= uint64(max(b.weight, 0))
+	}
+	return nil, false
+}
+
 // routeTable maps requests to routes. The cost of a lookup depends on the number of
 // path segments and not on the number of routes. An active table is immutable.
 type routeTable struct {
