Derive the return of callers that find no upstream from pauses and the requests before them

Cause: such refusals said one second, or the exact end of a pause, to all callers. They return together, and a long time after a short shortage. Change: Service.RetryAfter: after the first pause, or the time in which the waiting requests get a slot, spread over up to one second by the service's seeded source. pkg/proxy passes it on.

--- a/pkg/blackboard/wait.go
+++ b/pkg/blackboard/wait.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"shallotglade/pkg/limits"
 	"shallotglade/pkg/routing"
 	"shallotglade/pkg/upstream"
 	"shallotglade/pkg/verdict"
@@ -20,6 +21,9 @@
 	AttemptRequest
 	// MayWaitUntil is the time until which MayWait is true.
 	MayWaitUntil time.Time
+	// AccountPriority is the priority of the account, or Priority if the account has none.
+	// It takes precedence over Priority; 0 is the highest.
+	AccountPriority int
 	// Priority is the priority of the request; 0 is the highest.
 	Priority int
 	// Optional requests, such as hedges, get an upstream only if no other request
@@ -34,6 +38,8 @@
 	// Attempt is nil if no upstream can be used soon enough.
 	Attempt *Attempt
 	Choice  routing.Choice
+	// RetryAfter is when a request without an attempt may be sent again.
+	RetryAfter time.Duration
 	// Awaited is why the request had to wait, and Waited how long it did; Waited is 0
 	// if it did not wait.
 	Awaited routing.Reason
@@ -52,8 +58,8 @@
 }
 
 // Await chooses an upstream for a request as soon as one can be used, and counts the
-// attempt as in flight. Requests that wait get upstreams by priority and then in the
-// order of their arrival. The caller must receive the grant or call Withdraw.
+// attempt as in flight. Requests that wait get upstreams by account priority, then by
+// priority, and then in the order of their arrival. The caller must receive the grant or call Withdraw.
 func (s *Service) Await(now time.Time, r WaitRequest) *Waiter {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -105,7 +111,7 @@
 		}
 		return -1
 	}
-	return cmp.Or(cmp.Compare(w.request.Priority, other.request.Priority), cmp.Compare(w.sequence, other.sequence))
+	return cmp.Or(cmp.Compare(w.request.AccountPriority, other.request.AccountPriority), cmp.Compare(w.request.Priority, other.request.Priority), cmp.Compare(w.sequence, other.sequence))
 }
 
 // requestClass holds what the choice for a request without tried upstreams depends on.
@@ -166,6 +172,9 @@
 		return false
 	}
 	g := Grant{Attempt: attempt, Choice: choice}
+	if !ok {
+		g.RetryAfter = s.retryAfterLocked(now, choice)
+	}
 	if w.awaited != 0 {
 		g.Awaited, g.Waited = w.awaited, now.Sub(w.enqueuedAt)
 	}
@@ -191,6 +200,34 @@
 	return false
 }
 
+// retryAfterLocked returns when a request for which no upstream was chosen may be sent
+// again. Only a pause ends at a known time.
+func (s *Service) retryAfterLocked(now time.Time, choice routing.Choice) time.Duration {
+	drain := noUpstreamRetry
+	switch choice.Reason {
+	case routing.AllPaused:
+		drain = choice.AvailableAt.Sub(now)
+	case routing.AllBusy, routing.AwaitsHealthier:
+		if latency := s.reliability.MeanLatency(); latency > 0 {
+			capacity, _ := routing.Capacity(s.candidates, len(s.attempts))
+			drain = latency * time.Duration(len(s.waiters)+1) / time.Duration(max(capacity, 1))
+		}
+	}
+	return limits.RetryAfter(drain, 0, s.rng)
+}
+
+// noUpstreamRetry is the time after which a request may be sent again if nothing tells
+// when an upstream can be used.
+const noUpstreamRetry = time.Second
+
+// RetryAfter returns when a request that found no upstream before its time was over may be
+// sent again.
+func (s *Service) RetryAfter(now time.Time, choice routing.Choice) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retryAfterLocked(now, choice)
+}
+
 // scheduleWakeLocked starts the timer that checks the waiting requests again.
 func (s *Service) scheduleWakeLocked() {
 	if s.wakeScheduled || len(s.waiters) == 0 {
--- a/pkg/blackboard/wait_test.go
+++ b/pkg/blackboard/wait_test.go
@@ -73,6 +73,36 @@
 		}
 	})
 
+	It("get upstreams by the priority of the account before that of the route", func() {
+		occupy(1)
+		other := wait(func(r *blackboard.WaitRequest) { r.AccountPriority, r.Priority = 1, 0 })
+		urgent := wait(func(r *blackboard.WaitRequest) { r.AccountPriority, r.Priority = 0, 2 })
+		end(running[0], success)
+		Expect(urgent.Granted).To(Receive())
+		Expect(other.Granted).NotTo(Receive())
+	})
+
+	// Guards against callers that all return at the end of a pause, or a second after they
+	// were refused however many stand before them.
+	It("are told to return after a pause or the requests before them, not together", func() {
+		occupy(4)
+		now := time.Now()
+		pausedUntil := routing.Choice{Reason: routing.AllPaused, AvailableAt: now.Add(2 * time.Second)}
+		times := map[time.Duration]bool{}
+		for range 20 {
+			d := s.RetryAfter(now, pausedUntil)
+			Expect(d).To(And(BeNumerically(">=", 2*time.Second), BeNumerically("<=", 3*time.Second)))
+			times[d.Round(50*time.Millisecond)] = true
+		}
+		Expect(len(times)).To(BeNumerically(">", 5))
+		for range 3 {
+			s.End(now.Add(200*time.Millisecond), running[0], success)
+			running = running[1:]
+		}
+		busy := routing.Choice{Reason: routing.AllBusy}
+		Expect(s.RetryAfter(now, busy)).To(BeNumerically("<=", 200*time.Millisecond))
+	})
+
 	// Guards against a slot that stays taken when its caller leaves at the same moment.
 	It("release a slot that was granted while they withdrew", func() {
 		occupy(1)
--- a/pkg/proxy/attempts.go
+++ b/pkg/proxy/attempts.go
@@ -117,7 +117,7 @@
 	case g := <-w.Granted:
 		switch {
 		case g.Attempt == nil:
-			return x.noUpstreamAnswer(g.Choice)
+			return x.noUpstreamAnswer(g.Choice, g.RetryAfter)
 		case x.startCtx.Err() != nil:
 			// The caller has left, the deadline has passed, or the daemon stops.
 			x.service.Release(time.Now(), g.Attempt)
@@ -139,7 +139,8 @@
 	case errors.Is(x.startCtx.Err(), context.Canceled):
 		return refusalAnswer(x.upstreamError(upstream.Result{Kind: upstream.Canceled, Err: context.Cause(x.startCtx)}, statusCallerGone))
 	default:
-		return x.noUpstreamAnswer(routing.Choice{Reason: routing.AllBusy})
+		choice := routing.Choice{Reason: routing.AllBusy}
+		return x.noUpstreamAnswer(choice, x.service.RetryAfter(time.Now(), choice))
 	}
 }
 
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -102,13 +102,10 @@
 
 // noUpstreamAnswer returns the answer for a request that no further upstream can
 // take.
-func (x *exchange) noUpstreamAnswer(choice routing.Choice) *Answer {
+func (x *exchange) noUpstreamAnswer(choice routing.Choice, retryAfter time.Duration) *Answer {
 	e := &verdict.Error{
 		Verdict: x.combinedVerdict, Status: 503, Reason: choice.Reason.String(),
-		Detail: "No upstream of the service can take the request.", RetryAfter: shedRetryAfter,
-	}
-	if choice.Reason == routing.AllPaused {
-		e.RetryAfter = max(time.Until(choice.AvailableAt), time.Millisecond)
+		Detail: "No upstream of the service can take the request.", RetryAfter: retryAfter,
 	}
 	return x.lastFailureOr(e)
 }
