Follow a shift of demand between homes within two seconds

Cause: the smoothed demand, by which the slots of a service are divided over its homes, follows within about 5 s. After callers moved between failure domains, the home that they left kept the slots. Change: after two reports that differ from the smoothed demand in the same direction by more than two standard deviations, the weight of a report is 0.4 until one is on the other side.

--- a/pkg/routing/inflight.go
+++ b/pkg/routing/inflight.go
@@ -22,8 +22,15 @@
 // one report interval of 250 ms varies by a sixth by chance.
 const (
 	// demandSmoothing is the weight of the newest interval in the smoothed demand,
-	// which follows changes within about 5 s.
+	// which follows small changes within about 5 s.
 	demandSmoothing = 0.05
+	// A shift of callers between homes must be followed within two seconds: if the demand
+	// of demandShiftReports consecutive intervals differs from the smoothed one in the
+	// same direction by more than demandShiftSigmas standard deviations of a Poisson
+	// distribution, shiftedDemandSmoothing applies instead.
+	shiftedDemandSmoothing = 0.4
+	demandShiftSigmas      = 2
+	demandShiftReports     = 2
 	// minDemandChange is the relative change below which the last reported value is
 	// repeated. At 0.25, the reports of two homes with equal demand could differ
 	// enough to overload one of them at 90% load.
@@ -61,6 +68,9 @@
 	// smoothedDemand is this home's demand, reportedDemand the last value sent.
 	smoothedDemand, reportedDemand float64
 	reportCount                    int // since the reported demand was zero
+	// shiftReports is the number of consecutive reports whose demand was far above the
+	// smoothed one, or minus the number of those far below.
+	shiftReports int
 }
 
 // inFlightIntegral integrates the number of requests in flight over time.
@@ -128,13 +138,34 @@
 	// A starting home needs its slots at once, so the first reports use the plain
 	// mean.
 	f.reportCount++
-	f.smoothedDemand += max(demandSmoothing, 1/float64(f.reportCount)) * (demand - f.smoothedDemand)
+	f.smoothedDemand += max(f.demandWeight(demand), 1/float64(f.reportCount)) * (demand - f.smoothedDemand)
 	if math.Abs(f.smoothedDemand-f.reportedDemand) > minDemandChange*f.reportedDemand {
 		f.reportedDemand = f.smoothedDemand
 	}
 	return Report{Loads: loads, Demand: f.reportedDemand}
 }
 
+// demandWeight returns the weight of the demand of the newest interval. A shift ends with
+// the first interval whose demand is on the other side of the smoothed one.
+func (f *InFlight) demandWeight(demand float64) float64 {
+	change := demand - f.smoothedDemand
+	direction := 1
+	if change < 0 {
+		direction = -1
+	}
+	shifting := f.shiftReports*direction >= demandShiftReports
+	switch {
+	case math.Abs(change) > demandShiftSigmas*math.Sqrt(max(f.smoothedDemand, 1)):
+		f.shiftReports = max(f.shiftReports*direction, 0)*direction + direction
+	case !shifting:
+		f.shiftReports = 0
+	}
+	if f.shiftReports*direction >= demandShiftReports {
+		return shiftedDemandSmoothing
+	}
+	return demandSmoothing
+}
+
 // FillDemand fills in the Demand of the homes for Quotas: the last reported value of
 // each, and for self the last value that this home sent.
 func (f *InFlight) FillDemand(self string, homes []Home) {
--- a/pkg/routing/property_test.go
+++ b/pkg/routing/property_test.go
@@ -274,6 +274,44 @@
 		Expect(last).To(BeNumerically(">", 14))
 	})
 
+	// Guards against slots that stay with a home for many seconds after its callers moved
+	// to another failure domain, and against quotas that follow chance.
+	It("follows a shift of the demand between homes within two seconds", func() {
+		rng := newRand()
+		poisson := func(mean float64) (n int) {
+			for limit := rng.ExpFloat64(); limit < mean; limit += rng.ExpFloat64() {
+				n++
+			}
+			return n
+		}
+		var homes [2]*routing.InFlight
+		for i := range homes {
+			homes[i] = routing.NewInFlight()
+		}
+		now := epoch
+		// share returns the share of the first home after some reports, and how often the
+		// reported demand changed.
+		share := func(reports int, demand ...float64) (share float64, changes int) {
+			var last [2]float64
+			for range reports {
+				now = now.Add(250 * time.Millisecond)
+				for i, f := range homes {
+					if d := f.Report(now, poisson(demand[i])).Demand; d != last[i] {
+						last[i], changes = d, changes+1
+					}
+				}
+			}
+			return last[0] / (last[0] + last[1]), changes
+		}
+		share(40, 30, 10)
+		steady, changes := share(400, 30, 10)
+		Expect(steady).To(BeNumerically("~", 0.75, 0.08))
+		Expect(changes).To(BeNumerically("<", 40), "in 800 reports")
+		shifted, _ := share(8, 10, 30)
+		GinkgoWriter.Println("share before, changes, share after 2 s:", steady, changes, shifted)
+		Expect(shifted).To(BeNumerically("~", 0.25, 0.1))
+	})
+
 	It("does not allocate", func() {
 		cs, rng := candidates42(), newRand()
 		req := routing.Request{Domain: "a", Idempotent: true, Tried: []string{"u3", "u7"}}
