Tell refused callers the time in which what stands before them drains

Cause: RetryAfter was the time by which the wait was too long. In an overload that is about one service time, so that callers return several times within their time limit, for nothing. Change: RetryAfter follows from the expected wait. The inputs of a decision are formatted for refusals only, as only those are logged.

--- a/pkg/limits/gate.go
+++ b/pkg/limits/gate.go
@@ -80,9 +80,12 @@
 		g.pending[ticket.ID] = result
 	}
 	latestStart := g.queue.latestStart(now, ticket)
-	details := g.queue.decisionDetails(d, latestStart.Sub(now))
-	if d.Action == Refuse && d.Reason != RateLimit {
-		d.RetryAfter = RetryAfter(d.RetryAfter, latestStart.Sub(now), g.rng)
+	var details error
+	if d.Action == Refuse {
+		details = g.queue.refusalDetails(d, latestStart.Sub(now))
+		if d.Reason != RateLimit {
+			d.RetryAfter = RetryAfter(d.RetryAfter, latestStart.Sub(now), g.rng)
+		}
 	}
 	g.mu.Unlock()
 	switch d.Action {
@@ -208,7 +211,7 @@
 	case RateLimit:
 		status, detail = http.StatusTooManyRequests, "The caller exceeds its rate limit."
 	case QueueFull:
-		detail = "The caller's part of the queue is full."
+		detail = "The queue, or the caller's part of it, is full."
 	case NoCapacity:
 		detail = "The service has no usable upstream."
 	}
--- a/pkg/limits/queue.go
+++ b/pkg/limits/queue.go
@@ -98,7 +98,7 @@
 			any = q.expectedWait(now, c, t, p, q.capacity+q.reserve)
 		}
 		if excess := any - time.Duration(maxWaitFraction*float64(latestStart.Sub(now))); excess > 0 {
-			return Decision{Reason: TooLate, ExpectedWait: wait, RetryAfter: max(excess, q.serviceTime)}
+			return Decision{Reason: TooLate, ExpectedWait: wait, RetryAfter: max(wait, q.serviceTime)}
 		}
 		var ok bool
 		if displaced, ok = q.findPlace(c, t); !ok {
@@ -128,12 +128,8 @@
 	return Decision{Action: Wait, ExpectedWait: wait}
 }
 
-// decisionDetails returns the inputs of a decision for the log, or nil for a request
-// that runs.
-func (q *Queue) decisionDetails(d Decision, untilLatestStart time.Duration) error {
-	if d.Action == Run {
-		return nil
-	}
+// refusalDetails returns the inputs of a refusal for the log.
+func (q *Queue) refusalDetails(d Decision, untilLatestStart time.Duration) error {
 	return errors.Newf("expected wait %v, latest start in %v, %d running with capacity %d and reserve %d, %d waiting, service time %v",
 		d.ExpectedWait, untilLatestStart, len(q.running), q.capacity, q.reserve, len(q.waiting), q.serviceTime)
 }
