--- a/pkg/limits/flow.go
+++ b/pkg/limits/flow.go
@@ -33,9 +33,9 @@
 	// waiting is the number of waiting tickets, weight the sum of the weights of flows.
 	waiting int
 	weight  float64
-	// virtualTime is the virtual start time that no flow with eligible tickets was behind
-	// when a ticket last ran. fairTime advances as if all flows got exactly their shares:
-	// a flow that lags behind, because its tickets are late, does not hold it back.
+	// virtualTime is the highest virtual start time of a ticket that ran. fairTime advances
+	// as if all flows got exactly their shares: a flow that lags behind, because its tickets
+	// are late, does not hold it back.
 	virtualTime, fairTime float64
 }
 
@@ -79,6 +79,7 @@
 	if f.account {
 		f.nextStart = max(f.nextStart, f.class.fairTime-window)
 	}
+	f.class.virtualTime = max(f.class.virtualTime, f.nextStart)
 	f.class.fairTime += 1 / f.class.weight
 	f.nextStart += 1 / f.weight
 	if !f.lastStart.IsZero() {
--- a/pkg/limits/load_test.go
+++ b/pkg/limits/load_test.go
@@ -372,7 +372,7 @@
 	return func(at time.Duration) float64 { return 1 + part*math.Sin(at.Seconds()/13*2*math.Pi) }
 }
 
-// The service of these loads has 30 slots, which serve 103 lookups or 136 orders per
+// The service of these loads has 30 slots, which serve 99 lookups or 130 orders per
 // second.
 var _ = Describe("Queue under load", func() {
 	const slots, length = 30, 20 * time.Second
@@ -383,6 +383,7 @@
 		l := load{slots: slots, length: length, routes: []loadRoute{lookups}, accounts: []loadAccount{{"a", 300, 10}, {"b", 30, 1}}}
 		old, now := compare(l)
 		ratio := func(r *loadResult) float64 { return float64(r.accounts["a"].inTime) / float64(r.accounts["b"].inTime) }
+		GinkgoWriter.Printf("ratios %.1f and %.1f\n", ratio(old), ratio(now))
 		Expect(ratio(old)).To(BeNumerically("<", 5), "the old order knows no weights")
 		Expect(ratio(now)).To(BeNumerically("~", 10, 1.5))
 		l.accounts[0].weight = 1
@@ -408,7 +409,7 @@
 			old, now := compare(load{slots: slots, length: 2 * length, routes: []loadRoute{lookups}, accounts: accounts, surge: wave(0.7)})
 			Expect(now.value).To(BeNumerically(">", old.value))
 			Expect(now.all.targetShare()).To(BeNumerically(">", old.all.targetShare()))
-			Expect(now.all.share()).To(BeNumerically(">", old.all.share()-0.05))
+			Expect(now.all.share()).To(BeNumerically(">", old.all.share()-0.02))
 		}
 	})
 
--- a/pkg/limits/rank.go
+++ b/pkg/limits/rank.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -96,12 +95,11 @@
 	for _, k := range q.classes {
 		var first, firstLate *waiter
 		var firstRank, r rank
-		window, minStart, at := q.window(k), math.Inf(1), q.since(now)
+		window, at := q.window(k), q.since(now)
 		for _, f := range k.flows {
 			if f.caller.atConcurrencyLimit() {
 				continue
 			}
-			minStart = min(minStart, f.nextStart)
 			f.rank(at, window, &r)
 			if first == nil || r.before(&firstRank) {
 				first, firstRank = f.oldest, r
@@ -113,7 +111,6 @@
 		if first == nil {
 			continue
 		}
-		k.virtualTime = max(k.virtualTime, minStart)
 		if firstLate != nil && !firstRank.missedTarget && !firstRank.overShare && q.hasSlack(now) {
 			return firstLate
 		}
@@ -142,9 +139,10 @@
 	// target: the late ticket, and one more for requests that take longer than the mean.
 	slackTickets = 2
 	// slackFactor is the time that hasSlack allows for each ticket, in service times per
-	// slot. With 1, late tickets take the time of requests that arrive next: in a steady
-	// overload nearly all requests became late.
-	slackFactor = 3
+	// slot. With 1, late tickets take the time of requests that arrive next, which then
+	// are late too; with 2 and more, late tickets expire that would be served after a
+	// short surge.
+	slackFactor = 1.25
 )
 
 // addTarget and removeTarget keep Queue.targets sorted by target start.
