--- a/pkg/limits/load_test.go
+++ b/pkg/limits/load_test.go
@@ -46,36 +46,14 @@
 
 func (s served) share() float64       { return float64(s.inTime) / float64(max(s.offered, 1)) }
 func (s served) targetShare() float64 { return float64(s.inTarget) / float64(max(s.offered, 1)) }
-func (s served) String() string {
-	return fmt.Sprintf("%d offered, %.3f served, %.3f in target", s.offered, s.share(), s.targetShare())
-}
-
-type loadEvent struct {
-	at     time.Time
-	ticket limits.Ticket
-	route  int
-	end    bool
-}
-
-type loadEvents []loadEvent
-
-func (e loadEvents) Len() int           { return len(e) }
-func (e loadEvents) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e loadEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *loadEvents) Push(x any)        { *e = append(*e, x.(loadEvent)) }
-func (e *loadEvents) Pop() any {
-	x := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return x
-}
 
 // loadResult holds what callers got, by account and by priority.
 type loadResult struct {
-	value                           float64
-	all                             served
-	accounts                        map[string]served
-	priorities                      map[int]served
-	refused, expired, late, returns int
+	value         float64
+	all           served
+	accounts      map[string]served
+	priorities    map[int]served
+	late, returns int
 }
 
 func (r *loadResult) count(t limits.Ticket, change func(*served)) {
@@ -107,14 +85,13 @@
 func (l *load) play(q queue) *loadResult {
 	rng, work := rand.New(rand.NewPCG(testkit.Seed, 3)), rand.New(rand.NewPCG(testkit.Seed, 4))
 	r := &loadResult{accounts: map[string]served{}, priorities: map[int]served{}}
-	events := l.arrivals(rng)
-	routes := map[uint64]int{}
+	events, running := l.arrivals(rng), map[uint64]bool{}
 	var now time.Time
 	start := func(ts ...limits.Ticket) {
 		for _, t := range ts {
-			d := time.Duration(float64(l.routes[routes[t.ID]].work) * math.Exp(0.3*work.NormFloat64()))
-			end := now.Add(d)
-			heap.Push(&events, loadEvent{at: end, ticket: t, end: true})
+			end := now.Add(time.Duration(float64(t.ExpectedDuration) * math.Exp(0.3*work.NormFloat64())))
+			running[t.ID] = true
+			heap.Push(&events, completion{at: end, ticket: t})
 			if end.After(t.Deadline) {
 				r.late++
 				continue
@@ -138,14 +115,14 @@
 		}
 		if d, ok := l.returnAfter(t.Caller, retryAfter, work); ok && now.Add(d).Before(t.Deadline) {
 			r.returns++
-			heap.Push(&events, loadEvent{at: now.Add(d), ticket: t, route: routes[t.ID]})
+			heap.Push(&events, completion{at: now.Add(d), ticket: t})
 		}
 	}
 	var id uint64
 	for len(events) > 0 {
-		e := heap.Pop(&events).(loadEvent)
+		e := heap.Pop(&events).(completion)
 		now = e.at
-		if e.end {
+		if running[e.ticket.ID] {
 			start(q.Done(now, e.ticket)...)
 		} else {
 			if e.ticket.ID == 0 {
@@ -153,17 +130,14 @@
 			}
 			id++
 			e.ticket.ID = id
-			routes[id] = e.route
 			switch d := q.Offer(now, e.ticket); d.Action {
 			case limits.Run:
 				start(e.ticket)
 			case limits.Refuse:
-				r.refused++
 				again(e.ticket, d.RetryAfter)
 			}
 		}
 		for _, t := range q.Expire(now) {
-			r.expired++
 			again(t, time.Second)
 		}
 	}
@@ -171,7 +145,8 @@
 	return r
 }
 
-func (l *load) arrivals(rng *rand.Rand) (events loadEvents) {
+// arrivals returns the requests, whose tickets have no ID yet.
+func (l *load) arrivals(rng *rand.Rand) (events completionHeap) {
 	for _, a := range l.accounts {
 		for at := time.Duration(0); ; {
 			surge := 1.0
@@ -187,7 +162,7 @@
 				x -= l.routes[i].share
 			}
 			route, sent := l.routes[i], epoch.Add(at)
-			events = append(events, loadEvent{at: sent, route: i, ticket: limits.Ticket{
+			events = append(events, completion{at: sent, ticket: limits.Ticket{
 				Caller: a.name, Deadline: sent.Add(route.limit), Target: sent.Add(route.target), ExpectedDuration: route.work,
 				AccountPriority: route.priority, Priority: route.priority, Weight: a.weight,
 			}})
@@ -325,8 +300,11 @@
 func compare(l load) (old, now *loadResult) {
 	old, now = l.play(newOldOrder(l.slots)), l.play(limits.NewQueue(limits.Policy{MaxWait: 5 * time.Second}, l.slots))
 	for i, r := range []*loadResult{old, now} {
-		GinkgoWriter.Printf("%s: %v, value %.3f, worst tenth %.3f, refused %d, expired %d, late %d, returned %d, priorities %v\n",
-			[]string{"old", "new"}[i], r.all, r.value, r.worstAccounts(), r.refused, r.expired, r.late, r.returns, r.priorities)
+		GinkgoWriter.Printf("%s: %.3f served, %.3f in target, value %.3f, worst tenth %.3f", []string{"old", "new"}[i], r.all.share(), r.all.targetShare(), r.value, r.worstAccounts())
+		for p, s := range r.priorities {
+			GinkgoWriter.Printf(", priority %d %.3f served, %.3f in target", p, s.share(), s.targetShare())
+		}
+		GinkgoWriter.Println()
 	}
 	return old, now
 }
