--- a/pkg/blackboard/board.go
+++ b/pkg/blackboard/board.go
@@ -107,7 +107,7 @@
 	if !ok {
 		return r, nil, false
 	}
-	service, ok := r.Next()
+	service, ok := r.next()
 	return r, service, ok
 }
 
--- a/pkg/limits/policy.go
+++ b/pkg/limits/policy.go
@@ -87,12 +87,13 @@
 	// ExpectedDuration is the expected duration of the request; zero means unknown,
 	// and the measured service time is used instead.
 	ExpectedDuration time.Duration
-	// AccountPriority takes precedence over Priority; 0 is the highest.
+	// AccountPriority is the priority of the account, or Priority if the account has none.
+	// It takes precedence over Priority; 0 is the highest.
 	AccountPriority int
-	// Priority is the priority of the route; 0 is the highest.
+	// Priority is the priority of the request; 0 is the highest.
 	Priority int
-	// Weight is the relative share of the caller when the service is overloaded; 0 means
-	// that of the policy.
+	// Weight is the relative share of the account under overload; 0 means that of the
+	// policy.
 	Weight float64
 }
 
@@ -146,6 +147,7 @@
 	Reason Reason
 	// ExpectedWait is the estimated time in the queue.
 	ExpectedWait time.Duration
-	// RetryAfter is when it may be worth sending a refused request again.
+	// RetryAfter is the time in which what stands before a refused request drains, or in
+	// which its caller may send again. See func RetryAfter.
 	RetryAfter time.Duration
 }
--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -81,7 +81,7 @@
 	// Without a known memory, the responses keep the half that they always had.
 	b.requestLimit = b.total / 2
 	if memoryMB > 0 {
-		b.total = int64(memoryMB * 1_000_000) / 2
+		b.total = int64(memoryMB*1_000_000) / 2
 		// At 184 MB this is 69 MB, which holds the users' largest body of 64 MiB.
 		b.requestLimit = b.total / 4 * 3
 	}
--- a/pkg/proxy/accounts.go
+++ b/pkg/proxy/accounts.go
@@ -58,6 +58,14 @@
 	account *account.Account
 }
 
+// accountName returns the name of the account, or "" if there is none.
+func (id identity) accountName() string {
+	if id.account == nil {
+		return ""
+	}
+	return id.account.Name
+}
+
 // identify looks up the route of a request, and the account if the route needs a key.
 func (p *Proxy) identify(in *Incoming) identity {
 	var id identity
--- a/pkg/proxy/attempts.go
+++ b/pkg/proxy/attempts.go
@@ -117,7 +117,7 @@
 	case g := <-w.Granted:
 		switch {
 		case g.Attempt == nil:
-			return x.noUpstreamAnswer(g.Choice)
+			return x.noUpstreamAnswer(g.Choice, g.RetryAfter)
 		case x.startCtx.Err() != nil:
 			// The caller has left, the deadline has passed, or the daemon stops.
 			x.service.Release(time.Now(), g.Attempt)
@@ -139,7 +139,8 @@
 	case errors.Is(x.startCtx.Err(), context.Canceled):
 		return refusalAnswer(x.upstreamError(upstream.Result{Kind: upstream.Canceled, Err: context.Cause(x.startCtx)}, statusCallerGone))
 	default:
-		return x.noUpstreamAnswer(routing.Choice{Reason: routing.AllBusy})
+		choice := routing.Choice{Reason: routing.AllBusy}
+		return x.noUpstreamAnswer(choice, x.service.RetryAfter(time.Now(), choice))
 	}
 }
 
@@ -150,7 +151,7 @@
 			Route: x.rule.Name, Idempotent: x.idempotent(), Retryable: x.retryable(), MayWait: !x.retryable(),
 			First: len(x.tried) == 0, Tried: x.tried, Fingerprint: x.fingerprint, Suspect: x.suspected,
 		},
-		Priority: x.rule.Priority, Optional: optional, RetryTried: x.launched > 0 && !optional,
+		AccountPriority: x.in.accountPriority(x.rule), Priority: x.rule.Priority, Optional: optional, RetryTried: x.launched > 0 && !optional,
 	}
 	if r.MayWait {
 		// While it can still meet its target latency, a request that cannot be retried
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -106,7 +106,7 @@
 	if refusal != nil {
 		return p.finish(in, "", refusalAnswer(refusal))
 	}
-	service, ok := route.Next()
+	service, ok := route.ServiceFor(id.accountName())
 	if !ok {
 		in.unrouted = true
 		return p.finish(in, "", refusalAnswer(routeNotFound(configured)))
