Count every use of a reserve token when its daemon uses it

Two uses were not counted in their window:

- The first message to a new grantor states the count of the term before.
The grantor took it for the count of its own term, so as many later uses were not subtracted from the reserve.
Reserves could be handed out twice.
- A request whose use had been reported could return its token at the expense of a later use that had not been reported.

The tests use 9 of 16 reserve tokens after a message with a count of 9 of the term before (the grantor let the daemon hold 16 again, now 7), and return a reported use (1 use was counted of 2).

--- a/pkg/allowance/cores_test.go
+++ b/pkg/allowance/cores_test.go
@@ -141,6 +141,40 @@
 	}
 }
 
+// Guards against reserve tokens that are not counted as used, because the first message after a
+// change of the grantor stated a larger count of the term before.
+func TestReservesOfAnEarlierTermAreNotSubtracted(t *testing.T) {
+	g := NewGrantor(Limits{}, Tenure{Term: 2, First: true})
+	policy := func(string) (float64, float64, bool) { return 20, 20, true }
+	handle := func(now time.Duration, r *Request) Grant { return g.Handle(now, "e", r, 1, policy).Grants[0] }
+	handle(start, &Request{Seq: 1, Term: 1, Asks: []Ask{{Name: "a", Need: 1, Spent: 9}}})
+	held := handle(start+time.Second, &Request{Seq: 2, Acked: 1, Term: 2, Asks: []Ask{{Name: "a", Need: 1}}}).Reserve
+	most := Limits{}.withDefaults().reserveSize(20, 20)
+	left := handle(start+2*time.Second, &Request{Seq: 3, Acked: 2, Term: 2, Asks: []Ask{{Name: "a", Need: 1, Spent: 9}}}).Reserve
+	if held < 9 || float64(left+9) > most {
+		t.Fatalf("%d reserve tokens held, 9 used, and %d held again; the limit is %v", held, left, most)
+	}
+}
+
+// Guards against a reserve token whose use is reported before it happened, because a request
+// whose use was reported earlier has returned its token.
+func TestReportedUseOfAReserveTokenIsFinal(t *testing.T) {
+	w := NewWallet(Limits{}, "self", rand.New(rand.NewPCG(1, 1)))
+	_, _ = w.Take(start, "a", 10, 10, start+maxWait)
+	a := w.accounts["a"]
+	a.reserve, a.reserveUntil = 5, start+DefaultWindow
+	first := w.withoutGrantor(start, a)
+	ask, _ := w.ask(start, a)
+	second := w.withoutGrantor(start+time.Second, a)
+	w.Release(start+time.Second, first.Ticket)
+	if a.spent != ask.Spent+1 || a.reserve != 3 {
+		t.Fatalf("%d uses counted and %d tokens left after a reported and an unreported use", a.spent, a.reserve)
+	}
+	if w.Release(start+time.Second, second.Ticket); a.spent != ask.Spent || a.reserve != 4 {
+		t.Fatalf("%d uses counted and %d tokens left after the unreported use was returned", a.spent, a.reserve)
+	}
+}
+
 // leaseStep is one event in the life of a lease that another daemon has written.
 type leaseStep struct {
 	name   string
--- a/pkg/allowance/grantor.go
+++ b/pkg/allowance/grantor.go
@@ -145,8 +145,11 @@
 func (g *Grantor) grant(now time.Duration, a *grantorAccount, key entryKey, e *entry, ask *Ask, sameTerm bool, acked uint64) Grant {
 	s := a.shares[key]
 	if s == nil {
-		// Reserve tokens used before are older than a window: the share was forgotten later.
-		s = &share{spent: ask.Spent}
+		s = &share{}
+		if sameTerm {
+			// Reserve tokens used before are older than a window: the share was forgotten later.
+			s.spent = ask.Spent
+		}
 		a.shares[key] = s
 	}
 	s.askedAt = now
--- a/pkg/allowance/wallet.go
+++ b/pkg/allowance/wallet.go
@@ -59,6 +59,8 @@
 	// Reserve is true for a reserve token.
 	Reserve bool
 	batch   batch
+	// spent is the count of reserve tokens used in the term, this one included.
+	spent uint32
 }
 
 // Waiter is a request that waits for a token. Done is closed when Outcome is set.
@@ -240,7 +242,7 @@
 	a := t.account
 	if t.Reserve {
 		// A use that was reported is final.
-		if t.batch.term == w.term && now < t.batch.expires && a.spent > a.spentSent {
+		if t.batch.term == w.term && now < t.batch.expires && min(t.spent, a.spent) > a.spentSent {
 			a.spent--
 			a.reserve++
 		}
@@ -259,7 +261,7 @@
 	if a.reserve > 0 && now < a.reserveUntil {
 		a.reserve--
 		a.spent++
-		return Outcome{Ticket: &Ticket{account: a, Reserve: true, batch: batch{expires: a.reserveUntil, term: w.term}}}
+		return Outcome{Ticket: &Ticket{account: a, Reserve: true, batch: batch{expires: a.reserveUntil, term: w.term}, spent: a.spent}}
 	}
 	return w.refuse(now, a, NoGrantor)
 }
