Forget idle accounts, and ask again after a pause without requests

An account counted as in use as long as its demand was computed, which happens for each message. A daemon with any request kept all accounts that ever had one, and looked at all of them twice per message.

After a message without an answer no other one is sent until the next request, which was refused at once because no grantor had answered, also minutes later. A grantor is now taken to be away for 1 s after the last message; a later request waits up to 0.3 s for the answer to a new one.

--- a/pkg/allowance/exchange.go
+++ b/pkg/allowance/exchange.go
@@ -205,7 +205,7 @@
 	}
 	w.prunedAt = now
 	w.order = slices.DeleteFunc(w.order, func(a *walletAccount) bool {
-		idle := now-a.demandAt > idleLifetime && a.reportFrom == 0 && len(a.waiters) == 0 && len(a.batches) == 0 && a.spent == 0
+		idle := now-a.usedAt > idleLifetime && a.reportFrom == 0 && len(a.waiters) == 0 && len(a.batches) == 0 && a.spent == 0
 		if idle {
 			delete(w.accounts, a.name)
 		}
--- a/pkg/allowance/link.go
+++ b/pkg/allowance/link.go
@@ -13,6 +13,10 @@
 	candidateRetry = 30 * time.Millisecond
 	// maxBackoff bounds the time between messages while none is answered.
 	maxBackoff = 250 * time.Millisecond
+	// awayLifetime is how long after the last message a grantor that did not answer is taken to
+	// be away. While requests arrive, the next message is sent within 600 ms. A daemon
+	// without requests sends none, so it does not learn of a new grantor.
+	awayLifetime = time.Second
 	// avoidTime is how long a grantor that did not answer is not asked again, unless no
 	// other daemon is known.
 	avoidTime = time.Second
@@ -45,7 +49,8 @@
 	// failingSince is when the first message without an answer of a grantor was sent, since
 	// the last one with an answer; 0 while a grantor answers.
 	failingSince time.Duration
-	nextAt       time.Duration
+	// sentAt is the time of the last message.
+	sentAt, nextAt time.Duration
 	// leaseVersion is the highest version seen of the grantor's lease, leaseSeenAt when it
 	// was first seen.
 	leaseVersion uint64
@@ -55,7 +60,9 @@
 func (l *link) failing() bool { return l.failingSince > 0 }
 
 // away reports whether no grantor has answered for so long that waiting is pointless.
-func (l *link) away(now time.Duration) bool { return l.failing() && now-l.failingSince >= maxWait }
+func (l *link) away(now time.Duration) bool {
+	return l.failing() && now-l.failingSince >= maxWait && now-l.sentAt < awayLifetime
+}
 
 func (l *link) earliest(due time.Duration) time.Duration { return max(due, l.nextAt) }
 
@@ -96,7 +103,7 @@
 	if target.ID == l.self {
 		spacing = selfSpacing
 	}
-	l.nextAt = max(l.nextAt, now+spacing)
+	l.sentAt, l.nextAt = now, max(l.nextAt, now+spacing)
 }
 
 func (l *link) granted(now time.Duration, by Candidate, leaseVersion uint64) {
--- a/pkg/allowance/wallet.go
+++ b/pkg/allowance/wallet.go
@@ -94,9 +94,9 @@
 	lifetime time.Duration
 	batches  []batch
 	waiters  []*Waiter
-	// demand counts requests with decay; demandAt is its time and that of the last request.
-	demand   float64
-	demandAt time.Duration
+	// demand counts requests with decay; demandAt is its time, usedAt that of the last request.
+	demand           float64
+	demandAt, usedAt time.Duration
 
 	returns []Return
 	refused int
@@ -169,7 +169,7 @@
 		w.accounts[name] = a
 		w.order = append(w.order, a)
 	}
-	a.rate, a.burst = rate, burst
+	a.rate, a.burst, a.usedAt = rate, burst, now
 	a.expectedDemand(now)
 	a.demand++
 	if len(a.waiters) == 0 {
