Limit the calls for the lease of the grantor when all hosts start

A starting daemon knew only itself until it had read the list of daemons, took itself for the preferred grantor as soon as it had the configuration, which is listed before, and tried to take the lease. All but one failed, and each of them went on to read the lease and to write it for 5 s.

A daemon now names no candidates before it knows the others or serves, and stops after another one has written the lease that it tried to take, unless that lease is free. Daemons that get no answer from the holder ask it to try again.

--- a/pkg/allowance/cores_test.go
+++ b/pkg/allowance/cores_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -274,6 +275,58 @@
 	}
 }
 
+// Guards against a fleet in which every daemon that lost the lease to another one keeps reading
+// it and trying to take it, although nobody asks for that.
+func TestLoserOfALeaseStopsTrying(t *testing.T) {
+	s := NewShard(Limits{}, Self{ID: "h1.1", Host: "h1"}, 1, func(string) (string, uint64, bool) { return "", 0, false }, rand.New(rand.NewPCG(1, 1)))
+	s.Want(start)
+	var calls []OperationKind
+	for now := start; now < start+10*time.Second; now += 100 * time.Millisecond {
+		op, _ := s.Step(now)
+		if op.Kind == NoOperation {
+			continue
+		}
+		calls = append(calls, op.Kind)
+		switch {
+		case op.Kind != ReadLease:
+			s.Done(now, now, op, platform.Object{}, platform.ErrConflict)
+		case len(calls) == 1:
+			s.Done(now, now, op, platform.Object{}, platform.ErrNotFound)
+		default:
+			s.Done(now, now, op, platform.Object{Version: 7, Value: encodeRecord(Record{Holder: "h2.1", Host: "h2", Term: 5, Shards: 1})}, nil)
+		}
+	}
+	if want := []OperationKind{ReadLease, CreateLease, ReadLease}; !slices.Equal(calls, want) {
+		t.Fatalf("calls %v, want %v", calls, want)
+	}
+	s.Handle(start+20*time.Second, "e", &Request{Unreachable: "h2.1"}, 1, nil)
+	if op, _ := s.Step(start + 20*time.Second); op.Kind != ReadLease {
+		t.Fatalf("call %v after a daemon has asked for a grantor", op.Kind)
+	}
+}
+
+// Guards against a fleet without a grantor because the last renewal of the holder that resigned
+// came before the write of its successor.
+func TestSuccessorTriesAgainAfterALateRenewal(t *testing.T) {
+	s := NewShard(Limits{}, Self{ID: "h1.1", Host: "h1"}, 1, func(string) (string, uint64, bool) { return "", 0, false }, rand.New(rand.NewPCG(1, 1)))
+	s.Handle(start, "h2.1", &Request{Resigned: 5}, 1, nil)
+	for i, want := range []OperationKind{ReadLease, UpdateLease, ReadLease, UpdateLease} {
+		now := start + time.Duration(i)*10*time.Millisecond
+		op, _ := s.Step(now)
+		if op.Kind != want {
+			t.Fatalf("call %d is %v, want %v", i, op.Kind, want)
+		}
+		lease, err := platform.Object{Version: 7 + uint64(i), Value: encodeRecord(Record{Holder: "h2.1", Host: "h2", Term: 5, Shards: 1, Base: 6})}, error(nil)
+		if i == 1 {
+			lease, err = platform.Object{}, platform.ErrConflict
+		}
+		s.Done(now, now, op, lease, err)
+	}
+	if !s.Holds(start + 40*time.Millisecond) {
+		t.Fatal("the successor does not hold the lease")
+	}
+}
+
 // Guards against an account that is refused while the grantor has an older configuration,
 // or is limited by the allowance of the entry daemon's older one.
 func TestConfigurationsThatDiffer(t *testing.T) {
--- a/pkg/allowance/shard.go
+++ b/pkg/allowance/shard.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"shallotglade/pkg/platform"
 )
 
@@ -24,6 +26,8 @@
 	random    *rand.Rand
 	entry     Registration
 	wantUntil time.Duration
+	// outbid is set after another daemon has written the lease that this one tried to take.
+	outbid bool
 	// successor is the daemon to which the lease was given up.
 	successor Candidate
 	closed    bool
@@ -111,8 +115,20 @@
 	if tenure := s.lease.done(now, started, op, o, err); tenure != nil {
 		s.grantor, s.successor = NewGrantor(s.limits, *tenure), Candidate{}
 	}
-	if !s.lease.held {
-		s.grantor = nil
+	if s.lease.held {
+		return
+	}
+	s.grantor = nil
+	switch l := &s.lease; {
+	case op.Kind != ReadLease && errors.Is(err, platform.ErrConflict):
+		s.outbid = true
+	case op.Kind == ReadLease && err == nil:
+		if _, free := l.free(now, s.entry); s.outbid && !free && l.readable && l.record.Holder != s.self.ID {
+			// There is a grantor. Daemons that it does not answer ask again. In a fleet that
+			// starts as a whole, each daemon that goes on costs several calls.
+			s.wantUntil = 0
+		}
+		s.outbid = false
 	}
 }
 
--- a/pkg/daemon/allowances.go
+++ b/pkg/daemon/allowances.go
@@ -60,6 +60,11 @@
 // grantorCandidates returns the daemons that can be the grantor of a shard, in order of
 // preference.
 func (d *Daemon) grantorCandidates(shard int) []allowance.Candidate {
+	if d.adapter.SelfRegistration && !d.rosterLoaded.Load() && !d.serving.Load() {
+		// This daemon knows only itself. It has the configuration already, as that is listed
+		// first.
+		return nil
+	}
 	d.roster.mu.Lock()
 	hosts := d.roster.hosts
 	d.roster.mu.Unlock()
--- a/pkg/daemon/allowances_test.go
+++ b/pkg/daemon/allowances_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"shallotglade/pkg/account"
 	"shallotglade/pkg/document"
+	"shallotglade/pkg/placement"
 )
 
 // Guards against daemons that each admit the whole allowance, because they do not find the
@@ -51,3 +53,19 @@
 	f.g.Eventually(held, 2*time.Second, 10*time.Millisecond).WithArguments(other).Should(Equal(uint64(1)), f.logged)
 	f.g.Expect(held(holder)).To(BeZero())
 }
+
+// Guards against a start of all hosts at once in which each daemon knows only itself, takes itself
+// for the preferred grantor, and tries to take the lease.
+func TestNoGrantorBeforeTheDaemonsAreKnown(t *testing.T) {
+	d := &Daemon{adapter: Adapter{SelfRegistration: true}, roster: &roster{hosts: []placement.Host{{ID: "fes-1", PeerAddress: "a", Capacity: 1}}}}
+	if list := d.grantorCandidates(0); len(list) > 0 {
+		t.Fatalf("candidates %v before the daemons are known", list)
+	}
+	for _, known := range []*atomic.Bool{&d.rosterLoaded, &d.serving} {
+		known.Store(true)
+		if list := d.grantorCandidates(0); len(list) != 1 {
+			t.Fatalf("candidates %v once the daemons are known", list)
+		}
+		known.Store(false)
+	}
+}
--- a/pkg/daemon/trust.go
+++ b/pkg/daemon/trust.go
@@ -21,8 +21,8 @@
 
 // onRosterLoaded refreshes the roster after the list of daemons has been read.
 func (d *Daemon) onRosterLoaded() {
-	d.rosterLoaded.Store(true)
 	d.roster.refresh()
+	d.rosterLoaded.Store(true)
 }
 
 // onEntryChanged handles a change of a daemon's registration entry. A new entry means
