Evict further holders while an evicted one keeps its memory

Cause: the bytes of an evicted holder counted as about to be released until it released them. A request that goes on at its upstream keeps them for seconds, and meanwhile no stalled holder was evicted for any reservation up to that size. Change: eviction goes in rounds; what the accounts of an earlier round still hold counts no longer.

--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -52,8 +52,10 @@
 	bytes, large int64
 	// response is true for the response of an upstream.
 	response bool
-	// evicted is true once the holder was told to release its memory.
-	evicted bool
+	// evicted is true once the holder was told to release its memory. evictionRound is the value of
+	// Budget.evictionRound then.
+	evicted       bool
+	evictionRound uint64
 }
 
 // Budget is the memory of one daemon for callers and upstreams.
@@ -66,9 +68,12 @@
 	accounts    map[*Account]struct{}
 	// released is closed and replaced when memory is released. It is nil while nobody waits.
 	released chan struct{}
-	// evicting are the bytes of evicted accounts, the latest of which was evicted at evictedAt.
-	evicting  int64
-	evictedAt time.Time
+	// evicting are the bytes of the accounts evicted in the current round, the latest of which was
+	// evicted at evictedAt. A round ends once its accounts have had releaseTime: what they still hold
+	// then may stay for long, and others are evicted in their place.
+	evicting      int64
+	evictedAt     time.Time
+	evictionRound uint64
 	// scanned is when stalled holders were last looked for.
 	scanned   time.Time
 	evictions uint64
@@ -124,7 +129,7 @@
 	a.large += large
 	b.used += n
 	b.large += large
-	if a.evicted {
+	if a.evicted && a.evictionRound == b.evictionRound {
 		b.evicting += n
 	}
 	if n < 0 {
@@ -200,6 +205,7 @@
 	}
 	b.evictStalled(now, a, n)
 	if class == Response && !b.awaitsRelease(now) {
+		b.beginRound()
 		largest := b.largestResponse(a, n)
 		b.evict(now, largest)
 		if largest == a {
@@ -253,6 +259,9 @@
 		}
 	}
 	b.scanned = now
+	if !b.awaitsRelease(now) {
+		b.beginRound()
+	}
 	slices.SortFunc(found, func(x, y stalled) int { return x.since.Compare(y.since) })
 	for _, s := range found {
 		if b.evicting >= n {
@@ -263,9 +272,15 @@
 	}
 }
 
+// beginRound makes what earlier evicted accounts hold no longer count as about to be released.
+func (b *Budget) beginRound() {
+	b.evicting = 0
+	b.evictionRound++
+}
+
 // evict marks an account as evicted. The caller holds the lock.
 func (b *Budget) evict(now time.Time, a *Account) {
-	a.evicted = true
+	a.evicted, a.evictionRound = true, b.evictionRound
 	b.evictions++
 	b.evicting += a.bytes
 	b.evictedAt = now
--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -63,6 +63,27 @@
 	}
 }
 
+// Guards against stalled holders that keep their memory because an evicted one, whose request goes
+// on at its upstream, has not released its own: its bytes counted as about to be released for ever.
+func TestOthersAreEvictedIfOneDoesNotRelease(t *testing.T) {
+	b := memory.New(16) // 8 MB, 7 MB of them for requests
+	now := start.Add(time.Minute)
+	open(b, false, 3_000_000, start, true) // never releases
+	stalled := []*holder{open(b, false, 2_000_000, start.Add(time.Second), true), open(b, false, 1_500_000, start.Add(2*time.Second), true)}
+	requester := open(b, false, 0, now, true)
+	grow(t, requester.account, now, memory.Small, 1_000_000, memory.Evicting)
+	if stalled[0].evicted || stalled[1].evicted {
+		t.Fatal("more holders were evicted than needed")
+	}
+	now = now.Add(time.Second)
+	grow(t, requester.account, now, memory.Small, 1_000_000, memory.Evicting)
+	if !stalled[0].evicted || stalled[1].evicted {
+		t.Fatal("the next stalled holder was not evicted, or more than that")
+	}
+	stalled[0].account.Close()
+	grow(t, requester.account, now, memory.Small, 1_000_000, memory.Granted)
+}
+
 // Guards against an endless response that keeps others from completing.
 func TestLargestResponseIsEvictedWhereNoneHasStalled(t *testing.T) {
 	b := memory.New(16)
