Accept the connections that wait when a stopping server is late

Cause: a stopping server waits 5 ms for each further connection. On a busy host that time could be over before accept looked for one, also when Drain set its deadline just after the loop set its own; the listener closed, and the connections that waited with complete requests were reset. Change: at the end of that time it asks the system whether a connection waits, and if so accepts until the end of the whole time (200 ms).

--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -8,11 +8,13 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"shallotglade/internal/netconn"
 	"shallotglade/pkg/memory"
@@ -144,16 +146,22 @@
 	s.mu.Lock()
 	s.acceptEnded = ended
 	s.mu.Unlock()
+	pending := false
 	for {
-		draining := s.limitAccept()
+		draining := s.limitAccept(pending)
 		nc, err := s.listener.Accept()
 		switch {
 		case err == nil:
+			pending = false
 			s.serveConn(nc)
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			if draining {
+			if !draining {
+				continue
+			}
+			// On a busy host the time may be over before the accept looked for a connection.
+			if pending = s.hasPendingConnection() && time.Now().Before(*s.acceptUntil.Load()); !pending {
 				return ignoreClosed(s.listener.Close())
 			}
 		default:
@@ -166,14 +174,15 @@
 	}
 }
 
-// limitAccept limits the next accept if the server drains, and reports whether it does.
-func (s *Server) limitAccept() bool {
+// limitAccept limits the next accept if the server drains, and reports whether it does. pending
+// is true if a connection is known to wait.
+func (s *Server) limitAccept(pending bool) bool {
 	until := s.acceptUntil.Load()
 	if until == nil {
 		return false
 	}
 	deadline := time.Now().Add(pendingAcceptTime)
-	if until.Before(deadline) {
+	if pending || until.Before(deadline) {
 		deadline = *until
 	}
 	s.setAcceptDeadline(deadline)
@@ -189,6 +198,24 @@
 	_ = s.listener.Close()
 }
 
+// hasPendingConnection reports whether a connection waits to be accepted.
+func (s *Server) hasPendingConnection() bool {
+	l, ok := s.listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	controlErr := raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		pending = err == nil && n > 0
+	})
+	return controlErr == nil && pending
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, net.ErrClosed) {
 		return nil
