Make the specs of pkg/ingress independent of the machine's speed

Cause, shown by trials with a delay in the server: 20 ms after a write, the idle connection was not the oldest one, as the answer arrives before the time of the write is recorded; 60 ms before an answer, or 30 ms before a request is read, the spec of a request dropped behind an answer got a closing answer, or its handler ran twice and the test binary ended. Change: these specs wait for what they need instead of sleeping 50 and 20 ms. The body of 40 MiB that fills the memory may take 20 s to arrive; the body that waits has 2 s as before. The count of closed connections is taken while no other connection is open.

--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -79,7 +79,9 @@
 
 		mu      sync.Mutex
 		begun   []string
-		release map[string]chan struct{}
+		// screened are the paths of the requests whose header was read.
+		screened []string
+		release  map[string]chan struct{}
 	)
 	// releaseChannel returns the channel that a request for the path waits on.
 	releaseChannel := func(path string) chan struct{} {
@@ -95,6 +97,11 @@
 		defer mu.Unlock()
 		handler = h
 	}
+	headersRead := func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]string(nil), screened...)
+	}
 	started := func() []string {
 		mu.Lock()
 		defer mu.Unlock()
@@ -104,7 +111,7 @@
 		limits = ingress.Limits{
 			Connections: 8, MaxHeaderBytes: 1 << 10, MaxBodyBytes: 64, RequestArrival: 300 * time.Millisecond, Idle: 5 * time.Second,
 		}
-		begun, release = nil, map[string]chan struct{}{}
+		begun, screened, release = nil, nil, map[string]chan struct{}{}
 		// Requests for /wait/... wait for their release channel. All requests are
 		// answered with their path and body.
 		handler = func(ctx context.Context, r *ingress.Request, resp *protocol.Response) {
@@ -129,6 +136,12 @@
 			mu.Unlock()
 			h(ctx, r, resp)
 		}, zerolog.Nop())
+		server.Screen = func(r *ingress.Request) *ingress.Refusal {
+			mu.Lock()
+			defer mu.Unlock()
+			screened = append(screened, string(r.Path()))
+			return nil
+		}
 		runResult := make(chan error, 1)
 		go func() { runResult <- server.Run() }()
 		DeferCleanup(func() {
@@ -285,14 +298,18 @@
 	// Guards against a body that waits for memory without end, and against blaming its caller.
 	It("refuses a large body with 503 if other bodies keep the memory", func() {
 		mu.Lock()
-		limits.MaxBodyBytes, limits.RequestArrival = 64<<20, 2*time.Second
+		limits.MaxBodyBytes, limits.RequestArrival = 64<<20, 20*time.Second
 		mu.Unlock()
 		first, second := dial(address), dial(address)
 		body := strings.Repeat("x", 40<<20)
 		head := fmt.Sprintf("HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body))
 		first.send("POST /wait/1 %s", head)
 		first.send("%s", body)
-		Eventually(started).Should(ConsistOf("/wait/1"))
+		Eventually(started, 20*time.Second).Should(ConsistOf("/wait/1"))
+		// The second body waits for memory for longer than a request may take to arrive.
+		mu.Lock()
+		limits.RequestArrival = 2 * time.Second
+		mu.Unlock()
 		second.send("POST /2 %s", head)
 		Expect(second.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
 		r, err := http.ReadResponse(second.reader, nil)
@@ -380,18 +397,19 @@
 			mu.Lock()
 			limits.Idle = time.Minute
 			mu.Unlock()
-			written := make(chan struct{})
 			setHandler(func(_ context.Context, _ *ingress.Request, resp *protocol.Response) {
 				resp.SetBodyRaw(make([]byte, 32<<20)) // more than the socket buffers hold
-				close(written)
 			})
 			c := dial(address)
 			c.send(get, "1")
-			<-written
-			time.Sleep(50 * time.Millisecond)
+			// Once a byte has arrived, the answer states that the connection stays open.
+			Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+			_, err := c.reader.Peek(1)
+			Expect(err).NotTo(HaveOccurred())
 			server.EndAfterAnswer()
-			c.send(get, "2")
-			time.Sleep(20 * time.Millisecond)
+			// When the header of the third request has been read, the second one has been dropped.
+			c.send(get+get, "2", "3")
+			Eventually(headersRead, 5*time.Second).Should(ContainElement("/3"))
 			r, body := c.answer()
 			Expect(r.Close).To(BeFalse())
 			Expect(body).To(HaveLen(32 << 20))
--- a/pkg/ingress/memory_test.go
+++ b/pkg/ingress/memory_test.go
@@ -79,8 +79,12 @@
 		unread := dial(address)
 		unread.send(get, "large")
 		Eventually(func() int64 { return budget.Stats().UsedBytes }).Should(BeNumerically(">=", 8<<20))
-		// It is refused until the other connection counts as stalled.
-		Eventually(serves, 5*time.Second, 100*time.Millisecond).Should(BeTrue())
+		// It is refused until the other connection counts as stalled. Only that one may be closed
+		// for others, so the connections of the attempts must have ended.
+		Eventually(func() bool {
+			Eventually(server.Open, 5*time.Second).Should(BeNumerically("<=", 1))
+			return serves()
+		}, 5*time.Second, 100*time.Millisecond).Should(BeTrue())
 		Expect(server.Evictions()).To(BeEquivalentTo(1))
 	})
 
@@ -99,6 +103,9 @@
 		first := dial(address)
 		first.send(get, "1")
 		_, _ = first.answer()
+		// The answer may arrive before the server has recorded that it was written. The other
+		// connections must be younger than that.
+		Eventually(server.Pending).Should(BeZero())
 		for range 2 {
 			dial(address)
 		}
