Set the deadline of "100 Continue"

Cause: each answer sets the write deadline of its connection, 10 s ahead, and nothing cleared it. A request with Expect: 100-continue more than 10 s after the previous answer of its connection was refused with 408, since the write failed. Change: the deadline is set before "100 Continue" too. Measured: the new test got 408 before (with a write deadline of 300 ms) and passes now.

--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -234,6 +234,10 @@
 	if c.awaitAnswers() {
 		return errConnectionEnding
 	}
+	// The deadline of the previous answer may have passed.
+	if err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
 	if _, err := c.netConn.WriteBinary([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 		return err
 	}
