Do not log the text of a malformed trailer

Cause: the error about a line that is no header field quotes 20 bytes of it, and ingress logged it for requests. A caller that sends its key there had it in the log. Change: the error is marked, and ingress logs the mark without the quotation. Measured: the new test found the first 20 bytes of the trailer in the log before and does not now.

--- a/internal/netconn/head.go
+++ b/internal/netconn/head.go
@@ -88,6 +88,9 @@
 	return nil
 }
 
+// ErrMalformedField marks the errors of CheckField, which quote the line.
+var ErrMalformedField = errors.New("a line is no header field")
+
 // CheckField returns an error unless the line, without its line ending, is a header field
 // or continues the value of the previous field.
 func CheckField(line []byte) error {
@@ -96,7 +99,7 @@
 	}
 	name, _, found := bytes.Cut(line, []byte(":"))
 	if !found || !isFieldName(name) {
-		return errors.Newf("a line is no header field: %.20q", line)
+		return errors.Mark(errors.Newf("a line is no header field: %.20q", line), ErrMalformedField)
 	}
 	return nil
 }
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -455,12 +455,15 @@
 }
 
 // loggable returns the error without the text that it quotes from the request: a malformed
-// header may contain a key.
+// header or trailer may contain a key.
 func loggable(err error) error {
 	var quoting *hertzerrors.Error
 	if errors.As(err, &quoting) && quoting.IsType(hertzerrors.ErrorTypePublic) {
 		return errMalformed
 	}
+	if errors.Is(err, netconn.ErrMalformedField) {
+		return netconn.ErrMalformedField
+	}
 	return err
 }
 
--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -68,6 +68,24 @@
 	return string(rest)
 }
 
+// logged returns what a server logs while f sends requests to it.
+func logged(f func(address string)) string {
+	GinkgoHelper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	var log bytes.Buffer
+	limits := ingress.Limits{Connections: 8, MaxHeaderBytes: 1 << 10, MaxBodyBytes: 64, RequestArrival: 20 * time.Second, Idle: 20 * time.Second}
+	server := ingress.New(ln, func() ingress.Limits { return limits }, func(context.Context, *ingress.Request, *protocol.Response) {}, zerolog.New(&log))
+	go func() { _ = server.Run() }()
+	f(ln.Addr().String())
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	// It returns an error if connections of the test are still open.
+	_ = server.Shutdown(ctx)
+	Eventually(server.Open).Should(BeZero())
+	return log.String()
+}
+
 const get = "GET /%s HTTP/1.1\r\nHost: h\r\n\r\n"
 
 var _ = Describe("Server", func() {
@@ -77,8 +95,8 @@
 		limits  ingress.Limits
 		handler ingress.Handler
 
-		mu      sync.Mutex
-		begun   []string
+		mu    sync.Mutex
+		begun []string
 		// screened are the paths of the requests whose header was read.
 		screened []string
 		release  map[string]chan struct{}
@@ -242,6 +260,16 @@
 		Entry("bytes that are not HTTP", "hello\r\n\r\n", 400),
 	)
 
+	// Guards against a part of a key in the log: the caller may have sent a malformed trailer with it.
+	It("does not log what a malformed trailer contains", func() {
+		Expect(logged(func(address string) {
+			c := dial(address)
+			c.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nBearer 4f1c-secret\r\n\r\n")
+			r, _ := c.answer()
+			Expect(r.StatusCode).To(Equal(400))
+		})).To(And(ContainSubstring("request refused"), Not(ContainSubstring("4f1c"))))
+	})
+
 	// Guards against request bodies that together exceed the memory of the smallest host.
 	DescribeTable("serves more large bodies than fit into memory at once", func(head, tail string) {
 		const smallestHostBytes, bodyBytes, callers = 184 << 20, 25 << 20, 7
