Count the fields of answers that wait

Cause: an answer counted its body only. Answers with heads of up to 64 KiB that wait behind others, 32 for each connection, were held beyond the budget and did not stop the connection from reading ahead. Change: the fields count with their text and 64 bytes each.

--- a/pkg/ingress/memory.go
+++ b/pkg/ingress/memory.go
@@ -16,6 +16,8 @@
 	// each field has an entry in all three.
 	fieldMemoryBytes = 256
 	headerCopies     = 4
+	// answerFieldBytes is the memory of a field of an answer besides its text.
+	answerFieldBytes = 64
 	// maxPooledFields is the largest number of header fields of a request whose memory returns
 	// to the library's pool.
 	maxPooledFields = 256
@@ -133,6 +135,7 @@
 // holdAnswer counts an answer that is not written yet, and returns its memory.
 func (c *conn) holdAnswer(answer *protocol.Response) int64 {
 	n := int64(len(answer.BodyBytes()))
+	answer.Header.VisitAll(func(name, value []byte) { n += int64(len(name) + len(value) + answerFieldBytes) })
 	c.account.Add(n)
 	c.heldBytes.Add(n)
 	return n
--- a/pkg/ingress/memory_test.go
+++ b/pkg/ingress/memory_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -20,17 +21,32 @@
 var _ = Describe("Server with little memory", func() {
 	var address string
 	var server *ingress.Server
+	var held chan struct{}
+	var maxConnections atomic.Int64
 	budget := memory.New(4) // 2 MB, 1.5 of them for large requests
 	BeforeEach(func() {
+		held = make(chan struct{})
+		maxConnections.Store(3)
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		address = ln.Addr().String()
-		limits := ingress.Limits{Connections: 3, MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 20, RequestArrival: 20 * time.Second, Idle: time.Minute}
-		server = ingress.New(ln, func() ingress.Limits { return limits }, func(_ context.Context, r *ingress.Request, resp *protocol.Response) {
+		limits := ingress.Limits{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 20, RequestArrival: 20 * time.Second, Idle: time.Minute}
+		server = ingress.New(ln, func() ingress.Limits { l := limits; l.Connections = int(maxConnections.Load()); return l }, func(ctx context.Context, r *ingress.Request, resp *protocol.Response) {
 			if strings.HasPrefix(string(r.Path()), "/large") {
 				resp.SetBodyRaw(make([]byte, 8<<20)) // more than the socket buffers hold
 				return
 			}
+			if strings.HasPrefix(string(r.Path()), "/held") {
+				select {
+				case <-held:
+				case <-ctx.Done():
+				}
+			}
+			if strings.HasPrefix(string(r.Path()), "/fields") {
+				for range 400 {
+					resp.Header.Add("A", strings.Repeat("x", 100))
+				}
+			}
 			resp.SetBodyString(fmt.Sprintf("%v %d", r.Discarded, len(r.Body())))
 		}, zerolog.Nop())
 		server.ShareMemory(budget)
@@ -88,6 +104,21 @@
 		Expect(server.Evictions()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against the fields of answers that wait behind others, which no limit counts.
+	It("counts the fields of answers that are not written", func() {
+		c := dial(address)
+		c.send(get, "held")
+		for range 5 {
+			c.send(get, "fields")
+		}
+		Eventually(func() int64 { return budget.Stats().UsedBytes }, 5*time.Second).Should(BeNumerically(">=", 5*400*100))
+		close(held)
+		for range 6 {
+			r, _ := c.answer()
+			Expect(r.StatusCode).To(Equal(200))
+		}
+	})
+
 	// Guards against bodies in memory for which there is no use.
 	It("reads bodies that are not needed without keeping them", func() {
 		c := upload("/unknown", 1_000_000)
