End the wait for memory of a connection that gives way to a new one

Cause: a connection that is closed at the limit of connections counts as closing at once, but a body that waited for memory went on to do so for up to 5 s. Up to twice the limit could be open. Change: the wait ends with 503. Measured: the refusal came 4.0 s after the new connection was served before; the new test, with a bound of 2 s, passes now.

--- a/pkg/ingress/memory.go
+++ b/pkg/ingress/memory.go
@@ -85,7 +85,7 @@
 			wait = max(wait, evictionWait)
 		}
 		left := wait - time.Since(start)
-		if left <= 0 {
+		if left <= 0 || c.evicted.Load() {
 			return errNoMemory
 		}
 		timer := time.NewTimer(min(left, memoryRecheck))
--- a/pkg/ingress/memory_test.go
+++ b/pkg/ingress/memory_test.go
@@ -104,6 +104,21 @@
 		Expect(server.Evictions()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against a connection that was told to close for a new one and stays, beyond the limit of
+	// connections, for as long as its body may wait for memory.
+	It("closes a connection at the limit also while its body waits for memory", func() {
+		maxConnections.Store(2)
+		upload("/held", 1_000_000)
+		Eventually(func() int64 { return budget.Stats().UsedBytes }).Should(BeNumerically(">", 1_000_000))
+		waiting := dial(address)
+		waiting.send("POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n7a120\r\n%s\r\n493e0\r\n", strings.Repeat("x", 500_000))
+		Eventually(serves, 5*time.Second, 100*time.Millisecond).Should(BeTrue())
+		evicted := time.Now()
+		r, _ := waiting.answer()
+		Expect(r.StatusCode).To(Equal(503))
+		Expect(time.Since(evicted)).To(BeNumerically("<", 2*time.Second))
+	})
+
 	// Guards against the fields of answers that wait behind others, which no limit counts.
 	It("counts the fields of answers that are not written", func() {
 		c := dial(address)
