Bound the connections of all listeners together, and test crowds at the other two

Cause: each listener had the whole limit of connections by memory for itself, an eighth of the memory in all three was meant. Change: the listeners for addresses and readiness have a quarter of it each. Specs with crowds at both listeners, and with idle connections at all three; fleettest starts these listeners if asked.

--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -36,6 +36,8 @@
 type Daemon struct {
 	*Process
 	Domain, CallerAddress, PeerAddress, AdminAddress string
+	// AddressesAddress and ReadinessAddress are empty without Fleet.InfoListeners.
+	AddressesAddress, ReadinessAddress string
 }
 
 // Upstream is an upstream process with its registration.
@@ -54,6 +56,8 @@
 	Lifetime time.Duration
 	// LogDecisions turns on a log line for each routing decision.
 	LogDecisions bool
+	// InfoListeners gives each daemon listeners of their own for address queries and readiness.
+	InfoListeners bool
 	// DaemonSettings are further lines of the settings of daemons.
 	DaemonSettings string
 
@@ -232,7 +236,7 @@
 
 const daemonSettings = `region: %s
 domain: %s
-listen: {callers: %q, peers: %q, admin: %q}
+listen: {callers: %q, peers: %q, admin: %q, addresses: %q, readiness: %q}
 platform: {addresses: [%q]}
 peers: {ca: %s, certificate: %s, key: %s, seeds: [%s]}
 admin: {keys: [{team: "*", key: %s}]}
@@ -272,16 +276,19 @@
 	if err != nil {
 		return nil, err
 	}
-	addresses, err := freePorts(3)
+	addresses, err := freePorts(5)
 	if err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf(daemonSettings, Region, domain, addresses[0], addresses[1], addresses[2], f.PlatformURL, certFiles[0], certFiles[1], certFiles[2], f.seedSettings(), AdminKey, f.Lifetime, f.LogDecisions) + f.DaemonSettings
+	if !f.InfoListeners {
+		addresses[3], addresses[4] = "", ""
+	}
+	text := fmt.Sprintf(daemonSettings, Region, domain, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], f.PlatformURL, certFiles[0], certFiles[1], certFiles[2], f.seedSettings(), AdminKey, f.Lifetime, f.LogDecisions) + f.DaemonSettings
 	file := filepath.Join(f.Dir, id+".yaml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	d := &Daemon{Domain: domain, CallerAddress: addresses[0], PeerAddress: addresses[1], AdminAddress: addresses[2]}
+	d := &Daemon{Domain: domain, CallerAddress: addresses[0], PeerAddress: addresses[1], AdminAddress: addresses[2], AddressesAddress: addresses[3], ReadinessAddress: addresses[4]}
 	if err := f.Register(platform.Member{ID: id, Role: platform.RoleDaemon, Address: d.CallerAddress, PeerAddress: d.PeerAddress, Domain: domain, State: platform.Live}); err != nil {
 		return nil, err
 	}
--- a/internal/hostile/hostile_test.go
+++ b/internal/hostile/hostile_test.go
@@ -21,6 +21,7 @@
 
 	"shallotglade/internal/fleettest"
 	"shallotglade/internal/testkit"
+	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/proxy"
 )
 
@@ -63,6 +64,7 @@
 // startHost starts a daemon with the given memory and limit of bodies.
 func startHost(memoryMB, maxBodyBytes int) *host {
 	f := fleettest.New(bin, GinkgoT().TempDir())
+	f.InfoListeners = true
 	DeferCleanup(f.Close)
 	f.DaemonSettings = fmt.Sprintf("capacity: {memoryMB: %d}\ncallers: {maxConnections: %d, maxHeaderBytes: 16384, maxBodyBytes: %d, requestArrival: 8s}\n",
 		memoryMB, connectionLimit, maxBodyBytes)
@@ -139,13 +141,36 @@
 	return resp.StatusCode
 }
 
+// expectInfo checks that address queries and readiness checks are answered.
+func (h *host) expectInfo() {
+	for _, url := range []string{
+		"http://" + h.AddressesAddress + dialect.AddressesPath + "?service=" + service,
+		"http://" + h.ReadinessAddress + dialect.Native().ReadyPath,
+	} {
+		Eventually(func() (status int) {
+			client := http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+			resp, err := client.Get(url)
+			if err != nil {
+				return 0
+			}
+			defer resp.Body.Close()
+			return resp.StatusCode
+		}, servedWithin, 200*time.Millisecond).Should(Equal(200), url)
+	}
+}
+
 // crowd opens connections and sends the parts on each of them, the last one repeatedly the
 // given number of times. It reads nothing and keeps the connections open until the spec ends.
 // It returns after crowdTime.
 func (h *host) crowd(connections int, first, repeated string, times int) {
+	crowdAt(h.CallerAddress, connections, first, repeated, times)
+}
+
+// crowdAt is crowd at any listener.
+func crowdAt(address string, connections int, first, repeated string, times int) {
 	var sending sync.WaitGroup
 	for range connections {
-		c, err := net.Dial("tcp", h.CallerAddress)
+		c, err := net.Dial("tcp", address)
 		if err != nil {
 			continue
 		}
@@ -241,6 +266,31 @@
 		h.expectHealthy(crowdMemoryMB)
 	})
 
+	// Guards against requests at the listeners for addresses and readiness that no limit counts.
+	It("bounds the memory of crowds at the listeners for addresses and readiness", func() {
+		h := startHost(crowdMemoryMB, crowdBodyBytes)
+		one := shortFields(head("GET", dialect.AddressesPath, ""), 8192) + "\r\n"
+		crowdAt(h.AddressesAddress, 250, "", one, 32)
+		crowdAt(h.ReadinessAddress, 250, head("POST", dialect.Native().ReadyPath, "Transfer-Encoding: chunked\r\n\r\n"), chunk, 15)
+		h.expectInfo()
+		h.expectHealthy(crowdMemoryMB)
+	})
+
+	// Guards against listeners that each use the limit of connections for themselves alone.
+	It("bounds the connections of all listeners together", func() {
+		h := startHost(crowdMemoryMB, crowdBodyBytes)
+		var crowds sync.WaitGroup
+		for _, address := range []string{h.CallerAddress, h.AddressesAddress, h.ReadinessAddress} {
+			crowds.Go(func() {
+				defer GinkgoRecover()
+				crowdAt(address, connectionLimit, "", "", 0)
+			})
+		}
+		crowds.Wait()
+		h.expectInfo()
+		h.expectHealthy(crowdMemoryMB)
+	})
+
 	// Guards against requests whose own memory, which is many times that of their header, no limit
 	// counts.
 	It("bounds the memory of very many small requests that wait", func() {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -364,6 +364,9 @@
 	if err := d.provisionInfoServers(); err != nil {
 		return err
 	}
+	for _, s := range d.infoServers {
+		s.ConnectionParts = infoConnectionParts
+	}
 	for _, s := range append([]*ingress.Server{d.callerServer.Server}, d.infoServers...) {
 		s.ShareMemory(d.memory)
 		s.LimitsMemory = d.settings.Capacity.MemoryMB > 0
--- a/pkg/daemon/info_servers.go
+++ b/pkg/daemon/info_servers.go
@@ -18,6 +18,10 @@
 	Connections: 2000, MaxHeaderBytes: 8 << 10, MaxBodyBytes: 1 << 10, RequestArrival: 3 * time.Second, Idle: 15 * time.Second,
 }
 
+// infoConnectionParts makes each of these listeners take a quarter of the connections that callers
+// may open on a host of known memory. Their requests are answered at once.
+const infoConnectionParts = 4
+
 // provisionInfoServers opens the listeners for address queries and readiness
 // checks that the settings configure.
 func (d *Daemon) provisionInfoServers() error {
--- a/pkg/ingress/memory.go
+++ b/pkg/ingress/memory.go
@@ -164,7 +164,7 @@
 func (s *Server) connectionLimit() int {
 	limit := s.limits().Connections
 	if s.LimitsMemory {
-		limit = min(limit, int(s.memory.Total()/connShare/connMemoryBytes))
+		limit = min(limit, int(s.memory.Total()/connShare/connMemoryBytes)/max(s.ConnectionParts, 1))
 	}
 	return limit
 }
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -87,6 +87,9 @@
 	// LimitsMemory limits the connections by the size of the memory budget, and counts the
 	// memory that each request needs besides its bytes. It must be set before Run.
 	LimitsMemory bool
+	// ConnectionParts divides the limit of LimitsMemory if it is above 1, for a listener that needs
+	// few connections. It must be set before Run.
+	ConnectionParts int
 
 	memory *memory.Budget
 	// evictions counts the connections told to close for others.
