--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -234,6 +234,10 @@
 	if c.awaitAnswers() {
 		return errConnectionEnding
 	}
+	// The deadline of the previous answer may have passed.
+	if err := c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
 	if _, err := c.netConn.WriteBinary([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 		return err
 	}
@@ -250,7 +254,7 @@
 		c.dropped = true
 		return false
 	}
-	for !c.ended && (c.pending >= maxPipelinedRequests || c.pending > 0 && c.heldBytes.Load()-r.usage.bytes > maxReadAheadBytes) {
+	for !c.ended && c.pending > 0 && !c.readsAhead(r) {
 		c.changed.Wait()
 	}
 	if c.ended {
@@ -451,12 +455,15 @@
 }
 
 // loggable returns the error without the text that it quotes from the request: a malformed
-// header may contain a key.
+// header or trailer may contain a key.
 func loggable(err error) error {
 	var quoting *hertzerrors.Error
 	if errors.As(err, &quoting) && quoting.IsType(hertzerrors.ErrorTypePublic) {
 		return errMalformed
 	}
+	if errors.Is(err, netconn.ErrMalformedField) {
+		return netconn.ErrMalformedField
+	}
 	return err
 }
 
--- a/pkg/ingress/memory.go
+++ b/pkg/ingress/memory.go
@@ -16,6 +16,8 @@
 	// each field has an entry in all three.
 	fieldMemoryBytes = 256
 	headerCopies     = 4
+	// answerFieldBytes is the memory of a field of an answer besides its text.
+	answerFieldBytes = 64
 	// maxPooledFields is the largest number of header fields of a request whose memory returns
 	// to the library's pool.
 	maxPooledFields = 256
@@ -23,6 +25,10 @@
 	// connShare the part of the memory budget's size that all connections may take besides it.
 	connMemoryBytes = 32 << 10
 	connShare       = 4
+	// requestMemoryBytes is the memory of a request that is handled besides its header and body: the
+	// stacks of its goroutines, its contexts and its copies of fields. Tens of thousands of small
+	// requests that wait were 155 MB on a host of 128 MB.
+	requestMemoryBytes = 8 << 10
 	// maxReadAheadBytes limits the memory of the requests and answers of a connection at which
 	// no further request of it is handled.
 	maxReadAheadBytes = 1 << 20
@@ -83,7 +89,7 @@
 			wait = max(wait, evictionWait)
 		}
 		left := wait - time.Since(start)
-		if left <= 0 {
+		if left <= 0 || c.evicted.Load() {
 			return errNoMemory
 		}
 		timer := time.NewTimer(min(left, memoryRecheck))
@@ -111,6 +117,9 @@
 	raw := r.Header.RawHeaders()
 	r.fields = bytes.Count(raw, []byte("\n"))
 	n := int64(headerCopies*(len(raw)+len(r.Header.RequestURI())) + fieldMemoryBytes*r.fields)
+	if c.server.LimitsMemory {
+		n += requestMemoryBytes
+	}
 	return c.reserve(r, memory.Small, n, 0)
 }
 
@@ -130,9 +139,17 @@
 	}
 }
 
+// readsAhead reports whether a further request may be handled before the earlier ones have been
+// answered. If half of the memory is used, the rest is for the first requests of connections: those
+// behind others have not stalled, and would keep ordinary callers out for as long as they are sent.
+func (c *conn) readsAhead(r *Request) bool {
+	return c.pending < maxPipelinedRequests && c.heldBytes.Load()-r.usage.bytes <= maxReadAheadBytes && !c.server.memory.HalfUsed()
+}
+
 // holdAnswer counts an answer that is not written yet, and returns its memory.
 func (c *conn) holdAnswer(answer *protocol.Response) int64 {
 	n := int64(len(answer.BodyBytes()))
+	answer.Header.VisitAll(func(name, value []byte) { n += int64(len(name) + len(value) + answerFieldBytes) })
 	c.account.Add(n)
 	c.heldBytes.Add(n)
 	return n
@@ -147,7 +164,7 @@
 func (s *Server) connectionLimit() int {
 	limit := s.limits().Connections
 	if s.LimitsMemory {
-		limit = min(limit, int(s.memory.Total()/connShare/connMemoryBytes))
+		limit = min(limit, int(s.memory.Total()/connShare/connMemoryBytes)/max(s.ConnectionParts, 1))
 	}
 	return limit
 }
