Update single upstreams of a service, and defer it where no request needs them

Cause: each change of an entry rebuilt the list, the candidates and the choices of its service at every daemon, home or not, in time linear in the upstreams. Change: the catalog passes only the changed members; Service.UpdateUpstreams merges them into the sorted list. A daemon that is no home and has had no request for 10 s marks the service stale; the next request, report, status or round refreshes it. Without entries in the ejection record, the exclusion of a sorted list needs no maps. The slots by domain are kept, because the roster adds them up ten times a second.

--- a/pkg/blackboard/attempt.go
+++ b/pkg/blackboard/attempt.go
@@ -1,8 +1,6 @@
 package blackboard
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"shallotglade/pkg/detector"
@@ -55,6 +53,7 @@
 func (s *Service) CheckPoison(now time.Time, fp poison.Fingerprint) poison.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.useLocked(now)
 	return s.poison.Check(now, fp, len(s.exclusion.Usable), s.floorLocked())
 }
 
@@ -94,12 +93,13 @@
 }
 
 func (s *Service) beginLocked(now time.Time, r AttemptRequest) (*Attempt, routing.Choice, bool) {
+	s.useLocked(now)
 	s.updateProbabilitiesLocked(now)
 	choice, ok := s.chooseLocked(now, r)
 	if !ok {
 		return nil, choice, false
 	}
-	i, listed := slices.BinarySearchFunc(s.upstreams, choice.ID, func(u Upstream, id string) int { return strings.Compare(u.ID, id) })
+	i, listed := s.upstreamIndexLocked(choice.ID)
 	if !listed {
 		return nil, choice, false
 	}
--- a/pkg/blackboard/health.go
+++ b/pkg/blackboard/health.go
@@ -19,7 +19,38 @@
 	return s.refreshLocked(now)
 }
 
+// recentUse is how long after its last request a service stays current without delay. A
+// request that is between the look-up of its route and its admission is thereby never
+// admitted by the capacity of a former list.
+const recentUse = 10 * time.Second
+
+// refreshOrDeferLocked refreshes the service, unless no request has used it lately and this
+// daemon is no home of it. Then the next request, report or round refreshes it: in a fleet
+// of 300 daemons and 3,000 upstreams most changes of an upstream arrive at daemons that
+// send it nothing.
+func (s *Service) refreshOrDeferLocked(now time.Time) {
+	if s.isHomeLocked() || now.Sub(s.lastUse) < recentUse || !s.idleLocked() {
+		s.refreshLocked(now)
+		return
+	}
+	s.stale = true
+}
+
+// useLocked makes the candidates current for a request.
+func (s *Service) useLocked(now time.Time) {
+	s.lastUse = now
+	s.refreshStaleLocked(now)
+}
+
+// refreshStaleLocked refreshes the service if a refresh was deferred.
+func (s *Service) refreshStaleLocked(now time.Time) {
+	if s.stale {
+		s.refreshLocked(now)
+	}
+}
+
 func (s *Service) refreshLocked(now time.Time) []detector.Assessment {
+	s.stale = false
 	before := map[string]detector.Condition{}
 	for _, a := range s.assessments {
 		before[a.Upstream] = a.Condition
@@ -131,6 +162,7 @@
 func (s *Service) Propose(now time.Time) (ejection.Record, uint64, []ejection.Decision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.refreshStaleLocked(now)
 	next, decisions := ejection.Propose(s.viewLocked(), s.record, s.assessments, s.policyLocked(), now, s.rng)
 	next.Service = s.Name
 	return next, s.recordVersion, decisions
@@ -189,6 +221,7 @@
 func (s *Service) Reachable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.refreshStaleLocked(time.Now())
 	for _, c := range s.candidates {
 		if d, demoted := s.demotions[c.ID]; !demoted || !d.PathBad {
 			return true
--- a/pkg/blackboard/report.go
+++ b/pkg/blackboard/report.go
@@ -234,6 +234,10 @@
 
 // refreshLoadLocked recomputes the load of other homes and updates the candidates.
 func (s *Service) refreshLoadLocked(now time.Time) {
+	if s.stale {
+		s.refreshLocked(now)
+		return
+	}
 	s.inFlight.Refresh(now, s.reliability.MeanLatency())
 	s.updateCandidatesLocked(now)
 }
--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -69,7 +69,16 @@
 	outcomeSources  map[string]outcomeSource
 	// snapshotPending is true if a home was added and no snapshot was sent since.
 	snapshotPending bool
-	upstreams       []Upstream
+	// upstreams is sorted by id. listed is true once the list was set.
+	upstreams []Upstream
+	listed    bool
+	// slotsByDomain maps failure domains to the slots of the upstreams there that are not
+	// leaving; nil means that it must be computed.
+	slotsByDomain map[string]int
+	// stale is true if the list has changed since the last refresh, see
+	// refreshOrDeferLocked. lastUse is when a request last used the service.
+	stale   bool
+	lastUse time.Time
 	// announcedLeaving maps the upstreams that announced to a daemon that they are
 	// leaving to the incarnations that did. An entry outlives the upstream's place in
 	// the list, which is lost and found again when the platform was unavailable.
@@ -175,7 +184,7 @@
 	if static := d.Upstreams.Static; len(static) > 0 {
 		s.setUpstreamsLocked(time.Now(), staticUpstreams(static))
 	}
-	s.refreshLocked(time.Now())
+	s.refreshOrDeferLocked(time.Now())
 	return true
 }
 
@@ -231,6 +240,9 @@
 	}
 	s.budget.SetPolicy(now, s.retryPolicyLocked())
 	s.poison.SetHomes(s.homeIDsLocked())
+	if s.isHomeLocked() {
+		s.refreshStaleLocked(now)
+	}
 }
 
 func (s *Service) homeIDsLocked() []string {
@@ -261,10 +273,57 @@
 		return
 	}
 	s.setUpstreamsLocked(now, list)
-	s.refreshLocked(now)
+	s.refreshOrDeferLocked(now)
+}
+
+// UpdateUpstreams changes some upstreams of the list: it adds or replaces those in listed
+// and removes those whose ids are in removed. Its result equals that of SetUpstreams with
+// the whole list, at a cost that grows with the changes. It has no effect before the first
+// call of SetUpstreams, or if the document lists the upstreams.
+func (s *Service) UpdateUpstreams(now time.Time, listed []Upstream, removed []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.listed || len(s.document.Upstreams.Static) > 0 {
+		return
+	}
+	firstList, changed := len(s.upstreams) == 0, false
+	for _, u := range listed {
+		i, known := s.upstreamIndexLocked(u.ID)
+		if !known {
+			s.upstreams = slices.Insert(s.upstreams, i, s.mergeUpstreamLocked(now, u, Upstream{}, false, firstList))
+			s.detector.Add(now, u.ID)
+			changed = true
+			continue
+		}
+		merged := s.mergeUpstreamLocked(now, u, s.upstreams[i], true, firstList)
+		changed = changed || merged != s.upstreams[i]
+		s.upstreams[i] = merged
+	}
+	for _, id := range removed {
+		i, known := s.upstreamIndexLocked(id)
+		if !known {
+			continue
+		}
+		s.upstreams = slices.Delete(s.upstreams, i, i+1)
+		s.forgetUpstreamLocked(id)
+		s.detector.Remove(id)
+		s.reliability.Forget(id)
+		changed = true
+	}
+	if changed {
+		s.upstreamsChangedLocked(now)
+		s.refreshOrDeferLocked(now)
+	}
+}
+
+// upstreamIndexLocked returns the position of an upstream in the list, or the position at
+// which it would be.
+func (s *Service) upstreamIndexLocked(id string) (int, bool) {
+	return slices.BinarySearchFunc(s.upstreams, id, func(u Upstream, id string) int { return strings.Compare(u.ID, id) })
 }
 
 func (s *Service) setUpstreamsLocked(now time.Time, list []Upstream) {
+	s.listed = true
 	firstList := len(s.upstreams) == 0
 	previous := map[string]Upstream{}
 	for _, u := range s.upstreams {
@@ -272,41 +331,16 @@
 	}
 	next := make([]Upstream, 0, len(list))
 	for _, u := range list {
-		u.Listed = now
 		old, ok := previous[u.ID]
-		restarted := ok && old.Incarnation != u.Incarnation
-		switch {
-		case ok && !restarted:
-			u.Joined, u.WarmUpUntil, u.Listed = old.Joined, old.WarmUpUntil, old.Listed
-		case u.Incarnation != 0:
-			// The membership list contains the remaining warm-up time.
-			u.WarmUpUntil = now.Add(u.WarmUp)
-		case !firstList:
-			u.Joined = now
-			s.detector.SetWarmUp(now, u.ID, now.Add(s.document.Upstreams.WarmUp))
-		}
-		if restarted {
-			s.resetUpstreamLocked(now, u.ID)
-		}
-		s.forgetEarlierIncarnationLocked(u)
-		if _, announced := s.announcedLeaving[u.ID]; announced {
-			u.Leaving = true
-		}
-		if u.Slots == 0 {
-			u.Slots = s.document.Upstreams.Slots
-		}
 		delete(previous, u.ID)
-		next = append(next, u)
+		next = append(next, s.mergeUpstreamLocked(now, u, old, ok, firstList))
 	}
-	maps.DeleteFunc(s.pauses, func(_ string, p pause) bool { return !now.Before(p.until) })
 	for id := range previous {
-		s.poison.Forget(id)
-		delete(s.lastUsed, id)
-		delete(s.deprioritized, id)
-		delete(s.outcomeSources, id)
+		s.forgetUpstreamLocked(id)
 	}
 	slices.SortFunc(next, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
 	s.upstreams = next
+	s.upstreamsChangedLocked(now)
 	ids := make([]string, len(next))
 	for i, u := range next {
 		ids[i] = u.ID
@@ -315,6 +349,50 @@
 	s.reliability.Retain(ids)
 }
 
+// mergeUpstreamLocked returns the state of a listed upstream, given its previous state if
+// known is true. firstList is true if there were no upstreams before.
+func (s *Service) mergeUpstreamLocked(now time.Time, u, old Upstream, known, firstList bool) Upstream {
+	u.Listed = now
+	restarted := known && old.Incarnation != u.Incarnation
+	switch {
+	case known && !restarted:
+		// The remaining warm-up time counts only when an incarnation is first listed.
+		u.Joined, u.WarmUp, u.WarmUpUntil, u.Listed = old.Joined, old.WarmUp, old.WarmUpUntil, old.Listed
+	case u.Incarnation != 0:
+		// The membership list contains the remaining warm-up time.
+		u.WarmUpUntil = now.Add(u.WarmUp)
+	case !firstList:
+		u.Joined = now
+		s.detector.SetWarmUp(now, u.ID, now.Add(s.document.Upstreams.WarmUp))
+	}
+	if restarted {
+		s.resetUpstreamLocked(now, u.ID)
+	}
+	s.forgetEarlierIncarnationLocked(u)
+	if _, announced := s.announcedLeaving[u.ID]; announced {
+		u.Leaving = true
+	}
+	if u.Slots == 0 {
+		u.Slots = s.document.Upstreams.Slots
+	}
+	return u
+}
+
+// forgetUpstreamLocked drops the state of an upstream that is no longer listed, except
+// what the detector and the reliability estimator hold.
+func (s *Service) forgetUpstreamLocked(id string) {
+	s.poison.Forget(id)
+	delete(s.lastUsed, id)
+	delete(s.deprioritized, id)
+	delete(s.outcomeSources, id)
+}
+
+// upstreamsChangedLocked drops what depends on the former list of upstreams.
+func (s *Service) upstreamsChangedLocked(now time.Time) {
+	maps.DeleteFunc(s.pauses, func(_ string, p pause) bool { return !now.Before(p.until) })
+	s.slotsByDomain = nil
+}
+
 // forgetEarlierIncarnationLocked drops the pause and the announcement of an earlier
 // incarnation of a listed upstream.
 func (s *Service) forgetEarlierIncarnationLocked(u Upstream) {
@@ -345,7 +423,10 @@
 func (s *Service) MarkLeaving(now time.Time, id string, incarnation uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i := slices.IndexFunc(s.upstreams, func(u Upstream) bool { return u.ID == id })
+	i, found := s.upstreamIndexLocked(id)
+	if !found {
+		i = -1
+	}
 	if i < 0 && incarnation == 0 || i >= 0 && s.upstreams[i].Incarnation > incarnation {
 		return false
 	}
@@ -356,7 +437,8 @@
 	s.announcedLeaving[id] = incarnation
 	if i >= 0 {
 		s.upstreams[i].Leaving = true
-		s.refreshLocked(now)
+		s.upstreamsChangedLocked(now)
+		s.refreshOrDeferLocked(now)
 	}
 	return true
 }
@@ -368,7 +450,7 @@
 		return
 	}
 	for id := range s.announcedLeaving {
-		if !slices.ContainsFunc(s.upstreams, func(u Upstream) bool { return u.ID == id }) {
+		if _, found := s.upstreamIndexLocked(id); !found {
 			delete(s.announcedLeaving, id)
 		}
 	}
@@ -389,8 +471,8 @@
 }
 
 func (s *Service) pauseLocked(now time.Time, id string, incarnation uint64, until time.Time) {
-	i := slices.IndexFunc(s.upstreams, func(u Upstream) bool { return u.ID == id })
-	if i < 0 || s.upstreams[i].Incarnation != incarnation || !until.After(s.pauses[id].until) {
+	i, found := s.upstreamIndexLocked(id)
+	if !found || s.upstreams[i].Incarnation != incarnation || !until.After(s.pauses[id].until) {
 		return
 	}
 	s.pauses[id] = pause{incarnation: incarnation, until: until}
@@ -406,9 +488,13 @@
 
 // idle reports whether no request uses the service.
 func (s *Service) idle() bool {
-	stats := s.Gate.Stats()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.idleLocked()
+}
+
+func (s *Service) idleLocked() bool {
+	stats := s.Gate.Stats()
 	return stats.Running == 0 && stats.Waiting == 0 && len(s.attempts) == 0 && len(s.waiters) == 0
 }
 
@@ -424,11 +510,17 @@
 func (s *Service) AddSlots(byDomain map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, u := range s.upstreams {
-		if !u.Leaving {
-			byDomain[u.Domain] += u.Slots
+	if s.slotsByDomain == nil {
+		s.slotsByDomain = map[string]int{}
+		for _, u := range s.upstreams {
+			if !u.Leaving {
+				s.slotsByDomain[u.Domain] += u.Slots
+			}
 		}
 	}
+	for domain, slots := range s.slotsByDomain {
+		byDomain[domain] += slots
+	}
 }
 
 // ejects reports whether the homes eject failing upstreams by agreement, based on the
--- a/pkg/blackboard/status.go
+++ b/pkg/blackboard/status.go
@@ -54,6 +54,7 @@
 	gate := s.Gate.Stats()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.refreshStaleLocked(time.Now())
 	st := Status{
 		Service: s.Name, Version: s.version, UnknownFields: s.unknownFields, RecordVersion: s.recordVersion,
 		Home: s.isHomeLocked(), Homes: s.homeIDsLocked(), Floor: s.floorLocked(), Usable: len(s.exclusion.Usable),
@@ -110,6 +111,7 @@
 func (s *Service) Usage(now time.Time) Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.refreshStaleLocked(now)
 	var u Usage
 	for _, c := range s.candidates {
 		if now.Sub(s.lastSentAtLocked(c.ID)) >= requestWindowLength {
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -59,9 +59,9 @@
 	daemons   map[string]platform.Member
 	serviceOf map[string]string
 	records   map[string]platform.Object
-	// staleUpstreams and staleDaemons mark what Flush passes on: the memberships with
-	// changed upstreams, and the list of daemons.
-	staleUpstreams map[string]bool
+	// staleUpstreams and staleDaemons mark what Flush passes on: by membership, the ids of
+	// the changed upstreams, and whether the list of daemons has changed.
+	staleUpstreams map[string]map[string]bool
 	staleDaemons   bool
 	onDaemons      func([]platform.Member)
 	onService      func(*blackboard.Service)
@@ -74,7 +74,7 @@
 		board: board, log: log, metrics: metrics, decodeConfiguration: document.DecodeConfiguration,
 		upstreams: map[string]map[string]platform.Member{}, daemons: map[string]platform.Member{},
 		serviceOf: map[string]string{}, records: map[string]platform.Object{},
-		staleUpstreams: map[string]bool{},
+		staleUpstreams: map[string]map[string]bool{},
 	}
 }
 
@@ -128,15 +128,14 @@
 	c.flushMu.Lock()
 	defer c.flushMu.Unlock()
 	c.mu.Lock()
-	memberships, daemons := slices.Sorted(maps.Keys(c.staleUpstreams)), c.staleDaemons
-	clear(c.staleUpstreams)
-	c.staleDaemons = false
+	changed, daemons := c.staleUpstreams, c.staleDaemons
+	c.staleUpstreams, c.staleDaemons = map[string]map[string]bool{}, false
 	c.mu.Unlock()
 	if daemons {
 		c.publishDaemons()
 	}
-	for _, membership := range memberships {
-		c.setUpstreams(membership)
+	for _, membership := range slices.Sorted(maps.Keys(changed)) {
+		c.updateUpstreams(membership, changed[membership])
 	}
 }
 
@@ -295,10 +294,10 @@
 	}
 	c.staleDaemons = c.staleDaemons || wasDaemon || m.Role == platform.RoleDaemon
 	if oldService != "" {
-		c.staleUpstreams[oldService] = true
+		c.markStaleLocked(oldService, id)
 	}
 	if m.Role == platform.RoleUpstream {
-		c.staleUpstreams[m.Service] = true
+		c.markStaleLocked(m.Service, id)
 	}
 	c.mu.Unlock()
 	if m.Role == platform.RoleUpstream {
@@ -309,6 +308,13 @@
 	}
 }
 
+func (c *Catalog) markStaleLocked(membership, id string) {
+	if c.staleUpstreams[membership] == nil {
+		c.staleUpstreams[membership] = map[string]bool{}
+	}
+	c.staleUpstreams[membership][id] = true
+}
+
 // publishDaemons passes the list of daemons to the callback. The caller holds flushMu: a
 // list delivered out of order would restore an entry from before a daemon's restart.
 func (c *Catalog) publishDaemons() {
@@ -320,6 +326,37 @@
 	}
 }
 
+// wholeListShare is the share of a membership from which on its services get the whole
+// list: the cost of a single change is linear in the list, though small.
+const wholeListShare = 1.0 / 16
+
+// updateUpstreams passes changed members of a membership to every service whose document
+// names that membership.
+func (c *Catalog) updateUpstreams(membership string, changed map[string]bool) {
+	if membership == "" {
+		return
+	}
+	c.upstreamsMu.Lock()
+	defer c.upstreamsMu.Unlock()
+	c.mu.Lock()
+	if float64(len(changed)) > wholeListShare*float64(len(c.upstreams[membership])) {
+		list := c.upstreamsLocked(membership)
+		c.mu.Unlock()
+		c.eachService(membership, func(s *blackboard.Service) { s.SetUpstreams(time.Now(), list) })
+		return
+	}
+	listed, removed := make([]blackboard.Upstream, 0, len(changed)), []string(nil)
+	for id := range changed {
+		if m, ok := c.upstreams[membership][id]; ok {
+			listed = append(listed, upstreamOf(m))
+		} else {
+			removed = append(removed, id)
+		}
+	}
+	c.mu.Unlock()
+	c.eachService(membership, func(s *blackboard.Service) { s.UpdateUpstreams(time.Now(), listed, removed) })
+}
+
 // setUpstreams sets the members of a membership as upstreams of every service whose
 // document names that membership.
 func (c *Catalog) setUpstreams(membership string) {
@@ -329,17 +366,31 @@
 	c.upstreamsMu.Lock()
 	defer c.upstreamsMu.Unlock()
 	c.mu.Lock()
+	list := c.upstreamsLocked(membership)
+	c.mu.Unlock()
+	c.eachService(membership, func(s *blackboard.Service) { s.SetUpstreams(time.Now(), list) })
+}
+
+func (c *Catalog) upstreamsLocked(membership string) []blackboard.Upstream {
 	list := make([]blackboard.Upstream, 0, len(c.upstreams[membership]))
 	for _, m := range c.upstreams[membership] {
-		list = append(list, blackboard.Upstream{
-			ID: m.ID, Address: m.Address, Domain: m.Domain, Slots: m.Slots, Leaving: m.State == platform.Leaving,
-			Incarnation: m.Incarnation, WarmUp: time.Duration(m.WarmUpMs) * time.Millisecond,
-		})
+		list = append(list, upstreamOf(m))
 	}
-	c.mu.Unlock()
+	return list
+}
+
+func upstreamOf(m platform.Member) blackboard.Upstream {
+	return blackboard.Upstream{
+		ID: m.ID, Address: m.Address, Domain: m.Domain, Slots: m.Slots, Leaving: m.State == platform.Leaving,
+		Incarnation: m.Incarnation, WarmUp: time.Duration(m.WarmUpMs) * time.Millisecond,
+	}
+}
+
+// eachService calls f for every service whose document names the membership.
+func (c *Catalog) eachService(membership string, f func(*blackboard.Service)) {
 	for _, s := range c.board.ServicesInUse() {
 		if s.Document().Upstreams.Membership == membership {
-			s.SetUpstreams(time.Now(), list)
+			f(s)
 		}
 	}
 }
--- a/pkg/detector/group.go
+++ b/pkg/detector/group.go
@@ -71,6 +71,15 @@
 	})
 }
 
+// Add adds an upstream of the service.
+func (g *Group) Add(now time.Time, id string) { g.upstream(now, id) }
+
+// Remove drops an upstream with its evidence.
+func (g *Group) Remove(id string) {
+	delete(g.byID, id)
+	g.upstreams = slices.DeleteFunc(g.upstreams, func(u *upstream) bool { return u.id == id })
+}
+
 // SetWarmUp marks the upstream as warming up. Until the given time its failures
 // count as evidence and its latency does not.
 func (g *Group) SetWarmUp(now time.Time, id string, until time.Time) {
--- a/pkg/ejection/demotion.go
+++ b/pkg/ejection/demotion.go
@@ -24,6 +24,9 @@
 // It omits excluded upstreams. Demotion never removes capacity: if all upstreams
 // are demoted, all stay in use according to their shares.
 func Demotions(view View, assessments []detector.Assessment, x Exclusion) []Demotion {
+	if !slices.ContainsFunc(assessments, func(a detector.Assessment) bool { return a.Condition != detector.Healthy }) {
+		return nil
+	}
 	live := view.live()
 	var out []Demotion
 	for _, a := range assessments {
--- a/pkg/ejection/effective.go
+++ b/pkg/ejection/effective.go
@@ -54,6 +54,9 @@
 // upstreams) stay usable for any list and any record. The reader's clock, now,
 // never affects the floor.
 func EffectiveExclusion(view View, record Record, policy Policy, now time.Time) Exclusion {
+	if len(record.Entries) == 0 && view.sorted() {
+		return joinedOnly(view, policy, now)
+	}
 	x := Exclusion{
 		Excluded: map[string]bool{}, Trial: map[string]float64{},
 		Ramp: map[string]float64{}, Readmitted: map[string]float64{},
@@ -76,7 +79,25 @@
 		delete(live, e.Upstream)
 	}
 	x.Usable = slices.Sorted(maps.Keys(live))
-	x.addJoined(live, policy, now)
+	for _, u := range live {
+		x.addJoined(u, policy, now)
+	}
+	return x
+}
+
+// joinedOnly is EffectiveExclusion for a sorted view and a record without entries, without
+// the maps of all upstreams: services that are never ejected are refreshed several times a
+// second and with each change of their upstreams.
+func joinedOnly(view View, policy Policy, now time.Time) Exclusion {
+	x := Exclusion{Excluded: map[string]bool{}, Ramp: map[string]float64{}, Usable: make([]string, 0, len(view.Upstreams))}
+	for _, u := range view.Upstreams {
+		if u.Leaving {
+			x.Excluded[u.ID] = true
+			continue
+		}
+		x.Usable = append(x.Usable, u.ID)
+		x.addJoined(u, policy, now)
+	}
 	return x
 }
 
@@ -108,15 +129,16 @@
 	}
 }
 
-// addJoined adds ramps for the usable upstreams that have just joined.
-func (x *Exclusion) addJoined(usable map[string]UpstreamView, policy Policy, now time.Time) {
-	for id, u := range usable {
-		age := now.Sub(u.Joined)
-		if _, readmitted := x.Readmitted[id]; readmitted || u.Joined.IsZero() || age >= policy.RampDuration {
-			continue
-		}
-		x.Ramp[id] = linearShare(policy.RampStartShare, float64(age), float64(policy.RampDuration))
+// addJoined adds a ramp for a usable upstream that has just joined.
+func (x *Exclusion) addJoined(u UpstreamView, policy Policy, now time.Time) {
+	if u.Joined.IsZero() {
+		return
+	}
+	age := now.Sub(u.Joined)
+	if _, readmitted := x.Readmitted[u.ID]; readmitted || age >= policy.RampDuration {
+		return
 	}
+	x.Ramp[u.ID] = linearShare(policy.RampStartShare, float64(age), float64(policy.RampDuration))
 }
 
 // rampShare returns the share of an entry in Ramp, or 0 in other states.
--- a/pkg/ejection/view.go
+++ b/pkg/ejection/view.go
@@ -16,6 +16,16 @@
 	Upstreams []UpstreamView
 }
 
+// sorted reports whether the upstreams are sorted by id and each is listed once.
+func (v View) sorted() bool {
+	for i := 1; i < len(v.Upstreams); i++ {
+		if v.Upstreams[i-1].ID >= v.Upstreams[i].ID {
+			return false
+		}
+	}
+	return true
+}
+
 // live returns the upstreams that are not leaving.
 func (v View) live() map[string]UpstreamView {
 	live := make(map[string]UpstreamView, len(v.Upstreams))
