Compress lists of entries between daemons and ignore rewritten ones

Cause: 3,000 entries are 850 KB on their way to each daemon, of which a relay sends 16 copies over a link of 10 or 200 Mbit/s, and each heartbeat that writes an entry again was pushed, decoded, listed and logged at every daemon. Change: lists of objects and versions above 1 KiB are compressed, once per batch; forwarders pass them on as they are. A daemon of an earlier build that refuses the new fields gets plain ones for a minute.

--- a/internal/bench/confsync/main.go
+++ b/internal/bench/confsync/main.go
@@ -37,7 +37,17 @@
 	flag.DurationVar(&o.window, "window", 10*time.Second, "duration of each cost measurement")
 	sizes := flag.String("sizes", "36,100,300,1600", "comma-separated fleet sizes of the cost measurements")
 	out := flag.String("out", "", "write the results to this file as JSON")
+
+	var c churnOptions
+	flag.IntVar(&c.upstreams, "upstreams", 0, "measure only the cost of changing entries, of this many upstreams")
+	flag.Float64Var(&c.changes, "churn", 50, "changed entries per second with -upstreams")
+	flag.Float64Var(&c.rewrites, "rewrites", 0, "entries per second that are written again unchanged, with -upstreams")
 	flag.Parse()
+	if c.upstreams > 0 {
+		c.daemons, c.domains, c.window = o.daemons, o.domains, o.window
+		fmt.Print(measureChurn(c))
+		return
+	}
 
 	var r report
 	fmt.Println("| case | way | p50 ms | p99 ms | max ms | not in force after 5 s | restart ms |\n|---|---|---|---|---|---|---|")
--- a/pkg/confsync/digest.go
+++ b/pkg/confsync/digest.go
@@ -36,6 +36,9 @@
 type Version struct {
 	Key     string `cbor:"1,keyasint"`
 	Version uint64 `cbor:"2,keyasint"`
+	// Content is a part of the hash of the value of an upstream's entry, 0 for other
+	// objects; see contentHash.
+	Content uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // Digest returns the digest of all objects and tombstones. Each bucket is
@@ -52,7 +55,7 @@
 func (r *Replica) Versions(bucket uint16) []Version {
 	var out []Version
 	r.forEachInBucket(int(bucket), func(o platform.Object) {
-		out = append(out, Version{Key: o.Key, Version: o.Version})
+		out = append(out, versionOf(o))
 	})
 	return out
 }
@@ -62,17 +65,17 @@
 // keys that are newer at the peer. The objects are limited to limit bytes of
 // keys and values, but at least one is returned.
 func (r *Replica) Diff(buckets []uint16, theirs []Version, limit int) (newer []platform.Object, more bool, wanted []string) {
-	theirVersions := make(map[string]uint64, len(theirs))
+	theirVersions := make(map[string]Version, len(theirs))
 	for _, v := range theirs {
-		theirVersions[v.Key] = v.Version
-		if current, _ := r.lookup(v.Key); current.Version < v.Version {
+		theirVersions[v.Key] = v
+		if current, _ := r.lookup(v.Key); !holds(current, v) {
 			wanted = append(wanted, v.Key)
 		}
 	}
 	size := 0
 	for _, bucket := range buckets {
 		r.forEachInBucket(int(bucket), func(o platform.Object) {
-			if o.Version <= theirVersions[o.Key] {
+			if v := theirVersions[o.Key]; o.Version <= v.Version || v.Content != 0 && v.Content == uint32(contentHash(o)) {
 				return
 			}
 			size += objectSize(o)
--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -31,6 +31,8 @@
 	// holds more. Messages then stay below MaxMessageBytes even with the longest
 	// keys and an object of the maximum size in the reply.
 	versionsPerMessage = 1 << 10
+	// versionBytes is about the size of a version in a message.
+	versionBytes = 40
 )
 
 // Tick compares digests with one peer, and with others if it does not answer.
@@ -197,6 +199,10 @@
 		m.Buckets = append(m.Buckets, b)
 		m.Versions = append(m.Versions, versions...)
 	}
+	m.Extended = true
+	if m.Packed = pack(m.Versions, len(m.Versions)*versionBytes); m.Packed != nil {
+		m.Versions = nil
+	}
 	body, err := s.call(ctx, peer, KindVersions, m)
 	if err != nil {
 		return 0, err
@@ -205,6 +211,11 @@
 	if err := decode(body, &reply); err != nil {
 		return 0, err
 	}
+	if reply.Packed != nil {
+		if err := unpack(reply.Packed, &reply.Objects); err != nil {
+			return 0, err
+		}
+	}
 	if err := checkObjects(reply.Objects, s.config.Prefixes); err != nil {
 		return 0, err
 	}
@@ -226,9 +237,8 @@
 			objects = append(objects, o)
 		}
 	}
-	for _, batch := range splitIntoBatches(objects) {
-		m := objectsMessage{Objects: batch, Propagation: mode}
-		if _, err := s.call(ctx, peer, KindObjects, m); err != nil {
+	for _, p := range newParcels(objects) {
+		if _, err := s.call(ctx, peer, KindObjects, p.message(mode, nil)); err != nil {
 			return err
 		}
 	}
@@ -258,6 +268,11 @@
 	if err := checkBuckets(m.Buckets); err != nil {
 		return nil, err
 	}
+	if m.Packed != nil {
+		if err := unpack(m.Packed, &m.Versions); err != nil {
+			return nil, err
+		}
+	}
 	for _, v := range m.Versions {
 		if !validKey(v.Key, s.config.Prefixes) {
 			return nil, errors.Wrapf(errInvalidMessage, "key %.64q", v.Key)
@@ -265,5 +280,8 @@
 	}
 	var reply versionsReply
 	reply.Objects, reply.More, reply.Wanted = s.config.Replica.Diff(m.Buckets, m.Versions, batchBytes)
+	if p := newParcel(reply.Objects); m.Extended && p.packed != nil {
+		reply.Objects, reply.Packed = nil, p.packed
+	}
 	return encode(reply)
 }
--- a/pkg/confsync/message.go
+++ b/pkg/confsync/message.go
@@ -68,6 +68,8 @@
 	Propagation propagation       `cbor:"2,keyasint,omitempty"`
 	// Forward holds the addresses of the daemons to forward the objects to.
 	Forward []string `cbor:"3,keyasint,omitempty"`
+	// Packed holds the objects instead of Objects; see pack.
+	Packed []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // digestMessage is the body of KindDigest.
@@ -88,6 +90,10 @@
 	Buckets []uint16 `cbor:"1,keyasint"`
 	// Versions holds all versions that the sender has in these buckets.
 	Versions []Version `cbor:"2,keyasint,omitempty"`
+	// Packed holds the versions instead of Versions; see pack.
+	Packed []byte `cbor:"3,keyasint,omitempty"`
+	// Extended is true if the sender understands packed objects in the reply.
+	Extended bool `cbor:"4,keyasint,omitempty"`
 }
 
 // offerMessage is the body of KindOffer.
@@ -119,6 +125,8 @@
 	More bool `cbor:"2,keyasint,omitempty"`
 	// Wanted holds the keys that are newer at the asking daemon.
 	Wanted []string `cbor:"3,keyasint,omitempty"`
+	// Packed holds the objects instead of Objects; see pack.
+	Packed []byte `cbor:"4,keyasint,omitempty"`
 }
 
 var decoder = func() cbor.DecMode {
--- a/pkg/confsync/push.go
+++ b/pkg/confsync/push.go
@@ -51,6 +51,11 @@
 	if err := decode(body, &m); err != nil {
 		return err
 	}
+	if m.Packed != nil {
+		if err := unpack(m.Packed, &m.Objects); err != nil {
+			return err
+		}
+	}
 	if err := checkObjects(m.Objects, s.config.Prefixes); err != nil {
 		return err
 	}
@@ -62,7 +67,7 @@
 	}
 	applied := s.config.Replica.applyAll(m.Objects)
 	if m.Propagation == propagateToList {
-		s.pushTree(m.Forward, s.currentCopies(m.Objects))
+		s.forwardObjects(m)
 		return nil
 	}
 	if len(applied) == 0 {
@@ -77,6 +82,20 @@
 	return nil
 }
 
+// forwardObjects sends the objects of a message on to its list of daemons, without
+// compressing them again unless a local copy is newer.
+func (s *Syncer) forwardObjects(m objectsMessage) {
+	if len(m.Forward) == 0 {
+		return
+	}
+	copies := s.currentCopies(m.Objects)
+	if m.Packed != nil && slices.EqualFunc(copies, m.Objects, func(a, b platform.Object) bool { return a.Version == b.Version }) {
+		s.pushParcels(m.Forward, []parcel{{objects: copies, packed: m.Packed}})
+		return
+	}
+	s.pushTree(m.Forward, copies)
+}
+
 // currentCopies returns the local copies of the given objects, which may be newer.
 func (s *Syncer) currentCopies(objects []platform.Object) []platform.Object {
 	out := make([]platform.Object, len(objects))
@@ -136,8 +155,9 @@
 	fallbacks := peers[:min(relayFallbacks, len(peers))]
 	s.spawn(func() {
 		if !s.config.ReduceTraffic {
+			parcels := newParcels(objects)
 			for _, p := range append(slices.Clone(relays), fallbacks...) {
-				if s.send(p.Address, objects, propagateToDomain, nil, s.pushTimeout(objects)) {
+				if s.send(p.Address, parcels, propagateToDomain, nil, s.pushTimeout(parcels)) {
 					return
 				}
 			}
@@ -193,7 +213,7 @@
 			s.recordPushFailure(result.peer, result.err)
 			continue
 		}
-		if s.send(result.peer, result.wanted, propagateToDomain, nil, s.config.CallTimeout) {
+		if s.send(result.peer, newParcels(result.wanted), propagateToDomain, nil, s.config.CallTimeout) {
 			return result, true
 		}
 	}
@@ -212,7 +232,7 @@
 		objects = objects[len(part):]
 		var m offerMessage
 		for _, o := range part {
-			m.Versions = append(m.Versions, Version{Key: o.Key, Version: o.Version})
+			m.Versions = append(m.Versions, versionOf(o))
 		}
 		var body []byte
 		if body, result.err = s.callWithTimeout(s.backgroundCtx, smallCallTimeout, to, KindOffer, m); result.err != nil {
@@ -242,7 +262,7 @@
 		if !validKey(v.Key, s.config.Prefixes) {
 			return nil, errors.Wrapf(errInvalidMessage, "key %.64q", v.Key)
 		}
-		if current, _ := s.config.Replica.lookup(v.Key); current.Version < v.Version {
+		if current, _ := s.config.Replica.lookup(v.Key); !holds(current, v) {
 			reply.Wanted = append(reply.Wanted, v.Key)
 		}
 	}
@@ -261,30 +281,43 @@
 	}
 	sameDomain, _ := s.otherPeers()
 	s.shuffle(sameDomain)
+	parcels := newParcels(objects)
 	for _, p := range sameDomain[:min(gossipFanout, len(sameDomain))] {
-		s.spawn(func() { s.send(p.Address, objects, propagateByGossip, nil, s.config.CallTimeout) })
+		s.spawn(func() { s.send(p.Address, parcels, propagateByGossip, nil, s.config.CallTimeout) })
 	}
 }
 
 // pushTree sends objects to the addresses: the first daemon of each group gets
 // them and forwards them to the rest of the group.
 func (s *Syncer) pushTree(addresses []string, objects []platform.Object) {
+	if len(addresses) > 0 {
+		s.pushParcels(addresses, newParcels(objects))
+	}
+}
+
+func (s *Syncer) pushParcels(addresses []string, parcels []parcel) {
 	t := treeCall{
-		timeout: s.pushTimeout(objects),
+		timeout: s.pushTimeout(parcels),
 		forward: func(forwarder string, rest []string, timeout time.Duration) bool {
-			return s.send(forwarder, objects, propagateToList, rest, timeout)
+			return s.send(forwarder, parcels, propagateToList, rest, timeout)
 		},
-		retry: func(forwarder string) { s.send(forwarder, objects, propagateToList, nil, s.config.CallTimeout) },
+		retry: func(forwarder string) { s.send(forwarder, parcels, propagateToList, nil, s.config.CallTimeout) },
 	}
 	s.callForwarders(t, splitIntoGroups(addresses, fanout))
 }
 
 // pushTimeout returns how long the receiver of a push has to answer before others
 // replace it.
-func (s *Syncer) pushTimeout(objects []platform.Object) time.Duration {
+func (s *Syncer) pushTimeout(parcels []parcel) time.Duration {
 	size := 0
-	for _, o := range objects {
-		size += objectSize(o)
+	for _, p := range parcels {
+		if p.packed != nil {
+			size += len(p.packed)
+			continue
+		}
+		for _, o := range p.objects {
+			size += objectSize(o)
+		}
 	}
 	if size > smallPushBytes {
 		return s.config.CallTimeout
@@ -320,10 +353,9 @@
 
 // send sends objects to one daemon and reports whether it answered. timeout limits each
 // message.
-func (s *Syncer) send(to string, objects []platform.Object, mode propagation, forward []string, timeout time.Duration) bool {
-	for _, batch := range splitIntoBatches(objects) {
-		m := objectsMessage{Objects: batch, Propagation: mode, Forward: forward}
-		if _, err := s.callWithTimeout(s.backgroundCtx, timeout, to, KindObjects, m); err != nil {
+func (s *Syncer) send(to string, parcels []parcel, mode propagation, forward []string, timeout time.Duration) bool {
+	for _, p := range parcels {
+		if _, err := s.callWithTimeout(s.backgroundCtx, timeout, to, KindObjects, p.message(mode, forward)); err != nil {
 			s.recordPushFailure(to, err)
 			return false
 		}
--- a/pkg/confsync/replica.go
+++ b/pkg/confsync/replica.go
@@ -79,7 +79,8 @@
 }
 
 // Apply stores an object if it is newer than the current copy, and reports whether
-// the replica changed. An unknown object that is not newer than the last list of
+// the replica changed. An upstream's entry that was written again with the same content
+// changes nothing. An unknown object that is not newer than the last list of
 // its prefix was deleted at the platform. A tombstone is stored instead, so that a
 // daemon that missed the deletion cannot restore the object. The replica keeps the
 // value without copying it.
@@ -109,9 +110,15 @@
 		o = platform.Object{Key: o.Key, Version: revision, Deleted: true}
 	}
 	s.objects[o.Key] = o
-	hashDelta := entryHash(o.Key, o.Version)
+	if exists && sameContent(current, o) {
+		// The higher version keeps earlier content from coming back. Nothing else depends
+		// on it.
+		s.mu.Unlock()
+		return false
+	}
+	hashDelta := entryHash(o)
 	if exists {
-		hashDelta ^= entryHash(current.Key, current.Version)
+		hashDelta ^= entryHash(current)
 	}
 	r.buckets[bucket].Store(r.buckets[bucket].Load() ^ hashDelta)
 	s.mu.Unlock()
@@ -239,9 +246,13 @@
 
 func bucketOf(key string) int { return int(xxhash.Sum64String(key) % DigestBuckets) }
 
-// entryHash returns the hash that one object contributes to its bucket.
-func entryHash(key string, version uint64) uint64 {
-	b := make([]byte, 0, len(key)+8)
-	b = append(b, key...)
-	return xxhash.Sum64(binary.BigEndian.AppendUint64(b, version))
+// entryHash returns the hash that one object contributes to its bucket: of its key and its
+// version, or of its key and its content.
+func entryHash(o platform.Object) uint64 {
+	b := make([]byte, 0, len(o.Key)+9)
+	b = append(b, o.Key...)
+	if content := contentHash(o); content != 0 {
+		return xxhash.Sum64(append(binary.BigEndian.AppendUint64(b, content), 'c'))
+	}
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(b, o.Version))
 }
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -146,6 +146,7 @@
 	standby      *standby
 	// established is true once this daemon has been a relay for relayEstablishTime.
 	established atomic.Bool
+	plainPeers  plainPeers
 	// contact tracks whether comparisons with other daemons succeed.
 	contact contact
 
@@ -325,11 +326,24 @@
 }
 
 func (s *Syncer) callWithTimeout(ctx context.Context, timeout time.Duration, peer, kind string, message any) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	extended, isExtended := message.(extendedMessage)
+	if isExtended && s.plainPeers.contains(peer, s.config.Now()) {
+		message, isExtended = extended.plain(), false
+	}
 	body, err := encode(message)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	reply, err := s.config.Transport.Call(ctx, peer, kind, body)
+	if !isExtended || !refusedAsInvalid(err) {
+		return reply, err
+	}
+	// The peer may run an earlier build.
+	s.plainPeers.add(peer, s.config.Now())
+	if body, err = encode(extended.plain()); err != nil {
+		return nil, err
+	}
 	return s.config.Transport.Call(ctx, peer, kind, body)
 }
