Find the former daemon of a host without a search of all daemons

Cause: after a restart of all daemons each entry of the list replaces one, and each replacement searched the whole view twice. Change: the view maps the names of hosts to the keys of the daemons there. Result (BenchmarkRestartedRoster, load about 40): 300 daemons 3.0 ms before, 0.69 ms after; 1,600 daemons 120 ms and 47 ms.

--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -23,6 +23,9 @@
 	hosts       map[uint64]*host
 	// sortedKeys holds the keys of hosts, sorted to make runs reproducible.
 	sortedKeys []uint64
+	// keysOn maps the names of hosts to the sorted keys of the daemons there. After a restart
+	// of all daemons each entry of the roster replaces one.
+	keysOn map[string][]uint64
 	// deferred holds roster entries that are not applied yet, because an unlisted
 	// daemon on the same host was discovered and heard from recently.
 	deferred []*platform.Member
@@ -82,7 +85,7 @@
 // NewView returns the view of the daemon self, which knows no other daemon yet.
 func NewView(self platform.Member, now time.Time, params Params) *View {
 	return &View{
-		params: params, self: self, selfKey: KeyOf(self.ID), start: now, hosts: map[uint64]*host{},
+		params: params, self: self, selfKey: KeyOf(self.ID), start: now, hosts: map[uint64]*host{}, keysOn: map[string][]uint64{},
 		gossip: gossipQueue{remaining: map[uint64]int{}}, partnersStale: true, version: 1,
 	}
 }
@@ -165,6 +168,7 @@
 		v.removePredecessor(key, m.Host)
 		h = v.addHost(key, m)
 	}
+	v.setHostName(key, h.member.Host, m.Host)
 	h.member, h.listed, h.discovered = m, true, false
 	if m.State == platform.Leaving && !h.leaving {
 		h.leaving = true
@@ -185,9 +189,9 @@
 // discoveredRecentlyOn reports whether a daemon on the host that no roster has
 // listed yet was heard from within Params.SuspicionTimeout.
 func (v *View) discoveredRecentlyOn(hostName string) bool {
-	return hostName != "" && slices.ContainsFunc(v.sortedKeys, func(k uint64) bool {
+	return hostName != "" && slices.ContainsFunc(v.keysOn[hostName], func(k uint64) bool {
 		h := v.hosts[k]
-		return h.member.Host == hostName && h.discovered && h.lastHeard > 0 && v.now-h.lastHeard < v.params.SuspicionTimeout
+		return h.discovered && h.lastHeard > 0 && v.now-h.lastHeard < v.params.SuspicionTimeout
 	})
 }
 
@@ -198,22 +202,48 @@
 		return nil
 	}
 	var removed *platform.Member
-	v.sortedKeys = slices.DeleteFunc(v.sortedKeys, func(k uint64) bool {
-		if k == key || v.hosts[k].member.Host != hostName {
-			return false
+	for _, k := range slices.Clone(v.keysOn[hostName]) {
+		if k == key {
+			continue
 		}
 		removed = v.hosts[k].member
-		delete(v.hosts, k)
-		v.partnersStale = true
-		v.version++
-		return true
-	})
+		v.removeHost(k)
+		if i, found := slices.BinarySearch(v.sortedKeys, k); found {
+			v.sortedKeys = slices.Delete(v.sortedKeys, i, i+1)
+		}
+	}
 	return removed
 }
 
+// removeHost removes a host, except from sortedKeys.
+func (v *View) removeHost(key uint64) {
+	v.setHostName(key, v.hosts[key].member.Host, "")
+	delete(v.hosts, key)
+	v.partnersStale = true
+	v.version++
+}
+
+// setHostName moves a key in keysOn; an empty name is none.
+func (v *View) setHostName(key uint64, from, to string) {
+	if from == to {
+		return
+	}
+	if i, found := slices.BinarySearch(v.keysOn[from], key); found {
+		v.keysOn[from] = slices.Delete(v.keysOn[from], i, i+1)
+		if len(v.keysOn[from]) == 0 {
+			delete(v.keysOn, from)
+		}
+	}
+	if to != "" {
+		i, _ := slices.BinarySearch(v.keysOn[to], key)
+		v.keysOn[to] = slices.Insert(v.keysOn[to], i, key)
+	}
+}
+
 func (v *View) addHost(key uint64, m *platform.Member) *host {
 	h := &host{key: key, member: m}
 	v.hosts[key] = h
+	v.setHostName(key, "", m.Host)
 	i, _ := slices.BinarySearch(v.sortedKeys, key)
 	v.sortedKeys = slices.Insert(v.sortedKeys, i, key)
 	v.partnersStale = true
@@ -228,9 +258,7 @@
 		h := v.hosts[key]
 		expired := !h.listed && v.now-h.unlistedAt > v.params.ForgetAfter
 		if expired {
-			delete(v.hosts, key)
-			v.partnersStale = true
-			v.version++
+			v.removeHost(key)
 		}
 		return expired
 	})
