Start a large fleet again without waiting for relays and unknown keys

Cause: after a loss of power of 300 hosts the limit on reads made all daemons copy from others. None of them knew the new keys of the others: they dialled the seeds of their settings ten times a second in vain, read the entries of refused daemons one by one, four a second, and waited for the relay of their domain. Change: before the list of daemons is known, no daemon is dialled. With three or more refused daemons, all entries are read by one list. A restarted daemon of a fleet above the limit lists the configuration and the daemons itself, and the upstreams' entries from stale copies, whose calls cost a tenth and do not count towards the limit; relays correct them by comparison.

--- a/pkg/confsync/boot.go
+++ b/pkg/confsync/boot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"shallotglade/internal/sleep"
+	"shallotglade/pkg/platform"
 )
 
 const (
@@ -127,7 +128,7 @@
 	}
 	booting := s.booting()
 	if !booting && s.boot.comparedCount() == 0 && s.boot.listDue(s.config.Now()) {
-		s.listAll(ctx)
+		s.listAll(ctx, false)
 	}
 	peers, domains := s.countPeers()
 	s.boot.mu.Lock()
@@ -162,7 +163,8 @@
 			if s.config.DirectList != nil {
 				mode = s.config.DirectList(len(objects))
 			}
-			if mode != ListCurrent || !s.listAll(ctx) {
+			listsCurrent := mode == ListCurrent || mode == ListStaleEntries
+			if !listsCurrent || !s.listAll(ctx, mode == ListStaleEntries) {
 				// An object missing from a stale list is not treated as deleted: the
 				// list may carry the current revision, and its pages may differ in age.
 				s.config.Replica.applyAll(objects)
@@ -174,8 +176,8 @@
 			if mode == ListStale {
 				s.listStale(ctx)
 			}
-			if mode == ListCurrent {
-				s.listUntilReady(ctx)
+			if listsCurrent {
+				s.listUntilReady(ctx, mode == ListStaleEntries)
 			}
 			return
 		}
@@ -192,14 +194,14 @@
 // listUntilReady lists the platform repeatedly until the daemon is ready, by a list or
 // by comparisons. Starting daemons refuse each other's calls until they have each
 // other's new keys.
-func (s *Syncer) listUntilReady(ctx context.Context) {
+func (s *Syncer) listUntilReady(ctx context.Context, staleEntries bool) {
 	for failures := 1; ; failures++ {
 		s.updateReadiness(ctx)
 		if s.Ready() || !sleep.For(ctx, backoff(failures, s.randFloat())) {
 			return
 		}
 		if !s.Ready() {
-			s.listAll(ctx)
+			s.listAll(ctx, staleEntries)
 		}
 	}
 }
@@ -208,19 +210,33 @@
 // copied from other daemons.
 func (s *Syncer) listStale(ctx context.Context) {
 	for _, prefix := range s.config.Prefixes {
-		objects, _, err := s.config.Store.ListStale(ctx, prefix)
-		if err != nil {
-			s.platformErrors.Add(1)
+		if err := s.listStalePrefix(ctx, prefix); err != nil {
 			s.config.Log.Warn().Err(err).Str("prefix", prefix).Msg("confsync: list at the start failed; copying from other daemons")
-			continue
 		}
-		p := poller{syncer: s, prefix: prefix}
-		s.config.Replica.applyAll(p.dropInvalid(objects))
-		s.boot.recordList(prefix)
 	}
 	s.updateReadiness(ctx)
 }
 
+// listStalePrefix lists one prefix at its cheaper price. An object that is missing from such
+// a list is not treated as deleted.
+func (s *Syncer) listStalePrefix(ctx context.Context, prefix string) error {
+	objects, _, err := s.config.Store.ListStale(ctx, prefix)
+	if err != nil {
+		s.platformErrors.Add(1)
+		return err
+	}
+	p := poller{syncer: s, prefix: prefix}
+	s.config.Replica.applyAll(p.dropInvalid(objects))
+	s.boot.recordList(prefix)
+	return nil
+}
+
+func (b *bootState) isListed(prefix string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.unlistedPrefixes[prefix]
+}
+
 func (b *bootState) setRosterLoaded() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -263,8 +279,16 @@
 // listAll lists each prefix once and reports whether all lists succeeded. It does
 // not push the objects: a daemon that is not a relay lists only when many daemons
 // start at once.
-func (s *Syncer) listAll(ctx context.Context) bool {
+//
+// With staleEntries, the upstreams' entries are listed only once, from stale copies.
+func (s *Syncer) listAll(ctx context.Context, staleEntries bool) bool {
 	for _, prefix := range s.config.Prefixes {
+		if staleEntries && prefix == platform.MembersPrefix {
+			if !s.boot.isListed(prefix) && s.listStalePrefix(ctx, prefix) != nil {
+				return false
+			}
+			continue
+		}
 		p := poller{syncer: s, prefix: prefix}
 		if _, err := p.list(ctx); err != nil {
 			s.platformErrors.Add(1)
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -114,6 +114,10 @@
 	FromPeers DirectList = iota
 	// ListCurrent lists them from the platform.
 	ListCurrent
+	// ListStaleEntries is the same, but the upstreams' entries, which are most of the
+	// objects, come from cheaper lists that may be seconds old. Relays list them current
+	// and compare them with all daemons of their domains.
+	ListStaleEntries
 	// ListStale is the same with cheaper lists that may be seconds old. Later changes
 	// arrive from the relays and by comparisons.
 	ListStale
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -188,6 +188,10 @@
 	// aside for each daemon that lists all objects after a restart. A list of 1,500
 	// objects takes five calls, and all daemons may start at once.
 	directListReads = 16
+	// staleEntriesReads is the same for a daemon that lists the upstreams' entries from
+	// stale copies, which do not count: the configuration, the list of daemons, and a retry
+	// of each.
+	staleEntriesReads = 4
 	// defaultReadsPerSecond is the limit assumed if the settings state none.
 	defaultReadsPerSecond = 2000
 	// minStaleListFleet is the smallest fleet, in daemons, in which all daemons list the
@@ -200,7 +204,10 @@
 
 // directList returns how a starting daemon gets the objects in a fleet of the given number
 // of daemons. A restarted one lists them itself, unless the fleet would exceed the
-// platform's limit: after a loss of power no other daemon has them.
+// platform's limit: after a loss of power no other daemon has them. In a larger fleet it
+// reads the upstreams' entries from stale copies: 300 daemons that know each other only by
+// the keys of their former processes refuse each other for seconds while they wait for the
+// entries from one relay of each domain.
 func (d *Daemon) directList(daemons int) confsync.DirectList {
 	limit := cmp.Or(d.settings.Platform.ReadsPerSecond, defaultReadsPerSecond)
 	switch {
@@ -208,6 +215,8 @@
 		return confsync.ListStale
 	case !d.settings.FirstStart && daemons*directListReads <= limit:
 		return confsync.ListCurrent
+	case !d.settings.FirstStart && d.adapter.SelfRegistration && daemons*staleEntriesReads <= limit:
+		return confsync.ListStaleEntries
 	}
 	return confsync.FromPeers
 }
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -20,6 +20,7 @@
 	"shallotglade/pkg/platform"
 	"shallotglade/pkg/proxy"
 	"shallotglade/pkg/routing"
+	"shallotglade/pkg/settings"
 	"shallotglade/pkg/verdict"
 )
 
@@ -388,6 +389,11 @@
 // syncPeers returns the daemons to exchange documents with. A daemon that does not
 // know any other daemon yet uses the seeds from its settings.
 func (r *roster) syncPeers() []confsync.Peer {
+	if r.d.adapter.SelfRegistration && r.d.settings.Peers.Trust == settings.TrustRegistered && !r.d.rosterLoaded.Load() {
+		// No key is known yet, so every handshake fails. After a loss of power, all
+		// daemons would dial the same few seeds ten times a second.
+		return nil
+	}
 	r.mu.Lock()
 	hosts := r.hosts
 	r.mu.Unlock()
--- a/pkg/daemon/trust.go
+++ b/pkg/daemon/trust.go
@@ -65,6 +65,9 @@
 			return m.ID
 		},
 		Apply: func(o platform.Object) { d.replica.Apply(o) },
+		ApplyList: func(objects []platform.Object, revision uint64) {
+			d.replica.ApplyList(platform.DaemonsPrefix, objects, revision)
+		},
 		OnFound: func(m platform.Member) {
 			d.syncer.Compare(confsync.Peer{Address: m.PeerAddress, Domain: m.Domain})
 		},
--- a/pkg/registration/lookup.go
+++ b/pkg/registration/lookup.go
@@ -34,6 +34,14 @@
 	// span the two seconds within which a change must take effect, because a refused
 	// daemon might not connect again in that time.
 	maxReadsPerRequest = 3
+	// minListedRequests is the number of waiting requests from which on all entries are read
+	// at once. After a loss of power all keys are new, and single reads, four a second, took
+	// longer than the fleet may be away.
+	minListedRequests = 3
+	// listTimeout bounds one list of all entries.
+	listTimeout = time.Second
+	// maxFoundByList limits the calls of OnFound after a list: each may open a connection.
+	maxFoundByList = 2
 	// maxQueuedRequests bounds the hosts that wait for a read. Further hosts are
 	// requested again at their next handshake.
 	maxQueuedRequests = 64
@@ -50,6 +58,8 @@
 	LocalID func(host string) string
 	// Apply stores an entry locally, unless the local copy is newer.
 	Apply func(o platform.Object)
+	// ApplyList is the same for a list of all entries at a revision.
+	ApplyList func(objects []platform.Object, revision uint64)
 	// OnFound is called after the entry of a daemon was stored, so that connections
 	// with the daemon are now possible.
 	OnFound func(m platform.Member)
@@ -60,6 +70,8 @@
 	queue []request
 	// lastReadAt maps a host to the time when its entry was last read.
 	lastReadAt map[string]time.Time
+	// lastListAt is when all entries were last read.
+	lastListAt time.Time
 	wake       chan struct{}
 	reads      atomic.Uint64
 }
@@ -114,7 +126,9 @@
 			if !sleep.For(ctx, lookupDelay) {
 				return
 			}
-			if id, ok := l.nextDue(); ok {
+			if l.listDue() {
+				l.list(ctx)
+			} else if id, ok := l.nextDue(); ok {
 				l.read(ctx, id)
 			}
 		}
@@ -151,6 +165,51 @@
 	return "", false
 }
 
+// listDue reports whether all entries are to be read by one call, and then records it.
+func (l *Lookup) listDue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue = slices.DeleteFunc(l.queue, func(r request) bool { return l.LocalID(r.host()) == r.id })
+	if l.ApplyList == nil || len(l.queue) < minListedRequests || time.Since(l.lastListAt) < lookupRetryInterval {
+		return false
+	}
+	l.lastListAt = time.Now()
+	return true
+}
+
+// list reads and applies all entries, and calls OnFound for some of the requested daemons
+// that it has found. The others are found by their handshakes.
+func (l *Lookup) list(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	l.reads.Add(1)
+	objects, revision, err := l.Store.List(ctx, platform.DaemonsPrefix)
+	if err != nil {
+		l.Log.Warn().Err(err).Msg("registration: cannot list the entries of refused daemons")
+		return
+	}
+	l.ApplyList(objects, revision)
+	l.mu.Lock()
+	requested := len(l.queue)
+	var found []string
+	l.queue = slices.DeleteFunc(l.queue, func(r request) bool {
+		known := l.LocalID(r.host()) == r.id
+		if known {
+			found = append(found, Key(r.host()))
+		}
+		return known
+	})
+	l.mu.Unlock()
+	l.Log.Info().Int("requested", requested).Int("found", len(found)).Uint64("version", revision).
+		Msg("registration: entries of refused daemons listed")
+	for _, o := range objects {
+		var m platform.Member
+		if i := slices.Index(found[:min(len(found), maxFoundByList)], o.Key); i >= 0 && json.Unmarshal(o.Value, &m) == nil {
+			l.OnFound(m)
+		}
+	}
+}
+
 // removeRequest removes the request for the daemon with the id.
 func (l *Lookup) removeRequest(id string) {
 	l.mu.Lock()
