Spend less on reports and rounds at the homes of large services

Cause: a home among 24 gets 75 reports a second, each of which recomputed all candidates; each round divided the slots among the homes again and built a key for each upstream's probe. Change: from eight homes on, the load in reports is applied at most every 50 ms, with the next report, request or round; reports with failures are applied at once. Quotas are kept while homes, demands and candidates are the same. The times of probes are kept by service.

--- a/pkg/blackboard/health.go
+++ b/pkg/blackboard/health.go
@@ -60,6 +60,7 @@
 		s.assessments = s.detector.Assess(now)
 	}
 	s.inFlight.Refresh(now, s.reliability.MeanLatency())
+	s.loadRefreshedAt, s.loadPending = now, false
 	view := s.viewLocked()
 	s.exclusion = ejection.EffectiveExclusion(view, s.record, s.policyLocked(), now)
 	clear(s.demotions)
@@ -88,11 +89,30 @@
 		homes = append(homes, routing.Home{ID: s.self, Domain: s.domain})
 	}
 	s.inFlight.FillDemand(s.self, homes)
-	for i, quota := range routing.Quotas(s.self, homes, s.candidates) {
+	if !slices.Equal(homes, s.quotaHomes) || !slices.EqualFunc(s.candidates, s.quotaInputs, sameQuotaInput) {
+		s.quotaHomes, s.quotaInputs = homes, s.quotaInputs[:0]
+		for i := range s.candidates {
+			c := &s.candidates[i]
+			s.quotaInputs = append(s.quotaInputs, quotaInput{c.ID, c.Domain, c.Slots, c.Share})
+		}
+		s.quotas = routing.Quotas(s.self, homes, s.candidates)
+	}
+	for i, quota := range s.quotas {
 		s.candidates[i].Quota = quota
 	}
 }
 
+// quotaInput holds what routing.Quotas uses of a candidate.
+type quotaInput struct {
+	id, domain string
+	slots      int
+	share      float64
+}
+
+func sameQuotaInput(c routing.Candidate, in quotaInput) bool {
+	return c.ID == in.id && c.Domain == in.domain && c.Slots == in.slots && c.Share == in.share
+}
+
 // Redial is a dial that the detector asks for.
 type Redial struct {
 	Upstream Upstream
--- a/pkg/blackboard/report.go
+++ b/pkg/blackboard/report.go
@@ -220,9 +220,28 @@
 			s.outcomeSources[id] = outcomeSource{home, o.Kind.String()}
 		}
 	}
+	if s.mayDeferLoadLocked(now) && !slices.ContainsFunc(outcomes, func(o OutcomeReport) bool { return o.Kind != reliability.Success }) {
+		s.loadPending = true
+		return
+	}
 	s.refreshLoadLocked(now)
 }
 
+const (
+	// manyHomes is the number of homes from which on the load in reports is applied at most
+	// once per loadInterval: together they send 75 reports a second, each of which would
+	// update all candidates. Each home reports only three times a second then.
+	manyHomes    = 8
+	loadInterval = 50 * time.Millisecond
+)
+
+// mayDeferLoadLocked reports whether the load of a report may be applied with the next
+// report, request or round after loadInterval.
+func (s *Service) mayDeferLoadLocked(now time.Time) bool {
+	age := now.Sub(s.loadRefreshedAt)
+	return len(s.homes) >= manyHomes && age >= 0 && age < loadInterval
+}
+
 // upstreamByHashLocked returns the id of the upstream with the given hash.
 func (s *Service) upstreamByHashLocked(hash uint32) (string, bool) {
 	i := slices.IndexFunc(s.upstreams, func(u Upstream) bool { return hashID(u.ID) == hash })
@@ -239,6 +258,7 @@
 		return
 	}
 	s.inFlight.Refresh(now, s.reliability.MeanLatency())
+	s.loadRefreshedAt, s.loadPending = now, false
 	s.updateCandidatesLocked(now)
 }
 
@@ -269,11 +289,24 @@
 		return
 	}
 	s.probabilitiesAt = now
+	if s.loadPending && !s.mayDeferLoadLocked(now) {
+		s.applyPendingLoadLocked(now)
+	}
 	for i := range s.candidates {
 		s.setCandidateLocked(now, i)
 	}
 }
 
+// applyPendingLoadLocked applies the load of other homes to the candidates. The next report
+// or round also sets the capacity of the admission gate.
+func (s *Service) applyPendingLoadLocked(now time.Time) {
+	s.inFlight.Refresh(now, s.reliability.MeanLatency())
+	s.loadRefreshedAt, s.loadPending = now, false
+	for i := range s.candidates {
+		s.candidates[i].OthersInFlight, s.candidates[i].OthersCurrent = s.inFlight.Others(s.candidates[i].ID)
+	}
+}
+
 // updateCandidateLocked updates the candidate of an upstream after a request or an
 // outcome.
 func (s *Service) updateCandidateLocked(now time.Time, id string) {
--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -99,6 +99,15 @@
 	candidates     []routing.Candidate
 	candidateIndex map[string]int
 	choices        routing.Index
+	// quotas is the result of routing.Quotas for quotaHomes and quotaInputs. It is kept
+	// because most refreshes change neither.
+	quotas      []int
+	quotaHomes  []routing.Home
+	quotaInputs []quotaInput
+	// loadRefreshedAt is when the load of other homes was last applied, loadPending is true
+	// if a later report was not applied yet.
+	loadRefreshedAt time.Time
+	loadPending     bool
 	// probabilitiesAt is when the failure probabilities of all candidates were last
 	// computed.
 	probabilitiesAt time.Time
--- a/pkg/blackboard/update_test.go
+++ b/pkg/blackboard/update_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -14,6 +15,7 @@
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/document"
 	"shallotglade/pkg/limits"
+	"shallotglade/pkg/reliability"
 	"shallotglade/pkg/routing"
 )
 
@@ -131,6 +133,33 @@
 	})
 })
 
+var _ = Describe("One of many homes", func() {
+	// Guards against homes that choose upstreams by loads from before the last reports, since
+	// they do not apply each report at once; and against failures that wait with the loads.
+	It("applies the load of deferred reports with the next request, and failures at once", func() {
+		now := time.Now()
+		s, _ := newLargeHome()
+		list := s.Upstreams()[:2]
+		s.SetUpstreams(now, list)
+		s.Refresh(now)
+		for i, home := range []string{"d2", "d3"} {
+			loads := []routing.Load{{Upstream: list[0].ID, Mean: 0.5}, {Upstream: list[1].ID, Mean: 0.5}}
+			s.Merge(now.Add(time.Duration(i)*time.Millisecond), home, blackboard.Report{Service: "s", Home: home, Load: routing.Report{Loads: loads, Demand: 1}})
+		}
+		a, choice, ok := s.Begin(now.Add(60*time.Millisecond), blackboard.AttemptRequest{Idempotent: true, First: true})
+		Expect(ok).To(BeTrue())
+		Expect(choice.Load).To(BeNumerically("~", 0.5), "one of two slots is used by others")
+		s.Release(now.Add(60*time.Millisecond), a)
+		s.Refresh(now.Add(100 * time.Millisecond))
+		failing := blackboard.Report{Service: "s", Home: "d3"}
+		for range 5 {
+			failing.Outcomes = append(failing.Outcomes, blackboard.OutcomeReport{UpstreamHash: uint32(xxhash.Sum64String(list[1].ID)), Kind: reliability.Unreachable})
+		}
+		s.Merge(now.Add(101*time.Millisecond), "d3", failing)
+		Expect(s.PriorityChanges()).To(HaveLen(1))
+	})
+})
+
 // newLargeHome returns one of 24 homes of a service with 1,000 upstreams, and the reports of
 // the others.
 func newLargeHome() (s *blackboard.Service, reports []blackboard.Report) {
--- a/pkg/health/controller.go
+++ b/pkg/health/controller.go
@@ -59,7 +59,8 @@
 	pendingReports chan *blackboard.Service
 	mu             sync.Mutex
 	writesInFlight map[string]bool
-	lastProbe      map[string]time.Time
+	// lastProbe maps a service and an upstream to the time of the last probe.
+	lastProbe map[string]map[string]time.Time
 	// reportScheduled holds the services with a report scheduled, lastReport
 	// the time of the last report of each service.
 	reportScheduled map[string]bool
@@ -134,7 +135,7 @@
 	c.assessments = make(chan *blackboard.Service, poolSize)
 	c.pendingReports = make(chan *blackboard.Service, poolSize)
 	c.writesInFlight = map[string]bool{}
-	c.lastProbe = map[string]time.Time{}
+	c.lastProbe = map[string]map[string]time.Time{}
 	c.reportScheduled, c.lastReport = map[string]bool{}, map[string]time.Time{}
 	return nil
 }
@@ -212,7 +213,7 @@
 // Probe implements proxy.Notifier. It probes an upstream immediately if its last
 // probe was at least a second ago.
 func (c *Controller) Probe(s *blackboard.Service, u blackboard.Upstream) {
-	if s.Document().Upstreams.HealthPath == "" || s.Paused(time.Now(), u.ID) || !c.probeDue(s.Name+"/"+u.ID, time.Now(), time.Second) {
+	if s.Document().Upstreams.HealthPath == "" || s.Paused(time.Now(), u.ID) || !c.probeDue(s.Name, u.ID, time.Now(), time.Second) {
 		return
 	}
 	c.background(func() { c.probeUpstream(context.Background(), s, u) })
--- a/pkg/health/probe.go
+++ b/pkg/health/probe.go
@@ -23,7 +23,7 @@
 	interval := d.Upstreams.ProbeInterval * time.Duration(len(c.Homes(s.Name))+1)
 	now := time.Now()
 	for _, u := range s.Upstreams() {
-		if s.Paused(now, u.ID) || !c.probeDue(s.Name+"/"+u.ID, now, interval) {
+		if s.Paused(now, u.ID) || !c.probeDue(s.Name, u.ID, now, interval) {
 			continue
 		}
 		c.background(func() { c.probeUpstream(ctx, s, u) })
@@ -33,18 +33,23 @@
 // probeDue reports whether an upstream is due for a probe and, if so, records the
 // probe. The first probe is delayed by a random part of the interval, so that the
 // homes do not probe at the same time.
-func (c *Controller) probeDue(key string, now time.Time, interval time.Duration) bool {
+func (c *Controller) probeDue(service, upstream string, now time.Time, interval time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	last, ok := c.lastProbe[key]
+	probes := c.lastProbe[service]
+	if probes == nil {
+		probes = map[string]time.Time{}
+		c.lastProbe[service] = probes
+	}
+	last, ok := probes[upstream]
 	if !ok {
-		c.lastProbe[key] = now.Add(-time.Duration(rand.Int64N(int64(interval))))
+		probes[upstream] = now.Add(-time.Duration(rand.Int64N(int64(interval))))
 		return false
 	}
 	if now.Sub(last) < interval {
 		return false
 	}
-	c.lastProbe[key] = now
+	probes[upstream] = now
 	return true
 }
 
