--- a/pkg/confsync/message.go
+++ b/pkg/confsync/message.go
@@ -99,6 +99,8 @@
 // offerMessage is the body of KindOffer.
 type offerMessage struct {
 	Versions []Version `cbor:"1,keyasint"`
+	// Packed holds the versions instead of Versions; see pack.
+	Packed []byte `cbor:"2,keyasint,omitempty"`
 }
 
 // offerReply answers KindOffer.
--- a/pkg/confsync/packing.go
+++ b/pkg/confsync/packing.go
@@ -112,7 +112,12 @@
 	return versionsMessage{Buckets: m.Buckets, Versions: plainVersions(m.Versions)}
 }
 
-func (m offerMessage) plain() any { return offerMessage{Versions: plainVersions(m.Versions)} }
+func (m offerMessage) plain() any {
+	if m.Packed != nil && unpack(m.Packed, &m.Versions) != nil {
+		return m
+	}
+	return offerMessage{Versions: plainVersions(m.Versions)}
+}
 
 func plainVersions(versions []Version) []Version {
 	out := make([]Version, len(versions))
--- a/pkg/confsync/packing_test.go
+++ b/pkg/confsync/packing_test.go
@@ -79,11 +79,13 @@
 }
 
 var _ = Describe("Entries of upstreams", func() {
+	reduceTraffic := false
 	runFleet := func(scenario func(f *fleet, pushes *atomic.Int64) error) error {
 		var err error
 		synctest.Test(suiteT, func(*testing.T) {
 			var pushes atomic.Int64
 			f := newFleetWith(func(d *daemon, c *confsync.Config) {
+				c.ReduceTraffic = reduceTraffic
 				c.Prefixes, c.Transport = []string{platform.MembersPrefix}, countedPushes{d, &pushes}
 			})
 			time.Sleep(changeBound)
@@ -103,9 +105,11 @@
 		return o
 	}
 
-	// Guards against objects that are lost in compressed messages on their way through the
-	// forwarders and by comparisons.
-	It("reach all daemons in bulk", func() {
+	// Guards against objects that are lost in compressed messages on their way through
+	// forwarders, offers and comparisons.
+	DescribeTable("reach all daemons in bulk", func(reduced bool) {
+		reduceTraffic = reduced
+		defer func() { reduceTraffic = false }()
 		Expect(runFleet(func(f *fleet, _ *atomic.Int64) error {
 			var last platform.Object
 			for i := range 500 {
@@ -121,7 +125,7 @@
 			}
 			return f.check(last)
 		})).To(Succeed())
-	})
+	}, Entry("in pushes", false), Entry("in offers", true))
 
 	// Guards against daemons of an earlier build that no longer hear of upstreams while the
 	// fleet is replaced.
--- a/pkg/confsync/push.go
+++ b/pkg/confsync/push.go
@@ -234,6 +234,9 @@
 		for _, o := range part {
 			m.Versions = append(m.Versions, versionOf(o))
 		}
+		if m.Packed = pack(m.Versions, len(m.Versions)*versionBytes); m.Packed != nil {
+			m.Versions = nil
+		}
 		var body []byte
 		if body, result.err = s.callWithTimeout(s.backgroundCtx, smallCallTimeout, to, KindOffer, m); result.err != nil {
 			return result
@@ -257,6 +260,11 @@
 	if err := decode(body, &m); err != nil {
 		return nil, err
 	}
+	if m.Packed != nil {
+		if err := unpack(m.Packed, &m.Versions); err != nil {
+			return nil, err
+		}
+	}
 	reply := offerReply{Established: s.established.Load()}
 	for _, v := range m.Versions {
 		if !validKey(v.Key, s.config.Prefixes) {
