--- a/pkg/blackboard/health.go
+++ b/pkg/blackboard/health.go
@@ -19,7 +19,38 @@
 	return s.refreshLocked(now)
 }
 
+// recentUse is how long after its last request a service stays current without delay. A
+// request that is between the look-up of its route and its admission is thereby never
+// admitted by the capacity of a former list.
+const recentUse = 10 * time.Second
+
+// refreshOrDeferLocked refreshes the service, unless no request has used it lately and this
+// daemon is no home of it. Then the next request, report or round refreshes it: in a fleet
+// of 300 daemons and 3,000 upstreams most changes of an upstream arrive at daemons that
+// send it nothing.
+func (s *Service) refreshOrDeferLocked(now time.Time) {
+	if s.isHomeLocked() || now.Sub(s.lastUse) < recentUse || !s.idleLocked() {
+		s.refreshLocked(now)
+		return
+	}
+	s.stale = true
+}
+
+// useLocked makes the candidates current for a request.
+func (s *Service) useLocked(now time.Time) {
+	s.lastUse = now
+	s.refreshStaleLocked(now)
+}
+
+// refreshStaleLocked refreshes the service if a refresh was deferred.
+func (s *Service) refreshStaleLocked(now time.Time) {
+	if s.stale {
+		s.refreshLocked(now)
+	}
+}
+
 func (s *Service) refreshLocked(now time.Time) []detector.Assessment {
+	s.stale = false
 	before := map[string]detector.Condition{}
 	for _, a := range s.assessments {
 		before[a.Upstream] = a.Condition
@@ -29,6 +60,7 @@
 		s.assessments = s.detector.Assess(now)
 	}
 	s.inFlight.Refresh(now, s.reliability.MeanLatency())
+	s.loadRefreshedAt, s.loadPending = now, false
 	view := s.viewLocked()
 	s.exclusion = ejection.EffectiveExclusion(view, s.record, s.policyLocked(), now)
 	clear(s.demotions)
@@ -57,11 +89,30 @@
 		homes = append(homes, routing.Home{ID: s.self, Domain: s.domain})
 	}
 	s.inFlight.FillDemand(s.self, homes)
-	for i, quota := range routing.Quotas(s.self, homes, s.candidates) {
+	if !slices.Equal(homes, s.quotaHomes) || !slices.EqualFunc(s.candidates, s.quotaInputs, sameQuotaInput) {
+		s.quotaHomes, s.quotaInputs = homes, s.quotaInputs[:0]
+		for i := range s.candidates {
+			c := &s.candidates[i]
+			s.quotaInputs = append(s.quotaInputs, quotaInput{c.ID, c.Domain, c.Slots, c.Share})
+		}
+		s.quotas = routing.Quotas(s.self, homes, s.candidates)
+	}
+	for i, quota := range s.quotas {
 		s.candidates[i].Quota = quota
 	}
 }
 
+// quotaInput holds what routing.Quotas uses of a candidate.
+type quotaInput struct {
+	id, domain string
+	slots      int
+	share      float64
+}
+
+func sameQuotaInput(c routing.Candidate, in quotaInput) bool {
+	return c.ID == in.id && c.Domain == in.domain && c.Slots == in.slots && c.Share == in.share
+}
+
 // Redial is a dial that the detector asks for.
 type Redial struct {
 	Upstream Upstream
@@ -131,6 +182,7 @@
 func (s *Service) Propose(now time.Time) (ejection.Record, uint64, []ejection.Decision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.refreshStaleLocked(now)
 	next, decisions := ejection.Propose(s.viewLocked(), s.record, s.assessments, s.policyLocked(), now, s.rng)
 	next.Service = s.Name
 	return next, s.recordVersion, decisions
@@ -189,6 +241,7 @@
 func (s *Service) Reachable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.refreshStaleLocked(time.Now())
 	for _, c := range s.candidates {
 		if d, demoted := s.demotions[c.ID]; !demoted || !d.PathBad {
 			return true
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -127,6 +127,10 @@
 	FromPeers DirectList = iota
 	// ListCurrent lists them from the platform.
 	ListCurrent
+	// ListStaleEntries is the same, but the upstreams' entries, which are most of the
+	// objects, come from cheaper lists that may be seconds old. Relays list them current
+	// and compare them with all daemons of their domains.
+	ListStaleEntries
 	// ListStale is the same with cheaper lists that may be seconds old. Later changes
 	// arrive from the relays and by comparisons.
 	ListStale
@@ -162,6 +166,7 @@
 	standby      *standby
 	// established is true once this daemon has been a relay for relayEstablishTime.
 	established atomic.Bool
+	plainPeers  plainPeers
 	// contact tracks whether comparisons with other daemons succeed.
 	contact contact
 	// confirmations tracks the age of the configuration.
@@ -354,11 +359,24 @@
 }
 
 func (s *Syncer) callWithTimeout(ctx context.Context, timeout time.Duration, peer, kind string, message any) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	extended, isExtended := message.(extendedMessage)
+	if isExtended && s.plainPeers.contains(peer, s.config.Now()) {
+		message, isExtended = extended.plain(), false
+	}
 	body, err := encode(message)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	reply, err := s.config.Transport.Call(ctx, peer, kind, body)
+	if !isExtended || !refusedAsInvalid(err) {
+		return reply, err
+	}
+	// The peer may run an earlier build.
+	s.plainPeers.add(peer, s.config.Now())
+	if body, err = encode(extended.plain()); err != nil {
+		return nil, err
+	}
 	return s.config.Transport.Call(ctx, peer, kind, body)
 }
