--- a/pkg/allowance/cores_test.go
+++ b/pkg/allowance/cores_test.go
@@ -198,7 +198,7 @@
 		change(&r)
 		return r
 	}
-	const era = uint64(1) << eraShift
+	era := versionOf(1, 0)
 	for _, c := range []leaseStep{
 		{name: "alive", record: other, version: 10, entryID: "h2.1", entryVersion: 3},
 		{name: "released", record: with(func(r *Record) { r.Released = true }), version: 10, immediately: true},
--- a/pkg/allowance/lease.go
+++ b/pkg/allowance/lease.go
@@ -28,12 +28,6 @@
 	offerAfter = 1500 * time.Millisecond
 )
 
-// eraShift is the position of the era of the platform in a version. The era rises when the
-// platform comes back from a copy.
-const eraShift = 44
-
-func eraOf(version uint64) uint64 { return version >> eraShift }
-
 // Record is the value of a lease.
 type Record struct {
 	// Holder is the id of the holder's process, Host its host, Address its address for other
@@ -167,7 +161,7 @@
 // ended reports whether the holder certainly grants nothing any more, since a time.
 func (l *lease) ended(now time.Duration, entry Registration) (since time.Duration, ok bool) {
 	r := &l.record
-	if l.absent || !l.readable || eraOf(r.Base) != eraOf(l.version) || r.Shards != l.shards {
+	if l.absent || !l.readable || platform.EraOf(r.Base) != platform.EraOf(l.version) || r.Shards != l.shards {
 		// The present holder may be another one than the record says.
 		return 0, false
 	}
@@ -183,7 +177,7 @@
 		return now, true
 	}
 	id, version, ok := entry(r.Host)
-	return now, ok && id != r.Holder && eraOf(version) == eraOf(l.version) && version > l.version
+	return now, ok && id != r.Holder && platform.EraOf(version) == platform.EraOf(l.version) && version > l.version
 }
 
 func (l *lease) write(record Record, tenure Tenure) Operation {
@@ -250,7 +244,7 @@
 		return nil
 	}
 	tenure := op.tenure
-	if eraOf(version) != eraOf(op.Version) {
+	if platform.EraOf(version) != platform.EraOf(op.Version) {
 		if op.Kind != CreateLease {
 			// The write may have replaced that of a holder in the new era.
 			return nil
@@ -261,7 +255,7 @@
 		tenure.ReservesFrom = tenure.BucketsFrom + 2*l.window
 	}
 	l.held, l.term, l.writtenAt, l.validFrom = true, op.record.Term, started, 0
-	if eraOf(version) != eraOf(op.Version) {
+	if platform.EraOf(version) != platform.EraOf(op.Version) {
 		l.validFrom = tenure.BucketsFrom
 	}
 	return &tenure
@@ -284,7 +278,7 @@
 	if !l.existed || o.Version != l.version {
 		l.since = now
 	}
-	if eraOf(o.Version) != eraOf(l.version) && !l.valid(now) {
+	if platform.EraOf(o.Version) != platform.EraOf(l.version) && !l.valid(now) {
 		// Another daemon may have taken the lease over before the platform came back from a
 		// copy that names this one. It may still grant.
 		l.held = false
--- a/pkg/allowance/model_test.go
+++ b/pkg/allowance/model_test.go
@@ -123,14 +123,24 @@
 	})
 }
 
+// versionOf is platform.VersionOf for numbers in range.
+func versionOf(era, revision uint64) uint64 {
+	version, err := platform.VersionOf(era, revision)
+	if err != nil {
+		panic(err)
+	}
+	return version
+}
+
 func (m *model) nextVersion() uint64 {
 	m.revision++
-	return m.era<<eraShift | m.revision
+	return versionOf(m.era, m.revision)
 }
 
 // inEra returns a version with the same revision in the present era.
 func (m *model) inEra(version uint64) uint64 {
-	return m.era<<eraShift | version&(1<<eraShift-1)
+	_, revision := platform.SplitVersion(version)
+	return versionOf(m.era, revision)
 }
 
 // copyAndRestore copies the platform at one time and restores the copy at a later one. The
@@ -300,11 +310,11 @@
 	}
 	expected := h.era
 	if op.Kind == UpdateLease {
-		if expected > 0 && eraOf(op.Version) != expected-1 {
+		if expected > 0 && platform.EraOf(op.Version) != expected-1 {
 			done(platform.Object{}, platform.ErrConflict)
 			return
 		}
-		expected = eraOf(op.Version) + 1
+		expected = platform.EraOf(op.Version) + 1
 	}
 	m.after(m.delay(), func() {
 		fault := m.storeFault(h.index)
--- a/pkg/allowance/restored_test.go
+++ b/pkg/allowance/restored_test.go
@@ -12,7 +12,7 @@
 // cut off for longer than its lease finds itself in the copy, although another daemon took the
 // lease over and lost only its record. A holder whose lease has not ended must keep it.
 func TestHolderOfARestoredLease(t *testing.T) {
-	const era = uint64(1) << eraShift
+	era := versionOf(1, 0)
 	for _, c := range []struct {
 		name string
 		// readAt is when the holder first hears of the copy, after its last write.
--- a/pkg/daemon/freshness.go
+++ b/pkg/daemon/freshness.go
@@ -12,6 +12,7 @@
 
 	"shallotglade/pkg/confsync"
 	"shallotglade/pkg/placement"
+	"shallotglade/pkg/telemetry"
 	"shallotglade/pkg/verdict"
 )
 
@@ -34,9 +35,6 @@
 	staleRetryAfter = time.Second
 )
 
-// metricsNamespace is the prefix of all metrics.
-const metricsNamespace = "shallotglade"
-
 // Reasons of refusals.
 const (
 	reasonAccountsStale   = "accounts-stale"
@@ -85,12 +83,12 @@
 	f := &freshness{
 		config: c, usableAge: time.Duration(usableShare * float64(c.Bound)),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "stale_refusals_total", Help: "Requests refused because knowledge of accounts may be out of date.",
+			Namespace: telemetry.Namespace, Name: "stale_refusals_total", Help: "Requests refused because knowledge of accounts may be out of date.",
 		}, []string{"reason"}),
 		logLimit: rate.NewLimiter(1, 1),
 	}
 	c.Registerer.MustRegister(f.refusals, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: metricsNamespace, Name: "configuration_age_seconds",
+		Namespace: telemetry.Namespace, Name: "configuration_age_seconds",
 		Help: "Time since the store confirmed the configuration held, -1 if unknown.",
 	}, func() float64 {
 		age, known := c.Source.ConfirmedAge()
@@ -112,7 +110,7 @@
 		"comparison": func(s confsync.Stats) uint64 { return s.ConfirmedByComparison },
 	} {
 		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "configuration_confirmations_total",
+			Namespace: telemetry.Namespace, Name: "configuration_confirmations_total",
 			Help: "Confirmations that the configuration held is current.", ConstLabels: prometheus.Labels{"source": source},
 		}, func() float64 { return float64(value(stats())) }))
 	}
@@ -121,13 +119,7 @@
 // Check implements proxy.Freshness. The caller must look up the key after it, since the
 // confirmation that it waits for may bring a version without the key.
 func (f *freshness) Check(ctx context.Context) *verdict.Error {
-	if !f.config.FailClosed {
-		return nil
-	}
-	if f.isUsable() {
-		return nil
-	}
-	if f.confirm(ctx, f.usableAge) {
+	if !f.config.FailClosed || f.isUsable() || f.confirm(ctx, f.usableAge) {
 		return nil
 	}
 	f.failing.Store(true)
--- a/pkg/platform/memstore/copy.go
+++ b/pkg/platform/memstore/copy.go
@@ -28,7 +28,7 @@
 func (s *Store) Restore(c *Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	era, _ := platform.SplitVersion(s.revision)
+	era := platform.EraOf(s.revision)
 	restored := func(version uint64) uint64 {
 		_, revision := platform.SplitVersion(version)
 		version, err := platform.VersionOf(era+1, revision)
--- a/pkg/platform/memstore/store.go
+++ b/pkg/platform/memstore/store.go
@@ -265,8 +265,7 @@
 	if s.faults.Down {
 		return nil, after, nil, platform.ErrUnavailable
 	}
-	era, _ := platform.SplitVersion(s.revision)
-	if afterEra, _ := platform.SplitVersion(after); afterEra != era {
+	if platform.EraOf(after) != platform.EraOf(s.revision) {
 		return nil, after, nil, platform.ErrHistoryGone
 	}
 	start, _ := slices.BinarySearchFunc(s.log, after+1, func(c change, version uint64) int {
--- a/pkg/platform/version.go
+++ b/pkg/platform/version.go
@@ -25,3 +25,6 @@
 func SplitVersion(version uint64) (era, revision uint64) {
 	return version >> revisionBits, version & maxRevision
 }
+
+// EraOf returns the era of a version.
+func EraOf(version uint64) uint64 { return version >> revisionBits }
--- a/pkg/registration/controller.go
+++ b/pkg/registration/controller.go
@@ -135,7 +135,7 @@
 		return
 	case o.Deleted:
 		c.Log.Warn().Uint64("version", o.Version).Msg("registration: entry was removed by another daemon or lost by the store, writing it again")
-	case c.version == 0 || eraOf(o.Version) == eraOf(c.version):
+	case c.version == 0 || platform.EraOf(o.Version) == platform.EraOf(c.version):
 		// Run has not written the entry yet, or the next process on the host has.
 		return
 	default:
@@ -157,11 +157,6 @@
 	return m.ID
 }
 
-func eraOf(version uint64) uint64 {
-	era, _ := platform.SplitVersion(version)
-	return era
-}
-
 // Deregister removes the entry of this daemon. If that fails, the entry stays until the
 // next process on the host replaces it.
 func (c *Controller) Deregister(ctx context.Context) {
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -61,45 +61,46 @@
 	m.Hedges = counter("hedges_total", "Second attempts beside a slow first one.", "service")
 	m.Refusals = counter("refusals_total", "Refused requests.", "service", "reason")
 	m.Forwards = counter("forwards_total", "Requests passed to a home.", "result")
-	m.InFlight = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "requests_in_flight", Help: "Requests being handled."})
+	m.InFlight = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: Namespace, Name: "requests_in_flight", Help: "Requests being handled."})
 	m.Standings = gauge("upstreams", "Upstreams by standing.", "service", "standing")
 	m.UnusedUpstreams = gauge("upstreams_unused", "Upstreams that no home has used for two seconds.", "service")
 	m.UnservedShare = gauge("unserved_share", "Share of the requests of the last two seconds that were not served.", "service")
 	m.StandingChanges = counter("standing_changes_total", "Changes of upstreams' standing.", "service", "change")
 	m.DocumentVersion = gauge("document_version", "Platform version of the document in force.", "service")
-	m.ConfigurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "configuration_version", Help: "Operators' number of the configuration in force."})
-	m.ConfigurationsRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "configurations_refused_total", Help: "Configurations that could not be put in force."})
-	m.Accounts = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "accounts", Help: "Client accounts in force."})
-	m.PlatformUp = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "platform_up", Help: "Whether the platform answered the last call of this daemon."})
+	m.ConfigurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: Namespace, Name: "configuration_version", Help: "Operators' number of the configuration in force."})
+	m.ConfigurationsRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: Namespace, Name: "configurations_refused_total", Help: "Configurations that could not be put in force."})
+	m.Accounts = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: Namespace, Name: "accounts", Help: "Client accounts in force."})
+	m.PlatformUp = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: Namespace, Name: "platform_up", Help: "Whether the platform answered the last call of this daemon."})
 	m.Peers = gauge("peers", "Other daemons by state.", "state")
-	m.PeersRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "peers_refused_total", Help: "Handshakes with daemons whose key is not registered here."})
+	m.PeersRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: Namespace, Name: "peers_refused_total", Help: "Handshakes with daemons whose key is not registered here."})
 	m.Registry.MustRegister(m.Requests, m.RequestSeconds, m.OverheadSeconds, m.Attempts, m.Hedges, m.Refusals, m.Forwards, m.InFlight,
 		m.Standings, m.UnusedUpstreams, m.UnservedShare, m.StandingChanges, m.DocumentVersion, m.ConfigurationVersion, m.Accounts, m.ConfigurationsRefused, m.PlatformUp, m.Peers, m.PeersRefused,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
-const namespace = "shallotglade"
+// Namespace is the prefix of the names of all metrics.
+const Namespace = "shallotglade"
 
 // RegisterCounter registers a counter that reads its value from a function.
 func (m *Metrics) RegisterCounter(name, help string, value func() uint64) {
-	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help},
+	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help},
 		func() float64 { return float64(value()) }))
 }
 
 // RegisterGauge registers a gauge that reads its value from a function.
 func (m *Metrics) RegisterGauge(name, help string, value func() float64) {
-	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}, value))
 }
 
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}, labels)
 }
 
 func gauge(name, help string, labels ...string) *prometheus.GaugeVec {
-	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}, labels)
 }
 
 func histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
-	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: Namespace, Name: name, Help: help, Buckets: buckets}, labels)
 }
