--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -29,6 +29,10 @@
 	directWriteBytes = 64 << 10
 )
 
+// MaxPooledFields is the largest number of header fields of a request that may return to the
+// pool of the HTTP library, which would keep the memory of all of them.
+const MaxPooledFields = 256
+
 // Conn is a TCP connection with buffers for the codec. One reader and one writer may
 // use it concurrently.
 type Conn struct {
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -44,7 +44,7 @@
 	server    *Server
 	transport *transport
 	netConn   *netconn.Conn
-	account   *memory.Account
+	reserved  *memory.Reservation
 	remote    string
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
@@ -150,7 +150,7 @@
 	}
 	c.mu.Unlock()
 	c.netConn.Close()
-	c.account.Close()
+	c.reserved.Close()
 	if c.evicted.Load() {
 		c.server.log.Info().Str("remote", c.remote).Msg("ingress: connection without progress closed for others")
 	}
--- a/pkg/ingress/memory.go
+++ b/pkg/ingress/memory.go
@@ -7,6 +7,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cockroachdb/errors"
 
+	"shallotglade/internal/netconn"
 	"shallotglade/pkg/memory"
 )
 
@@ -18,9 +19,6 @@
 	headerCopies     = 4
 	// answerFieldBytes is the memory of a field of an answer besides its text.
 	answerFieldBytes = 64
-	// maxPooledFields is the largest number of header fields of a request whose memory returns
-	// to the library's pool.
-	maxPooledFields = 256
 	// connMemoryBytes is the memory of a connection with its buffers and goroutine, and
 	// connShare the part of the memory budget's size that all connections may take besides it.
 	connMemoryBytes = 32 << 10
@@ -77,7 +75,7 @@
 // theirs, and a short time for evicted ones.
 func (c *conn) reserve(r *Request, class memory.Class, n int64, maxWait time.Duration) error {
 	for start := time.Now(); ; {
-		result, released := c.account.Grow(time.Now(), class, n)
+		result, released := c.reserved.Grow(time.Now(), class, n)
 		wait := maxWait
 		switch result {
 		case memory.Granted:
@@ -125,7 +123,7 @@
 
 // release frees the memory of a request.
 func (c *conn) release(r *Request) {
-	c.account.Release(r.usage.bytes, r.usage.large)
+	c.reserved.Release(r.usage.bytes, r.usage.large)
 	c.heldBytes.Add(-r.usage.bytes)
 	r.usage = usage{}
 }
@@ -134,7 +132,7 @@
 // library's pool, which would keep their memory.
 func (c *conn) recycle(r *Request) {
 	c.release(r)
-	if r.fields <= maxPooledFields {
+	if r.fields <= netconn.MaxPooledFields {
 		protocol.ReleaseRequest(r.Request)
 	}
 }
@@ -150,13 +148,13 @@
 func (c *conn) holdAnswer(answer *protocol.Response) int64 {
 	n := int64(len(answer.BodyBytes()))
 	answer.Header.VisitAll(func(name, value []byte) { n += int64(len(name) + len(value) + answerFieldBytes) })
-	c.account.Add(n)
+	c.reserved.Add(n)
 	c.heldBytes.Add(n)
 	return n
 }
 
 func (c *conn) releaseAnswer(n int64) {
-	c.account.Release(n, 0)
+	c.reserved.Release(n, 0)
 	c.heldBytes.Add(-n)
 }
 
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -245,7 +245,7 @@
 	}
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
-	c.account = s.memory.Open(false, c)
+	c.reserved = s.memory.Open(false, c)
 	go c.serve()
 }
 
--- a/pkg/memory/doc.go
+++ b/pkg/memory/doc.go
@@ -2,11 +2,15 @@
 //
 // One Budget covers request bodies, headers by their expanded size, requests read ahead, answers
 // that are not written yet, copies of requests and answers between daemons, and the
-// responses of upstreams. Each holder has an Account. When a reservation does not fit, the holder
-// that has made no progress for the longest time is evicted. The package uses no
-// clock and starts no goroutine; whoever reserves decides whether to wait or to refuse.
+// responses of upstreams. Each holder has a Reservation. When one cannot grow, the holder that
+// has made no progress for the longest time is evicted. The package uses no clock and starts no
+// goroutine; whoever reserves decides whether to wait or to refuse.
 //
-//	account := budget.Open(memory.Large, holder)
-//	defer account.Close()
-//	switch result, released := account.Grow(time.Now(), bytes); result { ... }
+//	reservation := budget.Open(false, holder)
+//	defer reservation.Close()
+//	result, released := reservation.Grow(time.Now(), memory.Large, bytes)
+//	// Granted: use the memory. Evicting, Short: wait for released and repeat, or refuse.
+//	// Evicted: release everything.
+//
+// docs/design/memory.md states what is counted, and for how long.
 package memory
--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -44,8 +44,9 @@
 	Evict()
 }
 
-// Account is the memory that one holder has reserved.
-type Account struct {
+// Reservation is the memory that one holder has reserved. The lock of the budget guards its
+// fields.
+type Reservation struct {
 	budget *Budget
 	holder Holder
 	// bytes are those reserved, large those of them of class Large.
@@ -64,12 +65,12 @@
 
 	mu sync.Mutex
 	// used are the bytes reserved, large those of them of class Large.
-	used, large int64
-	accounts    map[*Account]struct{}
+	used, large  int64
+	reservations map[*Reservation]struct{}
 	// released is closed and replaced when memory is released. It is nil while nobody waits.
 	released chan struct{}
-	// evicting are the bytes of the accounts evicted in the current round, the latest of which was
-	// evicted at evictedAt. A round ends once its accounts have had releaseTime: what they still hold
+	// evicting are the bytes of the reservations evicted in the current round, the latest of which was
+	// evicted at evictedAt. A round ends once its reservations have had releaseTime: what they still hold
 	// then may stay for long, and others are evicted in their place.
 	evicting      int64
 	evictedAt     time.Time
@@ -82,8 +83,8 @@
 // New returns the budget of a host with the given memory in units of 1,000,000 bytes, or
 // the default if it is 0. Half of the memory is left to the rest of the daemon and to garbage.
 func New(memoryMB float64) *Budget {
-	b := &Budget{total: DefaultBytes, accounts: map[*Account]struct{}{}}
-	// Without a known memory, the responses keep the half that they always had.
+	b := &Budget{total: DefaultBytes, reservations: map[*Reservation]struct{}{}}
+	// If the memory is unknown, half of the budget is left to the responses.
 	b.requestLimit = b.total / 2
 	if memoryMB > 0 {
 		b.total = int64(memoryMB*1_000_000) / 2
@@ -99,37 +100,37 @@
 // MaxLarge returns the memory for reservations of class Large.
 func (b *Budget) MaxLarge() int64 { return b.requestLimit }
 
-// Open returns an empty account. Close releases it.
-func (b *Budget) Open(response bool, holder Holder) *Account {
-	a := &Account{}
-	b.OpenIn(a, response, holder)
-	return a
+// Open returns an empty reservation. Close releases it.
+func (b *Budget) Open(response bool, holder Holder) *Reservation {
+	r := &Reservation{}
+	b.OpenIn(r, response, holder)
+	return r
 }
 
-// OpenIn is Open for an account that is part of its holder.
-func (b *Budget) OpenIn(a *Account, response bool, holder Holder) {
-	*a = Account{budget: b, holder: holder, response: response}
+// OpenIn is Open for a reservation that is part of its holder.
+func (b *Budget) OpenIn(r *Reservation, response bool, holder Holder) {
+	*r = Reservation{budget: b, holder: holder, response: response}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.accounts[a] = struct{}{}
+	b.reservations[r] = struct{}{}
 }
 
-// Close releases all memory of the account.
-func (a *Account) Close() {
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	a.add(-a.bytes, -a.large)
-	delete(a.budget.accounts, a)
+// Close releases all memory of the reservation.
+func (r *Reservation) Close() {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	r.add(-r.bytes, -r.large)
+	delete(r.budget.reservations, r)
 }
 
-// add changes the bytes of the account. The caller holds the lock.
-func (a *Account) add(n, large int64) {
-	b := a.budget
-	a.bytes += n
-	a.large += large
+// add changes the bytes of the reservation. The caller holds the lock.
+func (r *Reservation) add(n, large int64) {
+	b := r.budget
+	r.bytes += n
+	r.large += large
 	b.used += n
 	b.large += large
-	if a.evicted && a.evictionRound == b.evictionRound {
+	if r.evicted && r.evictionRound == b.evictionRound {
 		b.evicting += n
 	}
 	if n < 0 {
@@ -145,27 +146,27 @@
 }
 
 // Add counts memory that is in use already, beyond the limit if need be.
-func (a *Account) Add(n int64) {
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	a.add(n, 0)
+func (r *Reservation) Add(n int64) {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	r.add(n, 0)
 }
 
 // Release releases n bytes, large of them of class Large.
-func (a *Account) Release(n, large int64) {
+func (r *Reservation) Release(n, large int64) {
 	if n == 0 {
 		return
 	}
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	a.add(-n, -large)
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	r.add(-n, -large)
 }
 
 // Evicted reports whether the holder was told to release its memory.
-func (a *Account) Evicted() bool {
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	return a.evicted
+func (r *Reservation) Evicted() bool {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	return r.evicted
 }
 
 // Result is the outcome of Grow.
@@ -179,7 +180,7 @@
 	Evicting
 	// Short means that no holder can be evicted now.
 	Short
-	// Evicted means that the account itself was evicted.
+	// Evicted means that the reservation itself was evicted.
 	Evicted
 )
 
@@ -188,11 +189,11 @@
 // fit evicts the largest response, which may be itself, so that an endless one lets the others
 // complete. The channel is closed when memory is released; it is nil unless the result is
 // Evicting or Short.
-func (a *Account) Grow(now time.Time, class Class, n int64) (Result, <-chan struct{}) {
-	b := a.budget
+func (r *Reservation) Grow(now time.Time, class Class, n int64) (Result, <-chan struct{}) {
+	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.evicted {
+	if r.evicted {
 		return Evicted, nil
 	}
 	if b.fits(class, n) {
@@ -200,15 +201,15 @@
 		if class == Large {
 			large = n
 		}
-		a.add(n, large)
+		r.add(n, large)
 		return Granted, nil
 	}
-	b.evictStalled(now, a, n)
+	b.evictStalled(now, r, n)
 	if class == Response && !b.awaitsRelease(now) {
 		b.beginRound()
-		largest := b.largestResponse(a, n)
+		largest := b.largestResponse(r, n)
 		b.evict(now, largest)
-		if largest == a {
+		if largest == r {
 			return Evicted, nil
 		}
 		largest.holder.Evict()
@@ -240,22 +241,22 @@
 
 // evictStalled evicts the holders that have made no progress for the longest time until n bytes
 // are being released, or none is left.
-func (b *Budget) evictStalled(now time.Time, requester *Account, n int64) {
+func (b *Budget) evictStalled(now time.Time, requester *Reservation, n int64) {
 	if b.awaitsRelease(now) && b.evicting >= n || now.Sub(b.scanned) < scanInterval {
 		return
 	}
 	type stalled struct {
-		account *Account
-		since   time.Time
+		reservation *Reservation
+		since       time.Time
 	}
 	var found []stalled
 	before := now.Add(-StalledAfter)
-	for a := range b.accounts {
-		if a == requester || a.bytes == 0 || a.evicted {
+	for r := range b.reservations {
+		if r == requester || r.bytes == 0 || r.evicted {
 			continue
 		}
-		if since, waits := a.holder.StalledSince(); waits && !since.After(before) {
-			found = append(found, stalled{a, since})
+		if since, waits := r.holder.StalledSince(); waits && !since.After(before) {
+			found = append(found, stalled{r, since})
 		}
 	}
 	b.scanned = now
@@ -267,22 +268,22 @@
 		if b.evicting >= n {
 			return
 		}
-		b.evict(now, s.account)
-		s.account.holder.Evict()
+		b.evict(now, s.reservation)
+		s.reservation.holder.Evict()
 	}
 }
 
-// beginRound makes what earlier evicted accounts hold no longer count as about to be released.
+// beginRound makes what earlier evicted reservations hold no longer count as about to be released.
 func (b *Budget) beginRound() {
 	b.evicting = 0
 	b.evictionRound++
 }
 
-// evict marks an account as evicted. The caller holds the lock.
-func (b *Budget) evict(now time.Time, a *Account) {
-	a.evicted, a.evictionRound = true, b.evictionRound
+// evict marks a reservation as evicted. The caller holds the lock.
+func (b *Budget) evict(now time.Time, r *Reservation) {
+	r.evicted, r.evictionRound = true, b.evictionRound
 	b.evictions++
-	b.evicting += a.bytes
+	b.evicting += r.bytes
 	b.evictedAt = now
 }
 
@@ -291,13 +292,13 @@
 	return b.evicting > 0 && now.Sub(b.evictedAt) < releaseTime
 }
 
-// largestResponse returns the account that would be the largest response if requester had n
+// largestResponse returns the reservation that would be the largest response if requester had n
 // more bytes.
-func (b *Budget) largestResponse(requester *Account, n int64) *Account {
+func (b *Budget) largestResponse(requester *Reservation, n int64) *Reservation {
 	largest, size := requester, requester.bytes+n
-	for a := range b.accounts {
-		if a.response && !a.evicted && a.bytes > size {
-			largest, size = a, a.bytes
+	for r := range b.reservations {
+		if r.response && !r.evicted && r.bytes > size {
+			largest, size = r, r.bytes
 		}
 	}
 	return largest
--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -12,13 +12,13 @@
 
 var start = time.Unix(1_000_000, 0)
 
-// holder is a holder whose progress the test sets. An evicted one closes its account when the
+// holder is a holder whose progress the test sets. An evicted one closes its reservation when the
 // test says so.
 type holder struct {
-	account *memory.Account
-	since   time.Time
-	waits   bool
-	evicted bool
+	reservation *memory.Reservation
+	since       time.Time
+	waits       bool
+	evicted     bool
 }
 
 func (h *holder) StalledSince() (time.Time, bool) { return h.since, h.waits }
@@ -26,12 +26,12 @@
 
 func open(b *memory.Budget, response bool, bytes int64, since time.Time, waits bool) *holder {
 	h := &holder{since: since, waits: waits}
-	h.account = b.Open(response, h)
-	h.account.Add(bytes)
+	h.reservation = b.Open(response, h)
+	h.reservation.Add(bytes)
 	return h
 }
 
-func grow(t *testing.T, a *memory.Account, now time.Time, class memory.Class, n int64, want memory.Result) {
+func grow(t *testing.T, a *memory.Reservation, now time.Time, class memory.Class, n int64, want memory.Result) {
 	t.Helper()
 	if got, _ := a.Grow(now, class, n); got != want {
 		t.Fatalf("result %d, want %d", got, want)
@@ -48,16 +48,16 @@
 	stalled := open(b, false, 2_000_000, now.Add(-2*memory.StalledAfter), true)
 	longer := open(b, false, 3_000_000, now.Add(-3*memory.StalledAfter), true)
 	requester := open(b, false, 0, now, true)
-	grow(t, requester.account, now, memory.Small, 1_000_000, memory.Evicting)
+	grow(t, requester.reservation, now, memory.Small, 1_000_000, memory.Evicting)
 	if !longer.evicted || stalled.evicted || fresh.evicted || working.evicted {
 		t.Fatal("another holder than the longest stalled one was evicted")
 	}
-	longer.account.Close()
-	grow(t, requester.account, now, memory.Small, 1_000_000, memory.Granted)
-	grow(t, requester.account, now.Add(time.Second/10), memory.Small, 4_000_000, memory.Evicting)
-	stalled.account.Close()
+	longer.reservation.Close()
+	grow(t, requester.reservation, now, memory.Small, 1_000_000, memory.Granted)
+	grow(t, requester.reservation, now.Add(time.Second/10), memory.Small, 4_000_000, memory.Evicting)
+	stalled.reservation.Close()
 	now = now.Add(time.Second / 4)
-	grow(t, requester.account, now, memory.Small, 6_000_000, memory.Short)
+	grow(t, requester.reservation, now, memory.Small, 6_000_000, memory.Short)
 	if fresh.evicted || working.evicted {
 		t.Fatal("a holder that has not stalled was evicted")
 	}
@@ -71,31 +71,31 @@
 	open(b, false, 3_000_000, start, true) // never releases
 	stalled := []*holder{open(b, false, 2_000_000, start.Add(time.Second), true), open(b, false, 1_500_000, start.Add(2*time.Second), true)}
 	requester := open(b, false, 0, now, true)
-	grow(t, requester.account, now, memory.Small, 1_000_000, memory.Evicting)
+	grow(t, requester.reservation, now, memory.Small, 1_000_000, memory.Evicting)
 	if stalled[0].evicted || stalled[1].evicted {
 		t.Fatal("more holders were evicted than needed")
 	}
 	now = now.Add(time.Second)
-	grow(t, requester.account, now, memory.Small, 1_000_000, memory.Evicting)
+	grow(t, requester.reservation, now, memory.Small, 1_000_000, memory.Evicting)
 	if !stalled[0].evicted || stalled[1].evicted {
 		t.Fatal("the next stalled holder was not evicted, or more than that")
 	}
-	stalled[0].account.Close()
-	grow(t, requester.account, now, memory.Small, 1_000_000, memory.Granted)
+	stalled[0].reservation.Close()
+	grow(t, requester.reservation, now, memory.Small, 1_000_000, memory.Granted)
 }
 
 // Guards against an endless response that keeps others from completing.
 func TestLargestResponseIsEvictedWhereNoneHasStalled(t *testing.T) {
 	b := memory.New(16)
 	large, small := open(b, true, 7_000_000, start, false), open(b, true, 500_000, start, false)
-	grow(t, small.account, start, memory.Response, 1_000_000, memory.Evicting)
+	grow(t, small.reservation, start, memory.Response, 1_000_000, memory.Evicting)
 	if !large.evicted {
 		t.Fatal("the largest response was not evicted")
 	}
-	grow(t, large.account, start, memory.Response, 1, memory.Evicted)
-	large.account.Close()
-	grow(t, small.account, start, memory.Response, 1_000_000, memory.Granted)
-	grow(t, small.account, start, memory.Response, 8_000_000, memory.Evicted)
+	grow(t, large.reservation, start, memory.Response, 1, memory.Evicted)
+	large.reservation.Close()
+	grow(t, small.reservation, start, memory.Response, 1_000_000, memory.Granted)
+	grow(t, small.reservation, start, memory.Response, 8_000_000, memory.Evicted)
 }
 
 // Guards against a host of 184 MB that cannot take the users' largest body of 64 MiB beside small
@@ -104,16 +104,16 @@
 	b := memory.New(184)
 	others := open(b, false, 5_000_000, start, false)
 	body, response := open(b, false, 0, start, false), open(b, true, 0, start, false)
-	grow(t, body.account, start, memory.Large, 64<<20, memory.Granted)
-	grow(t, others.account, start, memory.Small, 20_000_000, memory.Short)
-	grow(t, response.account, start, memory.Response, 10_000_000, memory.Granted)
-	body.account.Release(64<<20, 64<<20)
-	response.account.Close()
-	grow(t, others.account, start, memory.Large, 64<<20, memory.Granted)
+	grow(t, body.reservation, start, memory.Large, 64<<20, memory.Granted)
+	grow(t, others.reservation, start, memory.Small, 20_000_000, memory.Short)
+	grow(t, response.reservation, start, memory.Response, 10_000_000, memory.Granted)
+	body.reservation.Release(64<<20, 64<<20)
+	response.reservation.Close()
+	grow(t, others.reservation, start, memory.Large, 64<<20, memory.Granted)
 }
 
 // Guards against reservations beyond the budget, and against bytes that stay counted after their
-// account was closed.
+// reservation was closed.
 func TestReservationsStayWithinTheBudget(t *testing.T) {
 	testkit.Check(t, func(r *rapid.T) {
 		b := memory.New(float64(rapid.IntRange(0, 200).Draw(r, "memory")))
@@ -126,7 +126,7 @@
 				holders = append(holders, open(b, class == memory.Response, 0, now, rapid.Bool().Draw(r, "waits")))
 			}
 			i := rapid.IntRange(0, len(holders)-1).Draw(r, "holder")
-			result, released := holders[i].account.Grow(now, class, rapid.Int64Range(0, 70_000_000).Draw(r, "bytes"))
+			result, released := holders[i].reservation.Grow(now, class, rapid.Int64Range(0, 70_000_000).Draw(r, "bytes"))
 			if used := b.Stats().UsedBytes; used < 0 || used > b.Total() {
 				r.Fatalf("%d bytes used of %d", used, b.Total())
 			}
@@ -134,17 +134,17 @@
 				r.Fatalf("result %d, channel %v", result, released)
 			}
 			for j := len(holders) - 1; j >= 0; j-- {
-				if holders[j].account.Evicted() && rapid.Bool().Draw(r, "close") {
-					holders[j].account.Close()
+				if holders[j].reservation.Evicted() && rapid.Bool().Draw(r, "close") {
+					holders[j].reservation.Close()
 					holders = append(holders[:j], holders[j+1:]...)
 				}
 			}
 		}
 		for _, h := range holders {
-			h.account.Close()
+			h.reservation.Close()
 		}
 		if used := b.Stats().UsedBytes; used != 0 {
-			r.Fatalf("%d bytes used after all accounts were closed", used)
+			r.Fatalf("%d bytes used after all reservations were closed", used)
 		}
 	})
 }
@@ -156,7 +156,7 @@
 	}
 	h := open(budget, false, 0, start, true)
 	for b.Loop() {
-		_, _ = h.account.Grow(start, memory.Small, 1000)
-		h.account.Release(1000, 0)
+		_, _ = h.reservation.Grow(start, memory.Small, 1000)
+		h.reservation.Release(1000, 0)
 	}
 }
--- a/pkg/upstream/body.go
+++ b/pkg/upstream/body.go
@@ -7,14 +7,15 @@
 	"github.com/cockroachdb/errors"
 
 	"shallotglade/internal/netconn"
+	"shallotglade/pkg/memory"
 )
 
 const (
-	// maxBodyBytes is the largest response body: three quarters of a quarter of the 184 MB of
-	// the smallest host. A body is buffered completely before
-	// any byte is sent to the caller. The smaller buffers that it outgrew add up to a
-	// third of its size until they are garbage-collected.
-	maxBodyBytes = 184_000_000 / 4 / 4 * 3
+	// maxBodyBytes is the largest response body: three quarters of half the memory budget of the
+	// smallest host. A body is buffered completely before any byte is sent to the caller. The
+	// smaller buffers that it outgrew add up to a third of its size until they are
+	// garbage-collected.
+	maxBodyBytes = memory.DefaultBytes / 2 / 4 * 3
 	// growthFactor is the factor by which a full buffer grows.
 	growthFactor = 4
 	// initialBufferBytes is the initial size of a body buffer. A larger Content-Length
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cockroachdb/errors"
 
+	"shallotglade/internal/netconn"
 	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/memory"
 	"shallotglade/pkg/verdict"
@@ -52,14 +53,9 @@
 	}
 }
 
-const (
-	// maxPooledFields is the largest number of header fields of a request whose memory returns
-	// to the library's pool.
-	maxPooledFields = 256
-	// inFlightShare is the part of the memory budget that the bodies in flight to one upstream
-	// may take together. A single body may be larger.
-	inFlightShare = 2
-)
+// inFlightShare divides the memory budget: the bodies in flight to one upstream may take this
+// part of it together. A single body may be larger.
+const inFlightShare = 2
 
 // Do implements Sender.
 func (c *Client) Do(ctx context.Context, target Target, request *Request) Result {
@@ -76,7 +72,7 @@
 	defer p.endRequest(len(request.Body))
 	// The result does not refer to their memory, so both return to the library's pool.
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
-	if len(request.Headers) <= maxPooledFields {
+	if len(request.Headers) <= netconn.MaxPooledFields {
 		defer protocol.ReleaseRequest(req)
 	}
 	defer protocol.ReleaseResponse(resp)
--- a/pkg/upstream/memory.go
+++ b/pkg/upstream/memory.go
@@ -19,15 +19,15 @@
 
 // reservation is the memory reserved for one response.
 type reservation struct {
-	account memory.Account
-	conn    *conn
+	memory memory.Reservation
+	conn   *conn
 }
 
 // newReservation returns an empty reservation for a response on a connection. close
 // releases it.
 func (c *Client) newReservation(conn *conn) *reservation {
 	r := &reservation{conn: conn}
-	c.memory.OpenIn(&r.account, true, r)
+	c.memory.OpenIn(&r.memory, true, r)
 	return r
 }
 
@@ -37,12 +37,12 @@
 // Evict implements memory.Holder. The reader of the response fails and releases the memory.
 func (r *reservation) Evict() { r.conn.close() }
 
-func (r *reservation) close() { r.account.Close() }
+func (r *reservation) close() { r.memory.Close() }
 
 // grow adds n bytes to the reservation, or waits while other holders are being evicted.
 func (r *reservation) grow(n int) error {
 	for {
-		result, released := r.account.Grow(time.Now(), memory.Response, int64(n))
+		result, released := r.memory.Grow(time.Now(), memory.Response, int64(n))
 		switch result {
 		case memory.Granted:
 			return nil
@@ -59,4 +59,4 @@
 }
 
 // isEvicted reports whether the response was aborted to free memory.
-func (r *reservation) isEvicted() bool { return r.account.Evicted() }
+func (r *reservation) isEvicted() bool { return r.memory.Evicted() }
