--- a/pkg/confsync/digest.go
+++ b/pkg/confsync/digest.go
@@ -75,7 +75,7 @@
 	size := 0
 	for _, bucket := range buckets {
 		r.forEachInBucket(int(bucket), func(o platform.Object) {
-			if v := theirVersions[o.Key]; o.Version <= v.Version || v.Content != 0 && v.Content == uint32(contentHash(o)) {
+			if v := theirVersions[o.Key]; o.Version <= v.Version || v.hasContent(o) {
 				return
 			}
 			size += objectSize(o)
--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -203,9 +203,7 @@
 		m.Versions = append(m.Versions, versions...)
 	}
 	m.Extended = true
-	if m.Packed = pack(m.Versions, len(m.Versions)*versionBytes); m.Packed != nil {
-		m.Versions = nil
-	}
+	m.Versions, m.Packed = packVersions(m.Versions)
 	body, err := s.call(ctx, peer, KindVersions, m)
 	if err != nil {
 		return 0, err
@@ -214,10 +212,8 @@
 	if err := decode(body, &reply); err != nil {
 		return 0, err
 	}
-	if reply.Packed != nil {
-		if err := unpack(reply.Packed, &reply.Objects); err != nil {
-			return 0, err
-		}
+	if err := unpack(reply.Packed, &reply.Objects); err != nil {
+		return 0, err
 	}
 	if err := checkObjects(reply.Objects, s.config.Prefixes); err != nil {
 		return 0, err
@@ -274,10 +270,8 @@
 	if err := checkBuckets(m.Buckets); err != nil {
 		return nil, err
 	}
-	if m.Packed != nil {
-		if err := unpack(m.Packed, &m.Versions); err != nil {
-			return nil, err
-		}
+	if err := unpack(m.Packed, &m.Versions); err != nil {
+		return nil, err
 	}
 	for _, v := range m.Versions {
 		if !validKey(v.Key, s.config.Prefixes) {
--- a/pkg/confsync/push.go
+++ b/pkg/confsync/push.go
@@ -51,10 +51,8 @@
 	if err := decode(body, &m); err != nil {
 		return err
 	}
-	if m.Packed != nil {
-		if err := unpack(m.Packed, &m.Objects); err != nil {
-			return err
-		}
+	if err := unpack(m.Packed, &m.Objects); err != nil {
+		return err
 	}
 	if err := checkObjects(m.Objects, s.config.Prefixes); err != nil {
 		return err
@@ -234,9 +232,7 @@
 		for _, o := range part {
 			m.Versions = append(m.Versions, versionOf(o))
 		}
-		if m.Packed = pack(m.Versions, len(m.Versions)*versionBytes); m.Packed != nil {
-			m.Versions = nil
-		}
+		m.Versions, m.Packed = packVersions(m.Versions)
 		var body []byte
 		if body, result.err = s.callWithTimeout(s.backgroundCtx, smallCallTimeout, to, KindOffer, m); result.err != nil {
 			return result
@@ -260,10 +256,8 @@
 	if err := decode(body, &m); err != nil {
 		return nil, err
 	}
-	if m.Packed != nil {
-		if err := unpack(m.Packed, &m.Versions); err != nil {
-			return nil, err
-		}
+	if err := unpack(m.Packed, &m.Versions); err != nil {
+		return nil, err
 	}
 	reply := offerReply{Established: s.established.Load()}
 	for _, v := range m.Versions {
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -185,11 +185,8 @@
 	return nil
 }
 
-// New returns a Syncer that answers messages. Run starts the synchronization.
-func New(c Config) (*Syncer, error) {
-	if err := c.validate(); err != nil {
-		return nil, err
-	}
+// setDefaults replaces unset fields by their defaults.
+func (c *Config) setDefaults() {
 	if c.DigestInterval <= 0 {
 		c.DigestInterval = DefaultDigestInterval
 	}
@@ -214,6 +211,14 @@
 	if c.BootDomains <= 0 {
 		c.BootDomains = bootDomains
 	}
+}
+
+// New returns a Syncer that answers messages. Run starts the synchronization.
+func New(c Config) (*Syncer, error) {
+	if err := c.validate(); err != nil {
+		return nil, err
+	}
+	c.setDefaults()
 	s := &Syncer{config: c}
 	if c.Spawn == nil {
 		pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true))
