--- a/pkg/allowance/doc.go
+++ b/pkg/allowance/doc.go
@@ -12,7 +12,17 @@
 //	release, refusal := c.Admit(ctx, account, deadline)
 //	c.Release(ctx)                    // at the start of a graceful shutdown
 //
-// The decisions are made by types that use no network, clock or goroutine: Wallet for the
-// entry daemon, Shard (a lease and a Grantor) for the grantor. All their times are those
-// of a clock that counts while the host is suspended, because a lease must end then too.
+// The decisions are made by types that use no network, clock or goroutine. All their times
+// are those of a clock that counts while the host is suspended, because a lease must end
+// then too.
+//
+//   - Wallet decides at the entry daemon: wallet.go has the requests, wallet_account.go the
+//     tokens of one account, wallet_messages.go what is asked of the grantor, link.go which
+//     daemon is asked.
+//   - Shard decides whether a daemon is the grantor, by the state machine in lease.go.
+//   - Grantor decides how many tokens an entry daemon gets: bucket.go has the token buckets,
+//     reserve.go the reserve tokens, limits.go the sizes that keep the sum within the limit.
+//
+// Controller divides the accounts by shard. The runner of each shard holds the lock of these
+// types, sends the messages (runner.go) and calls the platform (maintain.go).
 package allowance
--- a/pkg/allowance/reserve.go
+++ b/pkg/allowance/reserve.go
@@ -5,17 +5,22 @@
 	"time"
 )
 
+// A reserve token admits a request at an entry daemon to which no grantor answers. The grantor
+// hands reserve tokens out in advance, with its replies, and they are charged against the
+// overshoot of the allowance. They have nothing to do with the reserve of pkg/limits and
+// pkg/routing, which is slots at upstreams that are likely to fail.
+
 // share is what a grantor knows about one entry daemon and one account.
 type share struct {
 	demand demand
 	// askedAt is the time of the last message about the account.
 	askedAt time.Duration
 	// reserve is the number of reserve tokens of the last reply, given at the time at.
-	// before is the number that the entry daemon holds if that reply, to the message seq, was
-	// lost.
-	reserve, before int
-	at              time.Duration
-	seq             uint64
+	// reserveBefore is the number that the entry daemon holds if that reply, to the message
+	// seq, was lost.
+	reserve, reserveBefore int
+	at                     time.Duration
+	seq                    uint64
 	// spent is the number of reserve tokens that the entry daemon has reported as used.
 	spent uint32
 }
@@ -25,7 +30,7 @@
 	if now >= s.at+lifetime {
 		return 0
 	}
-	return max(s.reserve, s.before)
+	return max(s.reserve, s.reserveBefore)
 }
 
 // demand is a count that decays with time constant demandDecay.
@@ -62,7 +67,7 @@
 	case received:
 		held = s.reserve
 	default:
-		held = s.before
+		held = s.reserveBefore
 	}
 	if diff := int32(spent - s.spent); diff > 0 {
 		s.spent = spent
@@ -91,7 +96,7 @@
 	if allowed && total > 0 {
 		target = int(math.Ceil(most * s.demand.now(now) / total))
 	}
-	s.before, s.at = held, now
+	s.reserveBefore, s.at = held, now
 	s.reserve = min(target, held+max(int(most)-charged, 0))
 	return s.reserve
 }
