--- a/pkg/blackboard/board.go
+++ b/pkg/blackboard/board.go
@@ -151,6 +151,14 @@
 // active document.
 func (b *Board) RoutesVersion() uint64 { return b.routes.Load().version }
 
+// ConfigurationVersion returns the platform version of the active configuration, or 0 if the
+// routes come from documents.
+func (b *Board) ConfigurationVersion() uint64 {
+	b.rebuildMu.Lock()
+	defer b.rebuildMu.Unlock()
+	return b.configurationVersion
+}
+
 // ServicesAt returns the names of the services behind the routes of a host, in no
 // particular order.
 func (b *Board) ServicesAt(host string) []string { return b.routes.Load().servicesAt(host) }
--- a/pkg/blackboard/service.go
+++ b/pkg/blackboard/service.go
@@ -432,11 +432,8 @@
 func (s *Service) MarkLeaving(now time.Time, id string, incarnation uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i, found := s.upstreamIndexLocked(id)
-	if !found {
-		i = -1
-	}
-	if i < 0 && incarnation == 0 || i >= 0 && s.upstreams[i].Incarnation > incarnation {
+	i, listed := s.upstreamIndexLocked(id)
+	if !listed && incarnation == 0 || listed && s.upstreams[i].Incarnation > incarnation {
 		return false
 	}
 	if known, announced := s.announcedLeaving[id]; announced && known >= incarnation {
@@ -444,7 +441,7 @@
 	}
 	s.trimAnnouncementsLocked()
 	s.announcedLeaving[id] = incarnation
-	if i >= 0 {
+	if listed {
 		s.upstreams[i].Leaving = true
 		s.upstreamsChangedLocked(now)
 		s.refreshOrDeferLocked(now)
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -244,6 +244,20 @@
 		d.provisionLookup()
 	}
 	var err error
+	if d.syncer, err = confsync.New(d.syncConfig()); err != nil {
+		return err
+	}
+	for _, kind := range confsync.Kinds() {
+		d.node.Handle(kind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
+			return d.syncer.Handle(ctx, kind, body)
+		})
+	}
+	return nil
+}
+
+// syncConfig returns the configuration of the Syncer, as the adapter and the settings ask
+// for it.
+func (d *Daemon) syncConfig() confsync.Config {
 	config := confsync.Config{
 		Self:           confsync.Peer{Address: d.node.Addr(), Domain: d.settings.Domain},
 		Prefixes:       d.adapter.Prefixes,
@@ -278,16 +292,7 @@
 		config.ReduceTraffic, config.BootPeers, config.BootDomains = true, 1, 1
 		config.CompareOtherDomains = d.roster.members.IsBridge
 	}
-	d.syncer, err = confsync.New(config)
-	if err != nil {
-		return err
-	}
-	for _, kind := range confsync.Kinds() {
-		d.node.Handle(kind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
-			return d.syncer.Handle(ctx, kind, body)
-		})
-	}
-	return nil
+	return config
 }
 
 func (d *Daemon) provisionRequestPath() error {
@@ -318,18 +323,28 @@
 		Dialect: d.adapter.Dialect, Board: d.board, Sender: d.upstreamClient, Ledger: d.ledger, Directory: d.roster,
 		Notifier: d.health, Log: d.log, Metrics: d.metrics, LogDecisions: d.logsDecisions,
 	}
-	d.node.Handle(proxy.ForwardKind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
-		release, err := reserveCopies(d.memory, receivedCopies*len(body))
-		if err != nil {
-			return proxy.RefuseForward()
-		}
-		defer release()
-		reply, err := d.proxy.HandleForward(ctx, body)
-		if errors.Is(err, proxy.ErrUnknownService) {
-			err = errors.Mark(err, peer.ErrRefused)
-		}
-		return reply, err
-	})
+	d.handleRequestMessages()
+	d.provisionAccounts()
+	return nil
+}
+
+// handleForward answers a forwarded request, for which this daemon is a home.
+func (d *Daemon) handleForward(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
+	release, err := reserveCopies(d.memory, receivedCopies*len(body))
+	if err != nil {
+		return proxy.RefuseForward()
+	}
+	defer release()
+	reply, err := d.proxy.HandleForward(ctx, body)
+	if errors.Is(err, proxy.ErrUnknownService) {
+		err = errors.Mark(err, peer.ErrRefused)
+	}
+	return reply, err
+}
+
+// handleRequestMessages registers the handlers of messages about requests and services.
+func (d *Daemon) handleRequestMessages() {
+	d.node.Handle(proxy.ForwardKind, d.handleForward)
 	d.node.Handle(proxy.ForwardStopKind, func(_ context.Context, _ peer.Identity, body []byte) ([]byte, error) {
 		return nil, d.proxy.HandleForwardStop(body)
 	})
@@ -341,8 +356,6 @@
 		return nil, nil
 	})
 	d.node.Handle(kindStatus, d.handleStatus)
-	d.provisionAccounts()
-	return nil
 }
 
 // provisionAccounts creates the checks of accounts in the request path. They have no effect
