--- a/internal/hostile/hostile_test.go
+++ b/internal/hostile/hostile_test.go
@@ -127,11 +127,16 @@
 	return status
 }
 
-// request sends a request on a new connection and returns the status, 0 without an answer.
+// request sends a request of an ordinary caller and returns the status; see statusOf.
 func (h *host) request(method, path string, body []byte) int {
 	r, err := http.NewRequest(method, "http://"+h.CallerAddress+path, bytes.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	r.Header.Set(proxy.HeaderCaller, "ordinary")
+	return statusOf(r)
+}
+
+// statusOf sends a request on a new connection and returns the status, 0 without an answer.
+func statusOf(r *http.Request) int {
 	client := http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(r)
 	if err != nil {
@@ -147,15 +152,9 @@
 		"http://" + h.AddressesAddress + dialect.AddressesPath + "?service=" + service,
 		"http://" + h.ReadinessAddress + dialect.Native().ReadyPath,
 	} {
-		Eventually(func() (status int) {
-			client := http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-			resp, err := client.Get(url)
-			if err != nil {
-				return 0
-			}
-			defer resp.Body.Close()
-			return resp.StatusCode
-		}, servedWithin, 200*time.Millisecond).Should(Equal(200), url)
+		r, err := http.NewRequest(http.MethodGet, url, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int { return statusOf(r) }, servedWithin, 200*time.Millisecond).Should(Equal(200), url)
 	}
 }
 
--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -58,6 +58,17 @@
 	return r, string(body)
 }
 
+// expectContinue reads the interim answer with status 100.
+func (c *caller) expectContinue() {
+	GinkgoHelper()
+	Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	line, err := c.reader.ReadString('\n')
+	Expect(err).NotTo(HaveOccurred())
+	Expect(line).To(HavePrefix("HTTP/1.1 100 "))
+	_, err = c.reader.ReadString('\n')
+	Expect(err).NotTo(HaveOccurred())
+}
+
 // ended waits until the server closes the connection and returns what it sent
 // before.
 func (c *caller) ended() string {
@@ -231,11 +242,7 @@
 		_, body = c.answer()
 		Expect(body).To(Equal("/babc"))
 		c.send("POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
-		line, err := c.reader.ReadString('\n')
-		Expect(err).NotTo(HaveOccurred())
-		Expect(line).To(HavePrefix("HTTP/1.1 100 "))
-		_, err = c.reader.ReadString('\n')
-		Expect(err).NotTo(HaveOccurred())
+		c.expectContinue()
 		c.send("abc")
 		_, body = c.answer()
 		Expect(body).To(Equal("/cabc"))
