--- a/pkg/blackboard/wait.go
+++ b/pkg/blackboard/wait.go
@@ -59,7 +59,8 @@
 
 // Await chooses an upstream for a request as soon as one can be used, and counts the
 // attempt as in flight. Requests that wait get upstreams by account priority, then by
-// priority, and then in the order of their arrival. The caller must receive the grant or call Withdraw.
+// priority, and then in the order of their arrival. The caller must receive the grant or call
+// Withdraw.
 func (s *Service) Await(now time.Time, r WaitRequest) *Waiter {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/ingress/memory.go
+++ b/pkg/ingress/memory.go
@@ -20,12 +20,13 @@
 	// answerFieldBytes is the memory of a field of an answer besides its text.
 	answerFieldBytes = 64
 	// connMemoryBytes is the memory of a connection with its buffers and goroutine, and
-	// connShare the part of the memory budget's size that all connections may take besides it.
+	// connShare divides the size of the memory budget: all connections may take this part of
+	// it, besides the budget.
 	connMemoryBytes = 32 << 10
 	connShare       = 4
-	// requestMemoryBytes is the memory of a request that is handled besides its header and body: the
-	// stacks of its goroutines, its contexts and its copies of fields. Tens of thousands of small
-	// requests that wait were 155 MB on a host of 128 MB.
+	// requestMemoryBytes is the memory of a request that is handled besides its header and body:
+	// the stacks of its goroutines, its contexts and its copies of fields. Without it, tens of
+	// thousands of small requests that wait took 155 MB on a host of 128 MB.
 	requestMemoryBytes = 8 << 10
 	// maxReadAheadBytes limits the memory of the requests and answers of a connection at which
 	// no further request of it is handled.
--- a/pkg/limits/flow.go
+++ b/pkg/limits/flow.go
@@ -34,9 +34,9 @@
 	waiting int
 	weight  float64
 	// virtualTime is the highest virtual start time of a ticket without an account that ran, and
-	// at least fairTime once a ticket of an account ran. fairTime advances
-	// as if all flows got exactly their shares: a flow that lags behind, because its tickets
-	// are late, does not hold it back.
+	// at least fairTime once a ticket of an account ran. fairTime advances as if all flows got
+	// exactly their shares: a flow that lags behind, because its tickets are late, does not
+	// hold it back.
 	virtualTime, fairTime float64
 }
 
@@ -74,9 +74,10 @@
 // lead returns how much more capacity than the others the flow has had, in virtual time.
 func (f *flow) lead() float64 { return f.nextStart - f.class.base(f.account) }
 
-// charge adds a ticket that runs to the flow's use of the capacity. An account may be
-// behind its share by the window at most. It does not move the virtual time of callers without
-// account beyond fairTime: an account with a small weight is far ahead of it after one ticket.
+// charge adds a ticket that runs to the flow's use of the capacity. An account may be behind
+// its share by the window at most. It does not move the virtual time of callers without
+// account beyond fairTime: an account with a small weight is far ahead of it after one
+// ticket.
 func (f *flow) charge(now time.Time, window float64) {
 	if f.account {
 		f.nextStart = max(f.nextStart, f.class.fairTime-window)
--- a/pkg/limits/queue.go
+++ b/pkg/limits/queue.go
@@ -93,11 +93,11 @@
 	latestStart := q.latestStart(now, t)
 	var displaced *waiter
 	if wait > 0 {
-		any := wait
+		shortest := wait
 		if q.reserve > 0 && !t.ReserveAfter.IsZero() && t.ReserveAfter.Before(latestStart) {
-			any = q.expectedWait(now, c, t, p, q.capacity+q.reserve)
+			shortest = q.expectedWait(now, c, t, p, q.capacity+q.reserve)
 		}
-		if excess := any - time.Duration(maxWaitFraction*float64(latestStart.Sub(now))); excess > 0 {
+		if shortest > time.Duration(maxWaitFraction*float64(latestStart.Sub(now))) {
 			return Decision{Reason: TooLate, ExpectedWait: wait, RetryAfter: max(wait, q.serviceTime)}
 		}
 		var ok bool
@@ -120,11 +120,7 @@
 		q.displaced = append(q.displaced, displaced.ticket)
 		p = q.position(c, t) // the class of the displaced ticket may have become empty
 	}
-	w := &waiter{ticket: t, targetStart: q.targetStart(t), latestStart: latestStart}
-	q.enqueue(c, p, w)
-	q.waiting[t.ID] = w
-	q.addTarget(w)
-	heap.Push(&q.expiries, w)
+	q.add(c, p, &waiter{ticket: t, targetStart: q.targetStart(t), latestStart: latestStart})
 	return Decision{Action: Wait, ExpectedWait: wait}
 }
 
@@ -377,6 +373,15 @@
 	q.running[id] = runningRequest{caller: c, startedAt: now}
 }
 
+// add adds a waiting ticket at its position.
+func (q *Queue) add(c *caller, p position, w *waiter) {
+	q.enqueue(c, p, w)
+	q.waiting[w.ticket.ID] = w
+	q.addTarget(w)
+	heap.Push(&q.expiries, w)
+}
+
+// remove removes a waiting ticket.
 func (q *Queue) remove(w *waiter) {
 	q.dequeue(w)
 	q.removeTarget(w)
--- a/pkg/limits/retryafter.go
+++ b/pkg/limits/retryafter.go
@@ -5,19 +5,19 @@
 	"time"
 )
 
-// minRetryAfter is the shortest time that a refused caller is told to wait. A shorter one
-// lets callers return before anything has changed.
-const minRetryAfter = 50 * time.Millisecond
-
-// maxSpread bounds the time over which the callers that are refused together return.
-const maxSpread = time.Second
+const (
+	// minRetryAfter is the shortest time that a refused caller is told to wait. A shorter one
+	// lets callers return before anything has changed.
+	minRetryAfter = 50 * time.Millisecond
+	// maxSpread bounds the time over which the callers that are refused together return.
+	maxSpread = time.Second
+)
 
 // RetryAfter returns when the caller of a refused request should send it again: at random
 // between once and twice the time in which what stands before the request drains, but
 // within maxSpread after it, so that callers that are refused together do not return
-// together. It is not later than useful,
-// the time until the latest start that is in time; useful is 0 if that is unknown or has
-// passed.
+// together. It is not later than useful, the time until the latest start that is in time;
+// useful is 0 if that is unknown or has passed.
 func RetryAfter(drain, useful time.Duration, rng *rand.Rand) time.Duration {
 	earliest := max(drain, minRetryAfter)
 	latest := earliest + min(earliest, maxSpread)
--- a/pkg/proxy/accounts.go
+++ b/pkg/proxy/accounts.go
@@ -78,11 +78,9 @@
 		id.key = keyMissing
 		return id
 	}
-	known := false
-	if id.account, known = id.route.Accounts.Find([]byte(key)); known {
-		id.key = keyKnown
-	} else {
-		id.key = keyUnknown
+	id.key = keyUnknown
+	if a, known := id.route.Accounts.Find([]byte(key)); known {
+		id.account, id.key = a, keyKnown
 	}
 	return id
 }
--- a/pkg/registration/lookup.go
+++ b/pkg/registration/lookup.go
@@ -35,8 +35,8 @@
 	// daemon might not connect again in that time.
 	maxReadsPerRequest = 3
 	// minListedRequests is the number of waiting requests from which on all entries are read
-	// at once. After a loss of power all keys are new, and single reads, four a second, took
-	// longer than the fleet may be away.
+	// at once. After a loss of power all keys are new, and single reads, four a second, would
+	// take longer than the fleet may be away.
 	minListedRequests = 3
 	// listTimeout bounds one list of all entries.
 	listTimeout = time.Second
