--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"os"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -38,27 +36,6 @@
 // request and the response after it returns, because the server reuses them.
 type Handler func(ctx context.Context, r *Request, resp *protocol.Response)
 
-// Refusal refuses a request whose body has not been read.
-type Refusal struct {
-	// Status is the status of the answer, Reason its body.
-	Status int
-	Reason string
-	// RetryAfter is sent in whole seconds, rounded up; 0 means none.
-	RetryAfter time.Duration
-}
-
-// Error implements error.
-func (r *Refusal) Error() string { return "ingress: request refused before its body: " + r.Reason }
-
-// setRetryAfter sets the Retry-After header of an answer.
-func (r *Refusal) setRetryAfter(answer *protocol.Response) {
-	if r.RetryAfter > 0 {
-		answer.Header.Set(headerRetryAfter, strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
-	}
-}
-
-const headerRetryAfter = "Retry-After"
-
 // ErrCallerGone is the cause of a request's context when its caller has closed the
 // connection.
 var ErrCallerGone = errors.New("ingress: the caller closed the connection")
--- a/pkg/limits/policy.go
+++ b/pkg/limits/policy.go
@@ -122,7 +122,8 @@
 	RateLimit
 	// TooLate means that the request cannot start before its deadline.
 	TooLate
-	// QueueFull means that the caller's share of the queue is full.
+	// QueueFull means that the queue, or the caller's part of it, is full, or that the ticket
+	// gave its place to another one.
 	QueueFull
 	// NoCapacity means that the service has no usable upstream.
 	NoCapacity
