--- a/pkg/allowance/grantor.go
+++ b/pkg/allowance/grantor.go
@@ -220,9 +220,5 @@
 	}
 }
 
+// seconds returns s seconds, at most 1e6, which a time.Duration can hold.
 func seconds(s float64) time.Duration { return time.Duration(min(s, 1e6) * float64(time.Second)) }
-
-// millis rounds a time up to milliseconds.
-func millis(d time.Duration) uint64 {
-	return uint64(max(0, d+time.Millisecond-1) / time.Millisecond)
-}
--- a/pkg/allowance/limits.go
+++ b/pkg/allowance/limits.go
@@ -41,7 +41,7 @@
 
 // TokenLifetime is how long an entry daemon may use a token, from the time when it asked.
 // Half of the overshoot covers the tokens that were granted before a window and are used
-// in it; the other half covers reserves.
+// in it; the other half covers reserve tokens.
 func (l Limits) TokenLifetime() time.Duration {
 	covered := time.Duration(l.Overshoot / 2 * float64(l.Window))
 	return min(max(covered, minTokenLifetime), maxTokenLifetime)
@@ -55,7 +55,7 @@
 }
 
 // bucketSize returns the largest number of tokens in a bucket: the burst and, for small
-// bursts, a part of what the bound leaves after the rate, the burst and the reserves.
+// bursts, a part of what the bound leaves after the rate, the burst and the reserve tokens.
 func (l Limits) bucketSize(rate, burst float64) float64 {
 	window := l.Window.Seconds()
 	late := l.bucketRate(rate)*(window+l.TokenLifetime().Seconds()) - rate*window
--- a/pkg/allowance/maintain.go
+++ b/pkg/allowance/maintain.go
@@ -168,7 +168,11 @@
 	r.mu.Lock()
 	r.shard.Done(r.c.Clock(), started, op, o, err)
 	r.mu.Unlock()
-	r.c.Log.Info().Int("shard", r.index).Err(err).Msg("allowance: lease released")
+	if err != nil {
+		r.c.Log.Warn().Int("shard", r.index).Err(err).Msg("allowance: lease not released on the platform; no tokens are granted under it any more")
+	} else {
+		r.c.Log.Info().Int("shard", r.index).Msg("allowance: lease released")
+	}
 	if closing {
 		// The preferred daemon may have been lost a moment ago.
 		r.announce(ctx, r.others(), term)
--- a/pkg/allowance/message.go
+++ b/pkg/allowance/message.go
@@ -1,6 +1,8 @@
 package allowance
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -152,3 +154,13 @@
 	}
 	return &r, nil
 }
+
+// millis rounds a time up to the milliseconds of a message.
+func millis(d time.Duration) uint64 {
+	return uint64(max(0, d+time.Millisecond-1) / time.Millisecond)
+}
+
+// millisOf returns the time of a number of milliseconds in a message, at most an hour.
+func millisOf(n uint64) time.Duration {
+	return time.Duration(min(n, uint64(time.Hour/time.Millisecond))) * time.Millisecond
+}
--- a/pkg/allowance/property_test.go
+++ b/pkg/allowance/property_test.go
@@ -91,7 +91,7 @@
 }
 
 // Guards against two grantors at a time, tokens that are used twice or too late, tokens that
-// come back after their window, reserves that add up over partitions, and a platform that comes
+// come back after their window, reserve tokens that add up over partitions, and a platform that comes
 // back from a copy: each lets more requests run in some window than the allowance permits.
 func TestNoWindowExceedsTheLimit(t *testing.T) {
 	testkit.Check(t, func(t *rapid.T) {
@@ -108,7 +108,7 @@
 	})
 }
 
-// Guards against tokens and reserves of a higher allowance that are used more than a window
+// Guards against tokens and reserve tokens of a higher allowance that are used more than a window
 // after it was lowered.
 func TestLoweredAllowanceHoldsAfterAWindow(t *testing.T) {
 	testkit.Check(t, func(t *rapid.T) {
--- a/pkg/allowance/reserve.go
+++ b/pkg/allowance/reserve.go
@@ -39,8 +39,8 @@
 	at    time.Duration
 }
 
-// demandDecay is the time constant of the demand by which reserves are shared. It is long
-// against the time between the messages of an entry daemon.
+// demandDecay is the time constant of the demand by which reserve tokens are shared. It is
+// long against the time between the messages of an entry daemon.
 const demandDecay = 2 * time.Second
 
 func (d *demand) now(now time.Duration) float64 {
--- a/pkg/allowance/runner.go
+++ b/pkg/allowance/runner.go
@@ -76,7 +76,7 @@
 func (r *runner) release(t *Ticket) {
 	defer func() {
 		if p := recover(); p != nil {
-			r.c.Log.Error().Interface("panic", p).Bytes("stack", debug.Stack()).Msg("allowance: release panicked; token lost")
+			r.c.Log.Error().Str("account", t.account.name).Interface("panic", p).Bytes("stack", debug.Stack()).Msg("allowance: release panicked; token lost")
 		}
 	}()
 	r.locked(func(now time.Duration) { r.wallet.Release(now, t) })
--- a/pkg/allowance/wallet_messages.go
+++ b/pkg/allowance/wallet_messages.go
@@ -151,10 +151,6 @@
 	}
 }
 
-func millisOf(n uint64) time.Duration {
-	return time.Duration(min(n, uint64(time.Hour/time.Millisecond))) * time.Millisecond
-}
-
 func (w *Wallet) refuseAll(now time.Duration, a *walletAccount, reason Reason) {
 	for len(a.waiters) > 0 {
 		w.first(a).settle(w.refuse(now, a, reason))
