--- a/pkg/confsync/doc.go
+++ b/pkg/confsync/doc.go
@@ -15,6 +15,11 @@
 //     one of its own domain. Both sides end up with the newer objects. If the
 //     peer does not answer, the daemon tries others immediately. It forwards
 //     the objects that it received to a few daemons of its domain.
+//   - An upstream's entry that is written again with the same content is stored under its
+//     new version and not sent on: digests cover the content of these entries.
+//   - Relays read the configuration once a second while it has accounts. Other daemons ask
+//     them with a confirm message how long ago the store confirmed it. ConfirmedAge and
+//     Confirm return what this daemon may conclude (docs/design/freshness.md).
 //   - A daemon reports ready after it has listed the platform itself, or has
 //     compared digests with several ready peers of more than one domain.
 //
--- a/pkg/ingress/doc.go
+++ b/pkg/ingress/doc.go
@@ -3,10 +3,11 @@
 // Pipelined requests on one connection are handled concurrently, and their
 // answers are sent in the order of the requests. A request must arrive completely
 // within a time limit, however slowly its bytes trickle in. The context of a
-// request ends when its caller closes the connection. Large bodies of all connections
-// share one memory limit; those that do not fit stay unread until others have been
-// answered. Screen may refuse a request before its body is read. A draining server closes
-// connections between requests and never during one. It reads the first request of each
+// request ends when its caller closes the connection. Requests and answers of all connections
+// share a memory budget (pkg/memory); large bodies that do not fit stay unread until others
+// have been answered, and connections without progress are closed for others. Screen may
+// refuse a request before its body is read. A draining server closes connections between
+// requests and never during one. It reads the first request of each
 // connection that was opened before.
 //
 //	server := ingress.New(ln, limits, handler, log)
