Start the buckets of a grantor after a restart with what certainly was not granted

Cause: after the final loss of power the new grantor's buckets were empty.

Change: on the restarted host of the holder, tokens accrue from the start of the process, before which the holder had ended. If the earlier tenure lasted for more than a window, buckets also start with the tokens that the bound leaves. In the first two seconds with a grantor, and before, requests wait up to a second for a token, within a third of the time that they have left.

A test of the wallet now states that its daemon had a grantor before, since a starting one waits longer.

--- a/pkg/allowance/controller.go
+++ b/pkg/allowance/controller.go
@@ -94,6 +94,9 @@
 	if c.Clock == nil {
 		c.Clock = boottime.Now
 	}
+	if c.Self.Started == 0 {
+		c.Self.Started = c.Clock()
+	}
 	c.Shards = max(c.Shards, 1)
 	if c.Seed == 0 {
 		c.Seed = rand.Uint64()
--- a/pkg/allowance/cores_test.go
+++ b/pkg/allowance/cores_test.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -235,6 +236,54 @@
 	}
 }
 
+// Guards against buckets that start empty after a loss of power of all hosts, although
+// nobody has granted since the holder's host stopped, and against head starts of two
+// tenures in one window.
+func TestBucketsAtTheStartOfATenure(t *testing.T) {
+	const start, waited = time.Hour, 400 * time.Millisecond
+	limits := Limits{}.withDefaults()
+	for _, c := range []struct {
+		name      string
+		host      string
+		sequence  uint64
+		base      uint64
+		headStart bool
+		from      time.Duration
+	}{
+		{name: "own host restarted", host: "h1", sequence: 7, headStart: true, from: start - waited},
+		{name: "the earlier tenure was short", host: "h1", sequence: 6, from: start - waited},
+		{name: "another host's holder", host: "h2", sequence: 7, headStart: true, from: start + leaseDuration},
+		{name: "record from before a restoration", host: "h1", sequence: 7, base: 1 << 44, from: start + leaseDuration},
+	} {
+		l := lease{self: Self{ID: "h1.1", Host: "h1", Started: start - waited}, shards: 1, window: limits.Window}
+		record := Record{Holder: c.host + ".0", Host: c.host, Term: 5, Shards: 1, Sequence: c.sequence, Base: c.base}
+		l.done(start, start, Operation{Kind: ReadLease}, platform.Object{Version: 10, Value: encodeRecord(record)}, nil)
+		now := start
+		tenure, free := l.free(now, func(string) (string, uint64, bool) { return "", 0, false })
+		if !free {
+			now += takeoverWait
+			tenure, _ = l.free(now, nil)
+		}
+		if tenure.HeadStart != c.headStart || tenure.BucketsFrom != c.from {
+			t.Errorf("%s: head start %v, buckets from %v", c.name, tenure.HeadStart, tenure.BucketsFrom-start)
+		}
+		level := NewGrantor(limits, tenure).account(now, "a", 100, 100).bucket.level
+		want := 100 * (now - c.from).Seconds()
+		if c.headStart {
+			want += limits.headStart(100, 100)
+		}
+		if math.Abs(level-want) > 1e-9 {
+			t.Errorf("%s: level %v, want %v", c.name, level, want)
+		}
+	}
+	for _, rate := range []float64{0.5, 2, 33, 240} {
+		most := limits.bucketRate(rate)*(limits.Window+limits.TokenLifetime()).Seconds() + limits.bucketSize(rate, rate) + limits.headStart(rate, rate) + limits.reserveSize(rate, rate)
+		if most > limits.Most(rate, rate)+1e-9 && limits.headStart(rate, rate) > 0 {
+			t.Errorf("rate %v: up to %v requests in a window, allowed %v", rate, most, limits.Most(rate, rate))
+		}
+	}
+}
+
 func encodeRecord(r Record) []byte {
 	l := lease{version: r.Base}
 	return l.write(r, Tenure{}).Value
--- a/pkg/allowance/grantor.go
+++ b/pkg/allowance/grantor.go
@@ -26,6 +26,9 @@
 	// Buckets are empty then, or full if there never was a grantor.
 	BucketsFrom time.Duration
 	First       bool
+	// HeadStart is true if buckets start with the tokens that the bound leaves, because no
+	// other tenure began within the last window.
+	HeadStart bool
 	// ReservesFrom is the time from which reserve tokens may be handed out.
 	ReservesFrom time.Duration
 }
@@ -131,6 +134,9 @@
 		level := size
 		if !g.tenure.First {
 			level = max(0, tokenRate*(now-g.tenure.BucketsFrom).Seconds())
+			if g.tenure.HeadStart {
+				level += g.limits.headStart(rate, burst)
+			}
 		}
 		a = &grantorAccount{bucket: newBucket(tokenRate, size, level, now), shares: map[entryKey]*share{}, backlogAt: now}
 		g.accounts[name] = a
--- a/pkg/allowance/lease.go
+++ b/pkg/allowance/lease.go
@@ -53,6 +53,9 @@
 // Self is the daemon as a holder.
 type Self struct {
 	ID, Host, Address string
+	// Started is a time after the start of the process, on the clock of the leases; 0 means
+	// unknown.
+	Started time.Duration
 }
 
 // OperationKind is the kind of a call to the platform.
@@ -154,8 +157,13 @@
 		from, free = l.ended(now, entry)
 	}
 	// Reserve tokens of the earlier holder can be used for one window, and each use counts
-	// for another.
-	return Tenure{BucketsFrom: from, ReservesFrom: from + 2*l.window}, free
+	// for another. The sequence shows whether that holder has renewed the lease, at most once
+	// per renewInterval, for more than a window: the head starts of two tenures must not be in
+	// the same window.
+	return Tenure{
+		BucketsFrom: from, ReservesFrom: from + 2*l.window,
+		HeadStart: l.readable && platform.EraOf(l.record.Base) == platform.EraOf(l.version) && time.Duration(l.record.Sequence) > l.window/renewInterval+1,
+	}, free
 }
 
 // ended reports whether the holder certainly grants nothing any more, since a time.
@@ -173,7 +181,11 @@
 	case r.Host == "":
 		return 0, false
 	case r.Host == l.self.Host:
-		// A host runs one process, so the holder was an earlier one.
+		// A host runs one process, so the holder was an earlier one, which ended before
+		// this one started.
+		if l.self.Started > 0 {
+			return min(l.self.Started, now), true
+		}
 		return now, true
 	}
 	id, version, ok := entry(r.Host)
@@ -250,7 +262,7 @@
 			return nil
 		}
 		// The platform came back from a copy once, perhaps from one without the lease.
-		tenure.First = false
+		tenure.First, tenure.HeadStart = false, false
 		tenure.BucketsFrom = started + takeoverWait
 		tenure.ReservesFrom = tenure.BucketsFrom + 2*l.window
 	}
--- a/pkg/allowance/limits.go
+++ b/pkg/allowance/limits.go
@@ -57,10 +57,23 @@
 // bucketSize returns the largest number of tokens in a bucket: the burst and, for small
 // bursts, a part of what the bound leaves after the rate, the burst and the reserve tokens.
 func (l Limits) bucketSize(rate, burst float64) float64 {
+	return max(1, burst+max(0, min(max(askGap*rate, 1), l.unused(rate, burst)/2)))
+}
+
+// unused returns what half of the overshoot leaves after the tokens that were granted before
+// a window and are used in it.
+func (l Limits) unused(rate, burst float64) float64 {
 	window := l.Window.Seconds()
 	late := l.bucketRate(rate)*(window+l.TokenLifetime().Seconds()) - rate*window
-	unused := (l.Overshoot*(rate*window+burst)+l.Extra)/2 - late
-	return max(1, burst+max(0, min(max(askGap*rate, 1), unused/2)))
+	return (l.Overshoot*(rate*window+burst)+l.Extra)/2 - late
+}
+
+// headStart returns the number of tokens in a bucket at the start of a tenure that follows
+// another one: what half of the overshoot leaves after late tokens and a larger bucket. The
+// other half covers reserves. Without it, all requests that arrived while there was no
+// grantor would be refused after a loss of power.
+func (l Limits) headStart(rate, burst float64) float64 {
+	return max(0, l.unused(rate, burst)-(l.bucketSize(rate, burst)-burst))
 }
 
 // reserveSize returns the largest number of reserve tokens of an account that all entry
--- a/pkg/allowance/link.go
+++ b/pkg/allowance/link.go
@@ -20,6 +20,10 @@
 	// avoidTime is how long a grantor that did not answer is not asked again, unless no
 	// other daemon is known.
 	avoidTime = time.Second
+	// startTime is how long after the first answer of a grantor requests wait up to
+	// maxStartWait for a token.
+	startTime    = 2 * time.Second
+	maxStartWait = time.Second
 	// maxRedirects is the number of redirects that are followed at once. Two daemons that
 	// name each other would otherwise be asked in turn without a pause.
 	maxRedirects = 3
@@ -51,6 +55,8 @@
 	failingSince time.Duration
 	// sentAt is the time of the last message.
 	sentAt, nextAt time.Duration
+	// firstGrantAt is the time of the first answer of a grantor, 0 before it.
+	firstGrantAt time.Duration
 	// leaseVersion is the highest version seen of the grantor's lease, leaseSeenAt when it
 	// was first seen.
 	leaseVersion uint64
@@ -61,7 +67,17 @@
 
 // away reports whether no grantor has answered for so long that waiting is pointless.
 func (l *link) away(now time.Duration) bool {
-	return l.failing() && now-l.failingSince >= maxWait && now-l.sentAt < awayLifetime
+	return l.failing() && now-l.failingSince >= l.maxWait(now) && now-l.sentAt < awayLifetime
+}
+
+// maxWait returns how long a request waits for a token. It is longer at the start of the
+// daemon: after a loss of power of all hosts, a grantor is there within a second, and the
+// buckets must fill for the requests that have arrived meanwhile.
+func (l *link) maxWait(now time.Duration) time.Duration {
+	if l.firstGrantAt == 0 || now-l.firstGrantAt < startTime {
+		return maxStartWait
+	}
+	return maxWait
 }
 
 func (l *link) earliest(due time.Duration) time.Duration { return max(due, l.nextAt) }
@@ -108,6 +124,9 @@
 
 func (l *link) granted(now time.Duration, by Candidate, leaseVersion uint64) {
 	l.holder, l.avoided, l.index, l.redirects, l.failures, l.failingSince = by, "", 0, 0, 0, 0
+	if l.firstGrantAt == 0 {
+		l.firstGrantAt = now
+	}
 	if leaseVersion > l.leaseVersion {
 		l.leaseVersion, l.leaseSeenAt = leaseVersion, now
 	}
--- a/pkg/allowance/model_test.go
+++ b/pkg/allowance/model_test.go
@@ -111,7 +111,7 @@
 	h.alive, h.frozenUntil, h.waiting, h.wakeAt, h.era = true, 0, nil, never, 0
 	id := fmt.Sprintf("%s.%d", m.name(h.index), h.starts)
 	h.wallet = NewWallet(m.limits, id, m.random)
-	h.shard = NewShard(m.limits, Self{ID: id, Host: m.name(h.index), Address: fmt.Sprint(h.index)}, 1, func(host string) (string, uint64, bool) {
+	h.shard = NewShard(m.limits, Self{ID: id, Host: m.name(h.index), Address: fmt.Sprint(h.index), Started: m.now}, 1, func(host string) (string, uint64, bool) {
 		o, ok := m.entries[host]
 		return string(o.Value), o.Version, ok
 	}, m.random)
@@ -358,7 +358,7 @@
 		m.arrived = append(m.arrived, m.now)
 	}
 	m.on(h, 0, func() {
-		limit := WaitLimit(m.now, time.Duration(200+m.random.IntN(2000))*time.Millisecond)
+		limit := h.wallet.WaitLimit(m.now, time.Duration(200+m.random.IntN(2000))*time.Millisecond)
 		outcome, waiter := h.wallet.Take(m.now, "a", m.rate, m.burst, limit)
 		if waiter == nil {
 			m.finish(h, outcome, unserved)
--- a/pkg/allowance/runner.go
+++ b/pkg/allowance/runner.go
@@ -68,7 +68,7 @@
 func (r *runner) begin(a *account.Account, timeLeft time.Duration) (now time.Duration, outcome Outcome, waiter *Waiter) {
 	r.locked(func(t time.Duration) {
 		now = t
-		outcome, waiter = r.wallet.Take(now, a.Name, a.Rate, a.Burst, WaitLimit(now, timeLeft))
+		outcome, waiter = r.wallet.Take(now, a.Name, a.Rate, a.Burst, r.wallet.WaitLimit(now, timeLeft))
 	})
 	return now, outcome, waiter
 }
--- a/pkg/allowance/wallet.go
+++ b/pkg/allowance/wallet.go
@@ -115,11 +115,12 @@
 
 // WaitLimit returns until when a request waits that has the given time left; 0 means no
 // limit.
-func WaitLimit(now, timeLeft time.Duration) time.Duration {
+func (w *Wallet) WaitLimit(now, timeLeft time.Duration) time.Duration {
+	wait := w.link.maxWait(now)
 	if timeLeft == 0 {
-		return now + maxWait
+		return now + wait
 	}
-	return now + min(maxWait, max(timeLeft, 0)/maxWaitDivisor)
+	return now + min(wait, max(timeLeft, 0)/maxWaitDivisor)
 }
 
 // Take takes a token for a request, refuses the request, or returns a waiter.
--- a/pkg/allowance/wallet_test.go
+++ b/pkg/allowance/wallet_test.go
@@ -13,6 +13,7 @@
 	w := NewWallet(Limits{}, "self", rand.New(rand.NewPCG(1, 1)))
 	candidates := func() []Candidate { return []Candidate{{ID: "g"}} }
 	now := start
+	w.link.firstGrantAt = now - startTime // At the start of a daemon requests wait longer.
 	_, waiter := w.Take(now, "a", 10, 10, now+maxWait)
 	for range 2 {
 		if call, _ := w.Next(now, candidates, 1); call == nil {
