Let the soak play client accounts, keys and allowances

In two thirds of the seeds the service lists accounts and has an open route, and changes of its document take keys away, add them and change allowances during the faults.

--- a/cmd/standin/upstream.go
+++ b/cmd/standin/upstream.go
@@ -37,5 +37,6 @@
 	f.IntVar(&c.Slots, "slots", 3, "requests that run at a time")
 	f.IntVar(&c.Queue, "queue", 2, "requests that wait for a slot before more are shed")
 	f.DurationVar(&c.ServiceTime, "service-time", 20*time.Millisecond, "mean time of a request")
+	f.BoolVar(&c.Record, "record", false, "keep the header of each request for /standin/arrivals")
 	return cmd
 }
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -7,6 +7,10 @@
 //   - signals stop, pause, kill and restart daemons, and pause upstreams;
 //   - the platform stand-in is unavailable, is slow or loses replies.
 //
+// In two thirds of the seeds the service has client accounts and an open route. Callers send
+// keys of their accounts, wrong keys and none, and claim accounts of their own choice, while
+// changes of the document take keys away, add them, and lower or raise allowances.
+//
 // Checked properties:
 //
 //   - An order with a key runs at most once. An order answered with the verdict "ran" has
@@ -15,6 +19,14 @@
 //   - A daemon that receives SIGTERM exits with status 0 within its grace period.
 //   - Daemons do not exit on their own at any other time.
 //   - All requests are served again a few seconds after the last fault.
+//   - No upstream gets a key, or an account other than that of the key.
+//   - A request whose key no version of the document held does not run, nor does one that was
+//     sent after its daemon had the time and the contact to apply a version without the key.
+//   - A request gets 401 only if a version without its key may be in force, and 429 only if its
+//     account may have an allowance.
+//   - No window of 5 s has more requests of an account than its allowance permits.
+//   - A request that is answered with the verdict "not run" has not run (with accounts; without,
+//     only orders are checked).
 //
 // go run ./internal/soak -bin bin -seeds 50 runs 50 random seeds; -seed N runs one seed.
 //
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -24,6 +24,7 @@
 	flag.IntVar(&cfg.upstreams, "upstreams", 12, "number of upstreams")
 	flag.IntVar(&cfg.callers, "callers", 12, "number of callers")
 	flag.DurationVar(&cfg.duration, "length", 15*time.Second, "period in which faults start")
+	flag.DurationVar(&cfg.settle, "settle", 14*time.Second, "period after the last fault in runs with accounts; it must exceed 11s for changes of allowances to be checked to the end")
 	flag.BoolVar(&cfg.plannedStops, "stops", false, "only planned stops of daemons, and no faults")
 	flag.Parse()
 	list := []uint64{*seed}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -19,6 +19,8 @@
 type runConfig struct {
 	daemons, upstreams, callers int
 	duration                    time.Duration
+	// settle is how long a run with accounts goes on after the last fault and change.
+	settle time.Duration
 	// plannedStops selects a run of planned stops without faults.
 	plannedStops bool
 }
@@ -55,12 +57,22 @@
 	// daemonLocks are held during a fault of a daemon, including its restart, so that
 	// the next fault of the same daemon waits.
 	daemonLocks []sync.Mutex
+
+	// documents are the planned versions of the document, or nil for a service without accounts.
+	documents []plannedDocument
+	// daemonAt holds the indices of the daemons by caller address.
+	daemonAt map[string]int
+	observations
 }
 
 // runSeed runs a seed, with settings and logs in dir. It returns the problems found, or
 // an error if the run itself failed.
 func runSeed(ctx context.Context, bin, dir string, seed uint64, cfg runConfig) ([]string, error) {
 	r := &run{runConfig: cfg, fleet: fleettest.New(bin, dir), recorder: newRecorder(), daemonLocks: make([]sync.Mutex, cfg.daemons)}
+	r.daemonCount = cfg.daemons
+	if usesAccounts(seed) {
+		r.documents = planDocuments(seed, cfg.duration)
+	}
 	r.fleet.LogDecisions = true
 	defer r.fleet.Close()
 	defer func() {
@@ -74,10 +86,22 @@
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var load sync.WaitGroup
 	for i, c := range r.fleet.NewCallers("soak", cfg.callers) {
-		load.Go(func() { r.sendRequests(loadCtx, i, c) })
+		if r.documents != nil {
+			load.Go(func() { r.sendWithKeys(loadCtx, seed, i, c) })
+		} else {
+			load.Go(func() { r.sendRequests(loadCtx, i, c) })
+		}
+	}
+	var changes sync.WaitGroup
+	if r.documents != nil {
+		changes.Go(func() { r.changeDocuments(ctx, time.Now(), seed, r.documents) })
 	}
 	r.injectFaults(ctx, planFaults(seed, cfg.duration, cfg.daemons, cfg.upstreams))
 	r.awaitRecovery(ctx)
+	if r.documents != nil {
+		changes.Wait()
+		time.Sleep(cfg.settle)
+	}
 	stopLoad()
 	load.Wait()
 	r.checkUnexpectedExits()
@@ -85,7 +109,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "query the upstreams for the executed orders")
 	}
-	return r.recorder.check(runs), nil
+	problems, err := r.checkAccounts(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "query the upstreams for the requests they got")
+	}
+	if r.documents != nil {
+		fmt.Printf("seed %d: %v\n", seed, &r.observations)
+	}
+	return append(r.recorder.check(runs), problems...), nil
 }
 
 // startFleet starts the platform, the upstreams behind proxies, and the daemons.
@@ -94,9 +125,15 @@
 	if err := f.StartPlatform(); err != nil {
 		return err
 	}
+	var flags []string
+	document := serviceDocument
+	if r.documents != nil {
+		flags, document = []string{"--record"}, accountsDocument(0, r.documents[0].accounts)
+		r.history = []documentVersion{{accounts: r.documents[0].accounts}}
+	}
 	for i := range r.upstreams {
 		id, domain := fmt.Sprintf("upstream-%d", i), domains[i%len(domains)]
-		u, err := f.StartUpstream(serviceName, id, domain, slotsPerUpstream)
+		u, err := f.StartUpstream(serviceName, id, domain, slotsPerUpstream, flags...)
 		if err != nil {
 			return err
 		}
@@ -111,7 +148,9 @@
 			return err
 		}
 	}
-	return startDaemons(ctx, f, r.daemons, serviceDocument)
+	err := startDaemons(ctx, f, r.daemons, document)
+	r.daemonAt = indexDaemons(f)
+	return err
 }
 
 // startDaemons starts daemons and waits until the document is in force at all of them.
@@ -171,6 +210,9 @@
 	case pauseDaemon, killDaemon, stopDaemon:
 		r.daemonLocks[f.Target].Lock()
 		defer r.daemonLocks[f.Target].Unlock()
+		defer r.outages.begin(f.Target)()
+	case platformDown:
+		defer r.outages.begin(platformOutage)()
 	}
 	switch f.Kind {
 	case delay, reset, silence, cutAnswers:
@@ -254,7 +296,7 @@
 // a row, for at most recoveryTimeout.
 func (r *run) awaitRecovery(ctx context.Context) {
 	deadline := time.Now().Add(recoveryTimeout)
-	for _, c := range r.fleet.NewCallers("probe", len(domains)) {
+	for _, c := range r.newProbes() {
 		for consecutive, n := 0, 0; consecutive < requiredSuccesses; n++ {
 			key := fmt.Sprintf("probe-%s-%d", c.Domain, n)
 			o := c.Do(ctx, serviceName, "POST", "/book", key, nil)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"os/exec"
 	"slices"
 	"testing"
@@ -11,6 +13,8 @@
 
 	"shallotglade/internal/standin"
 	"shallotglade/internal/testkit"
+	"shallotglade/pkg/dialect"
+	"shallotglade/pkg/document"
 	"shallotglade/pkg/verdict"
 )
 
@@ -113,6 +117,126 @@
 	})
 }
 
+// Guards against plans that differ between runs of the same seed, against versions without a
+// change, which no check could tell apart, and against documents that are refused.
+func TestPlanDocuments(t *testing.T) {
+	testkit.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		documents := planDocuments(seed, 15*time.Second)
+		if !slices.Equal(documents, planDocuments(seed, 15*time.Second)) {
+			t.Fatal("the same seed gave two different plans")
+		}
+		for i, d := range documents {
+			if i > 0 && d.at < documents[i-1].at {
+				t.Fatalf("version %d is planned before version %d", i, i-1)
+			}
+			if _, problems := document.Parse("", []byte(accountsDocument(i, d.accounts))); len(problems) > 0 {
+				t.Fatal(problems.Err())
+			}
+		}
+	})
+}
+
+// Guards against broken promises about keys and accounts that observations.check does not
+// report, and against reports of what is allowed while a version is applied.
+func TestCheckAccounts(t *testing.T) {
+	at := func(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
+	var first, second accountStates
+	first[0].held = [keysPerAccount]bool{true, true}
+	second[0].held = [keysPerAccount]bool{true, false, true}
+	const gone, kept, added = 1, 0, 2
+	ok := standin.Outcome{Status: 200, Verdict: verdict.Ran}
+	refused := func(status int) standin.Outcome { return standin.Outcome{Status: status, Verdict: verdict.NotRun} }
+	for _, c := range []struct {
+		name string
+		try
+		sentAt   float64
+		ran      bool
+		accounts []string
+		leaked   string
+		broken   bool
+	}{
+		{name: "ran", try: try{key: kept, outcome: ok}, ran: true, accounts: []string{"account-0"}},
+		{name: "ran with the name of another account", try: try{key: kept, outcome: ok}, ran: true, accounts: []string{"account-1"}, broken: true},
+		{name: "ran with two accounts", try: try{key: kept, outcome: ok}, ran: true, accounts: []string{"account-0", "account-1"}, broken: true},
+		{name: "ran without an account", try: try{key: kept, outcome: ok}, ran: true, broken: true},
+		{name: "passed its key on", try: try{key: kept, outcome: ok}, ran: true, accounts: []string{"account-0"}, leaked: "Authorization", broken: true},
+		{name: "passed its key on in another header", try: try{key: kept, outcome: ok}, ran: true, accounts: []string{"account-0"}, leaked: "X-Other", broken: true},
+		{name: "open", try: try{open: true, account: noAccount, outcome: ok}, ran: true},
+		{name: "open with the claimed account", try: try{open: true, outcome: ok}, ran: true, accounts: []string{"account-0"}, broken: true},
+		{name: "open and refused", try: try{open: true, outcome: refused(401)}, broken: true},
+		{name: "wrong key ran", try: try{account: noAccount, key: wrongKey, outcome: ok}, ran: true, broken: true},
+		{name: "no key ran", try: try{account: noAccount, outcome: ok}, ran: true, broken: true},
+		{name: "wrong key refused", try: try{account: noAccount, key: wrongKey, outcome: refused(401)}},
+		{name: "revoked key before the version is applied", try: try{key: gone, outcome: ok}, sentAt: 12, ran: true, accounts: []string{"account-0"}},
+		{name: "revoked key during an outage", try: try{key: gone, outcome: ok}, sentAt: 17, ran: true, accounts: []string{"account-0"}},
+		{name: "revoked key at a daemon without an outage", try: try{key: gone, daemon: 1, outcome: ok}, sentAt: 17, ran: true, accounts: []string{"account-0"}, broken: true},
+		{name: "revoked key after the outage", try: try{key: gone, outcome: ok}, sentAt: 20, ran: true, accounts: []string{"account-0"}, broken: true},
+		{name: "revoked key refused", try: try{key: gone, outcome: refused(401)}, sentAt: 20},
+		{name: "revoked key refused too early", try: try{key: gone, outcome: refused(401)}, sentAt: 2, broken: true},
+		{name: "added key before its version", try: try{key: added, outcome: ok}, sentAt: 2, ran: true, accounts: []string{"account-0"}, broken: true},
+		{name: "added key refused while the version is applied", try: try{key: added, outcome: refused(401)}, sentAt: 12},
+		{name: "added key refused", try: try{key: added, outcome: refused(401)}, sentAt: 20, broken: true},
+		{name: "kept key refused", try: try{key: kept, outcome: refused(401)}, sentAt: 12, broken: true},
+		{name: "refused, ran", try: try{key: gone, outcome: refused(401)}, sentAt: 12, ran: true, accounts: []string{"account-0"}, broken: true},
+		{name: "refused without the verdict", try: try{key: gone, outcome: standin.Outcome{Status: 401}}, sentAt: 20, broken: true},
+		{name: "429 without an allowance", try: try{key: kept, outcome: refused(429)}, broken: true},
+		{name: "probe refused", try: try{account: probe, outcome: refused(429)}, broken: true},
+	} {
+		c.echo, c.sent, c.ended = "e", at(c.sentAt), at(c.sentAt+0.1)
+		o := observations{daemonCount: 2, tries: []try{c.try}, history: []documentVersion{{accounts: first}, {accounts: second, submitted: at(9), acknowledged: at(10)}}}
+		o.outages.list = []*outage{{daemon: 0, start: at(11), end: at(13)}}
+		var arrivals []standin.Arrival
+		if c.ran {
+			header := http.Header{standin.HeaderEcho: {"e"}}
+			if c.accounts != nil {
+				header[dialect.HeaderAccount] = c.accounts
+			}
+			if c.leaked != "" {
+				header.Set(c.leaked, "Bearer "+secret("account-0", c.key))
+			}
+			arrivals = []standin.Arrival{{Header: header, At: at(c.sentAt + 0.05), Ran: true}}
+		}
+		if got := o.check(arrivals); len(got) > 0 != c.broken {
+			t.Errorf("%s: violation reported: %v, want %v", c.name, got, c.broken)
+		}
+	}
+}
+
+// Guards against windows with too many requests that checkAllowance does not report, and
+// against a lowered allowance that counts before all daemons can have applied it.
+func TestCheckAllowance(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// start is when the first request is sent, in seconds; the allowance is lowered from 8 to
+		// 2 at second 10.
+		start, length float64
+		requests      int
+		broken        bool
+	}{
+		{"at the limit", 0, 4.9, 72, false},
+		{"above the limit", 0, 4.9, 73, true},
+		{"spread over more than a window", 0, 7.2, 90, false},
+		{"lowered, in the time to apply it and a window", 16, 4.9, 72, false},
+		{"lowered, above the limit after it", 21.1, 4.9, 34, true},
+		{"lowered, at the limit after it", 21.1, 4.9, 33, false},
+	} {
+		at := func(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
+		var first, second accountStates
+		first[2], second[2] = accountState{rate: 8, burst: 8}, accountState{rate: 2, burst: 2}
+		o := observations{daemonCount: 1, history: []documentVersion{{accounts: first}, {accounts: second, submitted: at(9), acknowledged: at(10)}}}
+		ranAt := map[string]time.Time{}
+		for i := range c.requests {
+			echo, sent := fmt.Sprint(i), at(c.start+c.length*float64(i)/float64(c.requests))
+			o.tries = append(o.tries, try{echo: echo, account: 2, sent: sent})
+			ranAt[echo] = sent
+		}
+		if got := o.checkAllowance(2, ranAt); len(got) > 0 != c.broken {
+			t.Errorf("%s: violation reported: %v, want %v", c.name, got, c.broken)
+		}
+	}
+}
+
 // Guards against violations that recorder.check does not report.
 func TestCheck(t *testing.T) {
 	ran := standin.Outcome{Status: 200, Verdict: verdict.Ran, Tries: 1}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -31,6 +31,10 @@
 	Seeds []string
 	// Crash adds crashHeader to requests: each upstream that runs one crashes.
 	Crash bool
+	// Edit changes each request before it is sent. OnTry gets each request that was sent, with
+	// the time of sending and the outcome. Both may be nil.
+	Edit  func(*http.Request)
+	OnTry func(r *http.Request, sent time.Time, o Outcome)
 
 	http  *http.Client
 	mu    sync.Mutex
@@ -176,6 +180,9 @@
 	return false
 }
 
+// HeaderEcho identifies each request that a caller sends. Upstreams return its value.
+const HeaderEcho = "X-Echo"
+
 // send sends a request once.
 func (c *Caller) send(ctx context.Context, address, service, method, path, key string, body []byte) Outcome {
 	echo := fmt.Sprintf("%016x", rand.Uint64())
@@ -185,13 +192,26 @@
 	}
 	r.Header.Set(proxy.HeaderService, service)
 	r.Header.Set(proxy.HeaderCaller, c.Name)
-	r.Header.Set("X-Echo", echo)
+	r.Header.Set(HeaderEcho, echo)
 	if key != "" {
 		r.Header.Set(proxy.HeaderKey, key)
 	}
 	if c.Crash {
 		r.Header.Set(crashHeader, "1")
 	}
+	if c.Edit != nil {
+		c.Edit(r)
+	}
+	sent := time.Now()
+	outcome := c.exchange(r, echo)
+	if c.OnTry != nil {
+		c.OnTry(r, sent, outcome)
+	}
+	return outcome
+}
+
+// exchange sends a request with the given echo and reads the answer.
+func (c *Caller) exchange(r *http.Request, echo string) Outcome {
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return Outcome{Err: err}
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -56,18 +56,28 @@
 }
 
 // Executions returns the counts of executed requests of the upstream at an address.
-func Executions(ctx context.Context, address string) (ExecutionCounts, error) {
-	var e ExecutionCounts
-	r, err := http.NewRequestWithContext(ctx, "GET", "http://"+address+"/standin/executions", nil)
+func Executions(ctx context.Context, address string) (e ExecutionCounts, err error) {
+	return e, query(ctx, address, "executions", &e)
+}
+
+// Arrivals returns the requests that reached the upstream at an address, which must record
+// them.
+func Arrivals(ctx context.Context, address string) (list []Arrival, err error) {
+	return list, query(ctx, address, "arrivals", &list)
+}
+
+// query decodes the answer of a control endpoint of the upstream at an address into out.
+func query(ctx context.Context, address, endpoint string, out any) error {
+	r, err := http.NewRequestWithContext(ctx, "GET", "http://"+address+"/standin/"+endpoint, nil)
 	if err != nil {
-		return e, err
+		return err
 	}
 	resp, err := controlClient.Do(r)
 	if err != nil {
-		return e, err
+		return err
 	}
 	defer resp.Body.Close()
-	return e, json.NewDecoder(resp.Body).Decode(&e)
+	return json.NewDecoder(resp.Body).Decode(out)
 }
 
 // RunsByKey returns how often each key ran, summed over the given upstreams.
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 	Queue int
 	// ServiceTime is the mean service time of a request.
 	ServiceTime time.Duration
+	// Record keeps the header and the time of each request for Arrivals.
+	Record bool
 	// Crash is called for each executed request with crashHeader; nil ignores the
 	// header.
 	Crash func()
@@ -44,6 +47,16 @@
 	waiting int
 	runs    map[string]int
 	served  int
+	// arrivals is empty unless the configuration asks to record.
+	arrivals []*Arrival
+}
+
+// Arrival is a request that reached the upstream.
+type Arrival struct {
+	Header http.Header `json:"header"`
+	At     time.Time   `json:"at"`
+	// Ran is true if the request was executed, and false if it was shed.
+	Ran bool `json:"ran"`
 }
 
 // ExecutionCounts holds the counts of executed requests.
@@ -61,6 +74,7 @@
 	u.server.GET("/health", u.health)
 	u.server.PUT("/standin/mode", u.setMode)
 	u.server.GET("/standin/executions", u.executions)
+	u.server.GET("/standin/arrivals", u.listArrivals)
 	u.server.NoRoute(u.serveRequest)
 	return u
 }
@@ -121,8 +135,15 @@
 	c.JSON(200, u.Executions())
 }
 
+func (u *Upstream) listArrivals(_ context.Context, c *app.RequestContext) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	c.JSON(200, u.arrivals)
+}
+
 func (u *Upstream) serveRequest(ctx context.Context, c *app.RequestContext) {
 	m := u.currentMode()
+	arrival := u.recordArrival(c)
 	if m.Leaving {
 		c.Header(dialect.HeaderLeaving, "true")
 	}
@@ -133,7 +154,7 @@
 		return
 	}
 	defer func() { <-u.slots }()
-	u.recordRun(string(c.GetHeader("Idempotency-Key")))
+	u.recordRun(string(c.GetHeader("Idempotency-Key")), arrival)
 	if len(c.GetHeader(crashHeader)) > 0 && u.config.Crash != nil {
 		u.config.Crash()
 	}
@@ -163,10 +184,23 @@
 	}
 }
 
-func (u *Upstream) recordRun(key string) {
+// recordArrival records a request if the configuration asks for it.
+func (u *Upstream) recordArrival(c *app.RequestContext) *Arrival {
+	a := &Arrival{Header: http.Header{}, At: time.Now()}
+	if u.config.Record {
+		c.Request.Header.VisitAll(func(name, value []byte) { a.Header.Add(string(name), string(value)) })
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.arrivals = append(u.arrivals, a)
+	}
+	return a
+}
+
+func (u *Upstream) recordRun(key string, arrival *Arrival) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.served++
+	arrival.Ran = true
 	if key != "" {
 		u.runs[key]++
 	}
@@ -184,7 +218,7 @@
 const hangTime = 10 * time.Second
 
 func (u *Upstream) sendAnswer(c *app.RequestContext, m Mode) {
-	body := fmt.Sprintf(`{"upstream":%q,"echo":%q,"path":%q}`, u.config.Name, c.GetHeader("X-Echo"), c.Request.URI().RequestURI())
+	body := fmt.Sprintf(`{"upstream":%q,"echo":%q,"path":%q}`, u.config.Name, c.GetHeader(HeaderEcho), c.Request.URI().RequestURI())
 	draw := rand.Float64()
 	switch {
 	case draw < m.HangShare:
