review: show a daemon that ends on one malformed request

A request with the target "a:" and without a Host field at the registry or readiness address makes the HTTP library panic in a goroutine that does not recover. The process ends, and all requests in flight are lost (LOST).

--- a/review/drill/case_crash.go
+++ b/review/drill/case_crash.go
@@ -11,6 +11,7 @@
 func init() {
 	cases["worker-bytes"] = playWorkerBytes
 	cases["client-field"] = playClientField
+	cases["client-target"] = playClientTarget
 }
 
 // Limits of the rule LOST: more than lostAllowed orders of one machine.
@@ -88,6 +89,25 @@
 	r.record.printf("client got %.60q for %s: %v", answer[:n], id, err)
 }
 
+// playClientTarget sends one request with an odd target and no Host field to the address of two
+// daemons at which clients ask where to connect.
+func playClientTarget(r *run) (bool, error) {
+	workers, err := r.begin(len(zones), orderWork)
+	if err != nil {
+		return false, err
+	}
+	return r.countLostAtDaemons(workers[orderService], func(d *daemon) {
+		text := "GET /-/resolve?name=" + host + "&region=" + region + "&zone=" + d.zone + " HTTP/1.1\r\nHost: " + d.registry + "\r\n\r\n"
+		if r.trouble {
+			text = "GET a: HTTP/1.1\r\n\r\n"
+		}
+		r.record.printf("client sends %q to the registry address of %s", text, d.name)
+		if err := r.sendText(d.registry, text); err != nil {
+			r.record.printf("client got an error: %v", err)
+		}
+	})
+}
+
 // countLostAtDaemons reports whether a daemon lost more orders than the rule allows.
 func (r *run) countLostAtDaemons(orderWorkers []*worker, trouble func(*daemon)) (bool, error) {
 	broken := false
