Refuse answers whose Trailer field the HTTP library cannot take, and contain panics of attempts

What callers saw: one answer of one upstream with "Trailer: ,,,," ended the process of each daemon that got it.

Cause: the library panics on an empty element of a Trailer field, in the goroutine of the attempt, where nothing recovered. The check of heads that runs before the library did not look at this field.

Change: the check of heads is a package of its own, internal/httphead, without input and output. It refuses a Trailer field that is no list of names, and a field that describes the body and is folded. A panic that happens nevertheless is recovered, logged and counted by pkg/panics: it closes the connection of the attempt, returns its slot and its place in the pool, and the request counts as one that may have run.

Evidence: the stack names SetTrailers.

--- a/cmd/shallotgladed/main.go
+++ b/cmd/shallotgladed/main.go
@@ -15,6 +15,7 @@
 
 	"shallotglade/internal/strictyaml"
 	"shallotglade/pkg/daemon"
+	"shallotglade/pkg/panics"
 	"shallotglade/pkg/settings"
 	"shallotglade/pkg/telemetry"
 	adapter "shallotglade/platform"
@@ -87,6 +88,7 @@
 	log := telemetry.NewLogger(output, s.Log.Level, s.Listen.Callers)
 	telemetry.CaptureHTTP(log)
 	telemetry.CaptureStandard(log)
+	panics.SetLogger(log)
 	d, err := daemon.New(s, adapters, log)
 	if err != nil {
 		log.Error().Err(err).Msg("daemon: not started")
--- a/internal/netconn/chunk.go
+++ b/internal/netconn/chunk.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"shallotglade/internal/httphead"
 )
 
 const (
@@ -88,7 +90,7 @@
 			return err
 		}
 		remaining -= len(line) + len(lineEnd)
-		if err := CheckField(line); err != nil {
+		if err := httphead.CheckField(line); err != nil {
 			return err
 		}
 	}
--- a/internal/netconn/head.go
+++ b/internal/netconn/head.go
@@ -1,148 +1,99 @@
 package netconn
 
 import (
-	"bytes"
-	"strings"
-
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cockroachdb/errors"
+
+	"shallotglade/internal/httphead"
 )
 
-// maxLengthDigits limits the digits of a content length, so that it fits into 64 bits.
-const maxLengthDigits = 18
+var (
+	// ErrHeadTooLong means that the head of a message exceeds its size limit.
+	ErrHeadTooLong = errors.New("the head does not end within its bound")
 
-// ErrHeadTooLong means that the head of an answer exceeds its size limit.
-var ErrHeadTooLong = errors.New("the head does not end within its bound")
+	errHeadMismatch = errors.New("the HTTP library parsed the head to a different length")
+)
 
-// AwaitHead waits until the complete head of an answer (status line and headers) has
-// arrived and returns its size. It fails as soon as the received bytes cannot be the start
-// of a valid head, or when the head does not end within limit bytes.
-func (s *Conn) AwaitHead(limit int) (int, error) {
-	var h headScanner
-	for n := 1; ; n = s.Len() + 1 {
-		if n > limit {
-			return 0, ErrHeadTooLong
+const (
+	statusSwitchingProtocols = 101
+	firstFinalStatus         = 200
+)
+
+// ReadAnswerHead reads the head of the next final answer and skips interim answers. All heads
+// together may have limit bytes.
+func (s *Conn) ReadAnswerHead(h *protocol.ResponseHeader, limit int) error {
+	for {
+		size, err := s.awaitHead(&httphead.Scanner{}, limit)
+		if err != nil {
+			return err
 		}
-		if _, err := s.Peek(n); err != nil {
-			return 0, err
+		// The library moves the bytes after a folded header field within the buffer,
+		// so it must see only the head.
+		head := &headReader{s, size}
+		if err := resp.ReadHeader(h, head); err != nil {
+			return errors.Wrap(err, "parse the head of an answer")
 		}
-		received, err := s.Peek(min(s.Len(), limit))
-		if err != nil {
-			return 0, err
+		if head.remaining != 0 {
+			return errHeadMismatch
 		}
-		if complete, err := h.scan(received); complete || err != nil {
-			return h.scanned, err
+		limit -= size
+		switch status := h.StatusCode(); {
+		case status == statusSwitchingProtocols:
+			return errors.Newf("unexpected protocol switch (status %d)", status)
+		case status >= firstFinalStatus:
+			return nil
 		}
 	}
 }
 
-// headScanner validates a head incrementally.
-type headScanner struct {
-	// scanned is the total size of the lines checked so far.
-	scanned int
-	// contentLength is the value of Content-Length, nil if there is none.
-	contentLength []byte
+// AwaitAnswerHead waits until the complete head of an answer has arrived, and refuses one that the
+// HTTP library must not see.
+func (s *Conn) AwaitAnswerHead(limit int) error {
+	_, err := s.awaitHead(&httphead.Scanner{}, limit)
+	return err
 }
 
-// scan checks the complete lines after the scanned ones, and reports whether the head is
-// complete.
-func (h *headScanner) scan(received []byte) (complete bool, err error) {
-	if h.scanned == 0 && !isStatusLinePrefix(received) {
-		return false, errors.Newf("the bytes begin no status line: %.20q", received)
-	}
-	for {
-		end := bytes.IndexByte(received[h.scanned:], '\n')
-		if end < 0 {
-			return false, nil
+// awaitHead waits until the complete head of a message has arrived and returns its size. It
+// fails as soon as the scanner refuses the bytes, or when the head does not end within limit
+// bytes.
+func (s *Conn) awaitHead(scanner *httphead.Scanner, limit int) (int, error) {
+	for n := 1; ; n = s.Len() + 1 {
+		if n > limit {
+			return 0, ErrHeadTooLong
 		}
-		line := bytes.TrimSuffix(received[h.scanned:h.scanned+end], []byte("\r"))
-		first := h.scanned == 0
-		h.scanned += end + 1
-		if len(line) == 0 {
-			return true, nil
+		if _, err := s.Peek(n); err != nil {
+			return 0, err
 		}
-		if !first {
-			if err := h.checkHeader(line); err != nil {
-				return false, err
-			}
+		received, err := s.Peek(min(s.Len(), limit))
+		if err != nil {
+			return 0, err
+		}
+		if complete, err := scanner.Scan(received); complete || err != nil {
+			return scanner.Size(), err
 		}
 	}
 }
 
-// checkHeader checks a header line and, if it is a Content-Length, its value.
-func (h *headScanner) checkHeader(line []byte) error {
-	if err := CheckField(line); err != nil {
-		return err
-	}
-	if bytes.IndexByte(line, 0) >= 0 || bytes.IndexByte(line, '\r') >= 0 {
-		return errors.Newf("a header field has a control character: %.20q", line)
-	}
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	if !strings.EqualFold(string(name), "Content-Length") {
-		return nil
-	}
-	value = bytes.TrimSpace(value)
-	if !isContentLength(value) || h.contentLength != nil && !bytes.Equal(h.contentLength, value) {
-		return errors.Newf("the content length is no number or not the same each time: %.20q", value)
-	}
-	h.contentLength = bytes.Clone(value)
-	return nil
+// headReader reads the next head of a connection and nothing after it.
+type headReader struct {
+	*Conn
+	remaining int
 }
 
-// ErrMalformedField marks the errors of CheckField, which quote the line.
-var ErrMalformedField = errors.New("a line is no header field")
+// Len implements network.Reader.
+func (r *headReader) Len() int { return r.remaining }
 
-// CheckField returns an error unless the line, without its line ending, is a header field
-// or continues the value of the previous field.
-func CheckField(line []byte) error {
-	if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
-		return nil
-	}
-	name, _, found := bytes.Cut(line, []byte(":"))
-	if !found || !isFieldName(name) {
-		return errors.Mark(errors.Newf("a line is no header field: %.20q", line), ErrMalformedField)
+// Peek implements network.Reader.
+func (r *headReader) Peek(n int) ([]byte, error) {
+	if n > r.remaining {
+		return nil, errHeadMismatch
 	}
-	return nil
+	return r.Conn.Peek(n)
 }
 
-// statusLinePattern is the pattern of the start of a status line; each 0 matches any digit, and
-// S those that begin a status of 100 to 599. The HTTP library would report 000 as 200, and other
-// codes below 200 as interim answers.
-const statusLinePattern = "HTTP/1.0 S00"
-
-// isStatusLinePrefix reports whether the bytes begin with a status line or are the start
-// of one.
-func isStatusLinePrefix(b []byte) bool {
-	for i := range min(len(b), len(statusLinePattern)) {
-		ok := b[i] == statusLinePattern[i]
-		switch statusLinePattern[i] {
-		case '0':
-			ok = b[i] >= '0' && b[i] <= '9'
-		case 'S':
-			ok = b[i] >= '1' && b[i] <= '5'
-		}
-		if !ok {
-			return false
-		}
-	}
-	return len(b) <= len(statusLinePattern) || strings.IndexByte(" \r\n", b[len(statusLinePattern)]) >= 0
-}
-
-// isFieldName reports whether a name is an HTTP token.
-func isFieldName(name []byte) bool {
-	for _, c := range name {
-		alphanumeric := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
-		if !alphanumeric && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
-			return false
-		}
-	}
-	return len(name) > 0
-}
-
-func isContentLength(value []byte) bool {
-	for _, c := range value {
-		if c < '0' || c > '9' {
-			return false
-		}
-	}
-	return len(value) > 0 && len(value) <= maxLengthDigits
+// Skip implements network.Reader.
+func (r *headReader) Skip(n int) error {
+	r.remaining -= n
+	return r.Conn.Skip(n)
 }
--- a/pkg/ingress/refusal.go
+++ b/pkg/ingress/refusal.go
@@ -13,7 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cockroachdb/errors"
 
-	"shallotglade/internal/netconn"
+	"shallotglade/internal/httphead"
 )
 
 // Refusal refuses a request whose body has not been read.
@@ -91,8 +91,8 @@
 	if errors.As(err, &quoting) && quoting.IsType(hertzerrors.ErrorTypePublic) {
 		return errMalformed
 	}
-	if errors.Is(err, netconn.ErrMalformedField) {
-		return netconn.ErrMalformedField
+	if errors.Is(err, httphead.ErrMalformedField) {
+		return httphead.ErrMalformedField
 	}
 	return err
 }
--- a/pkg/platform/dialer.go
+++ b/pkg/platform/dialer.go
@@ -55,7 +55,7 @@
 func (c *checkedConn) Peek(n int) ([]byte, error) {
 	if c.awaitingHead {
 		c.awaitingHead = false
-		if _, err := c.AwaitHead(maxHeadBytes); err != nil {
+		if err := c.AwaitAnswerHead(maxHeadBytes); err != nil {
 			return nil, err
 		}
 	}
--- a/pkg/proxy/attempts.go
+++ b/pkg/proxy/attempts.go
@@ -8,6 +8,7 @@
 
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/document"
+	"shallotglade/pkg/panics"
 	"shallotglade/pkg/retry"
 	"shallotglade/pkg/routing"
 	"shallotglade/pkg/upstream"
@@ -171,11 +172,11 @@
 	x.logChoice(g)
 	x.selectionTime += x.launchedAt.Sub(chooseStart) - g.Waited
 	x.proxy.Notifier.LoadChanged(x.service)
-	go func() {
+	panics.Go(panics.Upstreams, func() {
 		result := x.sendAttempt(ctx, attempt)
 		x.recordResult(ctx, attempt, result)
 		ended <- endedAttempt{attempt, result}
-	}()
+	}, func(err error) { ended <- endedAttempt{attempt, panickedResult(err)} })
 }
 
 // retryable reports whether the request may be retried if the next attempt fails.
@@ -195,14 +196,26 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, x.document.Timeouts.Attempt)
 	defer cancel()
-	return x.proxy.Sender.Do(ctx, upstream.Target{
-		ID: a.Upstream.ID, Address: a.Upstream.Address, MaxConnections: x.document.Upstreams.Connections, ConnectTimeout: x.document.Timeouts.Connect,
-	}, &upstream.Request{
-		ID: x.in.ID, Method: x.in.Method, URI: x.in.URI, Host: x.in.Host,
-		Headers: x.in.Headers, Body: x.in.Body, HasBody: x.in.HasBody,
-		FreshConnection: !x.idempotent() && x.document.Upstreams.Reuse == document.ReuseIdempotent,
-		AvoidLongIdle:   !x.idempotent(),
+	var result upstream.Result
+	err := panics.Run(panics.Upstreams, func() {
+		result = x.proxy.Sender.Do(ctx, upstream.Target{
+			ID: a.Upstream.ID, Address: a.Upstream.Address, MaxConnections: x.document.Upstreams.Connections, ConnectTimeout: x.document.Timeouts.Connect,
+		}, &upstream.Request{
+			ID: x.in.ID, Method: x.in.Method, URI: x.in.URI, Host: x.in.Host,
+			Headers: x.in.Headers, Body: x.in.Body, HasBody: x.in.HasBody,
+			FreshConnection: !x.idempotent() && x.document.Upstreams.Reuse == document.ReuseIdempotent,
+			AvoidLongIdle:   !x.idempotent(),
+		})
 	})
+	if err != nil {
+		return panickedResult(err)
+	}
+	return result
+}
+
+// panickedResult is the result of an attempt that panicked. The upstream may have run the request.
+func panickedResult(err error) upstream.Result {
+	return upstream.Result{Kind: upstream.Failure, Verdict: verdict.MayHaveRun, Err: err}
 }
 
 // afterAttempt returns the final answer, or nil if another attempt is running or
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"shallotglade/pkg/panics"
 )
 
 // Metrics holds the metrics of one daemon.
@@ -76,6 +78,7 @@
 	m.Registry.MustRegister(m.Requests, m.RequestSeconds, m.OverheadSeconds, m.Attempts, m.Hedges, m.Refusals, m.Forwards, m.InFlight,
 		m.Standings, m.UnusedUpstreams, m.UnservedShare, m.StandingChanges, m.DocumentVersion, m.ConfigurationVersion, m.Accounts, m.ConfigurationsRefused, m.PlatformUp, m.Peers, m.PeersRefused,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.Registry.MustRegister(panics.Collectors()...)
 	return m
 }
 
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -70,6 +70,8 @@
 		return Result{Kind: Refused, Verdict: verdict.NotRun, Err: err}
 	}
 	defer p.endRequest(len(request.Body))
+	keep, statedIdle := false, time.Duration(0)
+	defer func() { p.put(conn, keep, statedIdle, time.Now()) }()
 	// The result does not refer to their memory, so both return to the library's pool.
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	if len(request.Headers) <= netconn.MaxPooledFields {
@@ -89,7 +91,7 @@
 	if result.Kind == Shed {
 		conn.refusedIDs = append(conn.refusedIDs, request.ID)
 	}
-	p.put(conn, reusable && err == nil && !request.FreshConnection, keepAliveTimeout(resp), time.Now())
+	keep, statedIdle = reusable && err == nil && !request.FreshConnection, keepAliveTimeout(resp)
 	return result
 }
 
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -137,6 +137,12 @@
 		Entry("status 099 whose body looks like a response", "HTTP/1.1 099 E\r\n\r\n"+completeResponse("x"), upstream.Failure, verdict.MayHaveRun, false),
 		Entry("status 600", "HTTP/1.1 600 E\r\nContent-Length: 0\r\n\r\n", upstream.Failure, verdict.MayHaveRun, false),
 		Entry("carriage return in a field", completeResponse("x", "X-A: a\rX-B: b\r\n"), upstream.Failure, verdict.MayHaveRun, false),
+		// Guards against answers on which the HTTP library panics, which ended the process.
+		Entry("empty elements in the Trailer field", "HTTP/1.1 200 OK\r\nTrailer: ,,,,\r\n\r\n", upstream.Failure, verdict.MayHaveRun, false),
+		Entry("an empty element in the middle of the Trailer field", completeResponse("x", "tRAILER: X-A, , X-B\r\n"), upstream.Failure, verdict.MayHaveRun, false),
+		Entry("empty elements in a folded Trailer field", completeResponse("x", "Trailer: X-A\r\n ,,\r\n"), upstream.Failure, verdict.MayHaveRun, false),
+		Entry("empty elements in the Trailer field of an interim response", "HTTP/1.1 103 E\r\nTrailer: ,,\r\n\r\n"+completeResponse("x"), upstream.Failure, verdict.MayHaveRun, false),
+		Entry("a Trailer field with names", completeResponse("x", "Trailer: X-A , X-B\r\nTrailer:\r\n"), upstream.Success, verdict.Ran, true),
 		Entry("zero byte in a field", completeResponse("x", "X-A: a\x00b\r\n"), upstream.Failure, verdict.MayHaveRun, false),
 	)
 
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -11,6 +11,7 @@
 
 	"shallotglade/internal/netconn"
 	"shallotglade/pkg/dialect"
+	"shallotglade/pkg/panics"
 )
 
 const (
@@ -31,6 +32,10 @@
 	// response is read. Larger ones are written concurrently, because an upstream
 	// may respond before it has read the body.
 	maxInlineWriteBytes = 1 << 10
+	// maxHeadBytes limits the head of a response including preceding interim responses. It is
+	// several times the usual limit of HTTP servers (8 to 16 KiB), and heads on all 330
+	// connections to an upstream take less than 21 MiB.
+	maxHeadBytes = 64 << 10
 )
 
 var (
@@ -144,7 +149,8 @@
 	}
 }
 
-func (c *conn) write(nc *netconn.Conn, rq *protocol.Request) error {
+func (c *conn) write(nc *netconn.Conn, rq *protocol.Request) (err error) {
+	defer panics.Recover(panics.Upstreams, &err)
 	if err := req.Write(rq, nc); err != nil {
 		return err
 	}
@@ -153,7 +159,8 @@
 
 // readMatchingResponse reads the response to the current request. It skips responses
 // to earlier requests, which can only precede it on a reused connection.
-func (c *conn) readMatchingResponse(nc *netconn.Conn, rs *protocol.Response, id string, s *reservation) error {
+func (c *conn) readMatchingResponse(nc *netconn.Conn, rs *protocol.Response, id string, s *reservation) (err error) {
+	defer panics.Recover(panics.Upstreams, &err)
 	for skipped := 0; ; skipped++ {
 		if err := c.readResponse(nc, rs, s); err != nil {
 			return err
@@ -171,7 +178,8 @@
 }
 
 func (c *conn) readResponse(nc *netconn.Conn, rs *protocol.Response, s *reservation) error {
-	if err := readHead(nc, rs); err != nil {
+	rs.ResetBody()
+	if err := nc.ReadAnswerHead(&rs.Header, maxHeadBytes); err != nil {
 		return err
 	}
 	if err := c.readBody(nc, rs, s); err != nil {
