Read the answers of the store with the checked codec in place of the library's client

Cause: the client of the HTTP library parses answers in goroutines that do not recover. Heads were checked only if they came first on a connection without TLS; interim answers, trailers, event streams and switches of protocols reached the library unchecked.

Change: internal/httpcall keeps connections and reads answers with the strict reader of heads and the chunk reader that upstreams' answers use. A connection is closed after anything that is not a whole answer, and never used with unread bytes. A panic in an exchange or while a reply is decoded fails that call, which counts as one without a reply; one in the YAML parser is a problem of the document.

--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -8,6 +8,8 @@
 
 import (
 	"bytes"
+	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"os"
@@ -67,6 +69,8 @@
 	KeepAliveIdle time.Duration
 	// MaxReplyBytes limits the bytes received after a flush; 0 means no limit.
 	MaxReplyBytes int
+	// TLS is nil for connections without TLS. Timeout also limits the handshake.
+	TLS *tls.Config
 }
 
 // ErrReplyTooLarge means that the bytes received after a flush reached
@@ -101,10 +105,33 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.TLS != nil {
+		if wrapped, err = wrapped.handshake(c); err != nil {
+			nc.Close()
+			return nil, err
+		}
+	}
 	wrapped.maxReplyBytes = c.MaxReplyBytes
 	return wrapped, nil
 }
 
+// handshake returns the connection with TLS on top.
+func (s *Conn) handshake(c DialConfig) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	secured := tls.Client(s.Conn, c.TLS)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, err
+	}
+	wrapped, err := Wrap(secured)
+	if err != nil {
+		return nil, err
+	}
+	// IsReusable looks for bytes or the end of the connection below TLS.
+	wrapped.raw = s.raw
+	return wrapped, nil
+}
+
 // Wrap adds the buffers to an open connection.
 func Wrap(nc net.Conn) (*Conn, error) {
 	c := &Conn{Conn: nc, out: netpoll.NewWriter(nc)}
--- a/internal/netconn/head.go
+++ b/internal/netconn/head.go
@@ -47,13 +47,6 @@
 	}
 }
 
-// AwaitAnswerHead waits until the complete head of an answer has arrived, and refuses one that the
-// HTTP library must not see.
-func (s *Conn) AwaitAnswerHead(limit int) error {
-	_, err := s.awaitHead(&httphead.Scanner{}, limit)
-	return err
-}
-
 // awaitHead waits until the complete head of a message has arrived and returns its size. It
 // fails as soon as the scanner refuses the bytes, or when the head does not end within limit
 // bytes.
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -14,6 +14,8 @@
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
+
+	"shallotglade/pkg/panics"
 )
 
 // Source holds the line and the text of each field of a decoded file.
@@ -56,7 +58,15 @@
 // Decode decodes data into the struct that into points to, by its yaml tags. Fields that
 // the file omits keep their values. Anchors and aliases are rejected, because a small
 // file could expand to an enormous one.
-func Decode(file string, data []byte, into any) (*Source, Problems) {
+func Decode(file string, data []byte, into any) (source *Source, problems Problems) {
+	err := panics.Run(panics.Documents, func() { source, problems = decode(file, data, into) })
+	if err != nil {
+		return &Source{file: file}, Problems{{File: file, Line: 1, Found: "text on which the YAML parser fails", Allowed: "valid YAML"}}
+	}
+	return source, problems
+}
+
+func decode(file string, data []byte, into any) (*Source, Problems) {
 	d := &decoder{src: &Source{file: file, lines: map[string]int{}, texts: map[string]string{}}}
 	// Duplicate fields are allowed here, because the decoder below reports them together
 	// with other problems.
--- a/pkg/panics/panics.go
+++ b/pkg/panics/panics.go
@@ -26,13 +26,15 @@
 	Platform Source = "platform"
 	// Peers are messages of other daemons.
 	Peers Source = "peers"
+	// Documents are YAML texts: documents of services, and settings.
+	Documents Source = "documents"
 )
 
 // ErrPanic marks the errors of recovered panics.
 var ErrPanic = errors.New("the handling of a message panicked")
 
 var (
-	totals = map[Source]*atomic.Uint64{Requests: {}, Upstreams: {}, Platform: {}, Peers: {}}
+	totals = map[Source]*atomic.Uint64{Requests: {}, Upstreams: {}, Platform: {}, Peers: {}, Documents: {}}
 	logger atomic.Pointer[zerolog.Logger]
 )
 
--- a/pkg/platform/transport.go
+++ b/pkg/platform/transport.go
@@ -1,23 +1,23 @@
 package platform
 
 import (
-	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/common/config"
-	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
-	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cockroachdb/errors"
 
+	"shallotglade/internal/httpcall"
 	"shallotglade/internal/netconn"
+	"shallotglade/pkg/panics"
 )
 
 // Defaults of TransportConfig.
@@ -35,6 +35,16 @@
 	// idleConnTimeout is shorter than the idle timeout of common servers, so that few
 	// writes are sent on a connection that the server is closing.
 	idleConnTimeout = 10 * time.Second
+	// tcpKeepAliveIdle is the time without a packet after which TCP keep-alive probes
+	// start, and tcpUserTimeout is how long sent bytes may stay unacknowledged. They
+	// detect connections that fail without a reset, which a long poll would not notice.
+	tcpKeepAliveIdle = time.Second
+	tcpUserTimeout   = 1500 * time.Millisecond
+	// maxReplyBytes limits a reply including its head and framing. It is eight times
+	// the largest value, and eight times the largest page of the users' platform. The
+	// smallest host has 184 MB in total, and a reply briefly takes up to four times its
+	// size.
+	maxReplyBytes = 8 * MaxValueBytes
 )
 
 // TransportConfig configures a Transport.
@@ -49,6 +59,8 @@
 	// ReadTimeout limits the wait for a reply, in addition to the wait of a long
 	// poll; 0 means DefaultReadTimeout.
 	ReadTimeout time.Duration
+	// RootCAs verify the certificates of https URLs; nil means the system's.
+	RootCAs *x509.CertPool
 }
 
 // Transport sends HTTP calls to a platform. Its errors state whether a failed call
@@ -59,12 +71,9 @@
 // later, the error of a write wraps ErrUnknownOutcome and the context's error.
 type Transport struct {
 	config TransportConfig
-	// retryingClient resends a request if a pooled connection turns out to be closed.
-	// noRetryClient never does and is used for writes, which may have had an effect,
-	// and for watches. The platform closes a watch when it drops its history. A store
-	// that had not finished dropping it accepted the resent watch and responded only
-	// 5 s later.
-	retryingClient, noRetryClient *client.Client
+	// servers are the destinations of the base URLs.
+	servers []server
+	client  httpcall.Client
 	// preferredURL is the index of the URL that responded last.
 	preferredURL atomic.Uint32
 }
@@ -102,49 +111,55 @@
 	if len(c.URLs) == 0 {
 		return nil, errors.New("platform client: no base URL")
 	}
-	for i, base := range c.URLs {
-		u, err := url.Parse(base)
-		if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-			return nil, errors.Newf("platform client: base URL %q is not http://host:port", base)
+	t := &Transport{config: c}
+	for _, base := range c.URLs {
+		s, err := parseServer(base, c.RootCAs)
+		if err != nil {
+			return nil, err
 		}
-		c.URLs[i] = strings.TrimSuffix(base, "/")
+		t.servers = append(t.servers, s)
 	}
-	if c.DialTimeout <= 0 {
-		c.DialTimeout = DefaultDialTimeout
+	if t.config.DialTimeout <= 0 {
+		t.config.DialTimeout = DefaultDialTimeout
 	}
-	if c.ReadTimeout <= 0 {
-		c.ReadTimeout = DefaultReadTimeout
+	if t.config.ReadTimeout <= 0 {
+		t.config.ReadTimeout = DefaultReadTimeout
 	}
-	retryingClient, err := newHertzClient(c, newDialer())
-	if err != nil {
-		return nil, err
-	}
-	noRetryClient, err := newHertzClient(c, newNoRetryDialer())
-	if err != nil {
-		return nil, err
+	t.client = httpcall.Client{
+		Dial: netconn.DialConfig{
+			Timeout: t.config.DialTimeout, UnacknowledgedTimeout: tcpUserTimeout, KeepAliveIdle: tcpKeepAliveIdle, MaxReplyBytes: maxReplyBytes,
+		},
+		MaxConnections: maxConnsPerAddress, MaxIdle: idleConnTimeout, MaxBodyBytes: maxReplyBytes,
 	}
-	return &Transport{config: c, retryingClient: retryingClient, noRetryClient: noRetryClient}, nil
+	return t, nil
 }
 
-func newHertzClient(c TransportConfig, d network.Dialer) (*client.Client, error) {
-	h, err := client.NewClient(
-		client.WithDialer(d),
-		client.WithDialTimeout(c.DialTimeout),
-		client.WithClientReadTimeout(c.ReadTimeout),
-		client.WithWriteTimeout(c.ReadTimeout),
-		client.WithMaxConnsPerHost(maxConnsPerAddress),
-		client.WithMaxIdleConnDuration(idleConnTimeout),
-		client.WithDisablePathNormalizing(true),
-		// Without this limit the library allocates any stated Content-Length.
-		config.ClientOption{F: func(o *config.ClientOptions) { o.MaxResponseBodySize = maxReplyBytes }},
-	)
-	return h, errors.Wrap(err, "platform client")
+// server is the destination of calls to one base URL.
+type server struct {
+	httpcall.Server
+	// pathPrefix is the path of the base URL without the last slash.
+	pathPrefix string
+}
+
+func parseServer(base string, roots *x509.CertPool) (server, error) {
+	u, err := url.Parse(base)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return server{}, errors.Newf("platform client: base URL %q is not http://host:port", base)
+	}
+	s := server{Server: httpcall.Server{Address: u.Host}, pathPrefix: strings.TrimSuffix(u.EscapedPath(), "/")}
+	defaultPort := "80"
+	if u.Scheme == "https" {
+		defaultPort, s.TLS = "443", &tls.Config{ServerName: u.Hostname(), RootCAs: roots, MinVersion: tls.VersionTLS12}
+	}
+	if u.Port() == "" {
+		s.Address = net.JoinHostPort(u.Hostname(), defaultPort)
+	}
+	return s, nil
 }
 
 // Close closes the idle connections.
 func (c *Transport) Close() {
-	c.retryingClient.CloseIdleConnections()
-	c.noRetryClient.CloseIdleConnections()
+	c.client.Close()
 }
 
 // Call sends a call to each URL in turn until the error is not ErrUnavailable. It passes
@@ -154,12 +169,12 @@
 	call.Wait = min(max(call.Wait, 0), MaxWatchWait)
 	var err error
 	preferred := c.preferredURL.Load()
-	for i := range c.config.URLs {
+	for i := range c.servers {
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		index := (int(preferred) + i) % len(c.config.URLs)
-		err = c.callURL(ctx, c.config.URLs[index], call, decode)
+		index := (int(preferred) + i) % len(c.servers)
+		err = c.callServer(ctx, c.servers[index], call, decode)
 		if !errors.Is(err, ErrUnavailable) {
 			c.preferredURL.Store(uint32(index))
 			return err
@@ -174,14 +189,14 @@
 	err   error
 }
 
-// callURL sends the call to one base URL. It runs the exchange in a separate goroutine,
-// because the hertz client ignores the context while it waits for a reply.
-func (c *Transport) callURL(ctx context.Context, base string, call Call, decode func(Reply) error) error {
+// callServer sends the call to one server. It runs the exchange in a separate goroutine, so that
+// the connection is kept if the context ends before the reply of a long poll arrives.
+func (c *Transport) callServer(ctx context.Context, s server, call Call, decode func(Reply) error) error {
 	timeout := c.config.DialTimeout + c.config.ReadTimeout + call.Wait
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	done := make(chan exchangeResult, 1)
-	go func() { done <- c.exchange(base, call) }()
+	panics.Go(panics.Platform, func() { done <- c.exchange(s, call) }, func(err error) { done <- exchangeResult{err: err} })
 	var result exchangeResult
 	select {
 	case result = <-done:
@@ -197,49 +212,54 @@
 	if result.err != nil {
 		return call.transportError(result.err)
 	}
-	return decode(result.reply)
+	var decodeErr error
+	if err := panics.Run(panics.Platform, func() { decodeErr = decode(result.reply) }); err != nil {
+		return call.NoReplyError(err)
+	}
+	return decodeErr
 }
 
-// exchange sends the request once and returns a copy of the reply.
-func (c *Transport) exchange(base string, call Call) exchangeResult {
-	h := c.retryingClient
-	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(req)
-	defer protocol.ReleaseResponse(resp)
-	req.SetOptions(config.WithReadTimeout(c.config.ReadTimeout + call.Wait))
-	req.SetMethod(call.Method)
-	req.SetRequestURI(base + call.Path)
+// exchange sends the request and returns a copy of the reply. A read is sent again if a kept
+// connection turns out to be closed. A write may have had an effect. A watch is closed by a
+// platform that drops its history; one that had not finished dropping it accepted the resent
+// watch and responded only 5 s later.
+func (c *Transport) exchange(s server, call Call) exchangeResult {
+	rq, rs := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(rq)
+	defer protocol.ReleaseResponse(rs)
+	rq.Header.SetMethod(call.Method)
+	rq.Header.SetRequestURI(s.pathPrefix + call.Path)
+	rq.Header.SetHost(s.Address)
 	if call.Header != "" {
-		req.Header.Set(call.Header, call.HeaderValue)
+		rq.Header.Set(call.Header, call.HeaderValue)
 	}
 	if c.config.Key != "" {
-		req.Header.Set("Authorization", "Bearer "+c.config.Key)
-	}
-	if call.Write || call.Wait > 0 {
-		h = c.noRetryClient
+		rq.Header.Set("Authorization", "Bearer "+c.config.Key)
 	}
 	if call.Write {
-		req.SetBody(call.Body)
-		req.Header.SetContentTypeBytes([]byte(call.ContentType))
+		rq.SetBodyRaw(call.Body)
+		rq.Header.SetContentTypeBytes([]byte(call.ContentType))
+		rq.Header.SetContentLength(len(call.Body))
 	}
-	// callURL enforces the context, which the hertz client would ignore.
-	if err := h.Do(context.Background(), req, resp); err != nil {
+	err := c.client.Do(s.Server, httpcall.Call{
+		Request: rq, Answer: rs, Timeout: c.config.ReadTimeout + call.Wait, Resend: !call.Write && call.Wait == 0,
+	})
+	if err != nil {
 		return exchangeResult{err: err}
 	}
-	reply := Reply{Status: resp.StatusCode(), Body: bytes.Clone(resp.Body())}
+	reply := Reply{Status: rs.StatusCode(), Body: rs.Body()}
 	if call.ReplyHeader != "" {
-		reply.HeaderValue = string(resp.Header.Peek(call.ReplyHeader))
+		reply.HeaderValue = string(rs.Header.Peek(call.ReplyHeader))
 	}
 	return exchangeResult{reply: reply}
 }
 
-// transportError converts an error of the hertz client into an error of this package.
+// transportError converts an error of the HTTP client into an error of this package.
 func (call Call) transportError(err error) error {
-	var dial *dialError
-	if errors.As(err, &dial) || errors.Is(err, hertzerrors.ErrNoFreeConns) {
+	if errors.Is(err, httpcall.ErrNotSent) {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	if errors.IsAny(err, hertzerrors.ErrBodyTooLarge, netconn.ErrReplyTooLarge) {
+	if errors.IsAny(err, httpcall.ErrAnswerTooLarge, netconn.ErrReplyTooLarge) {
 		err = fmt.Errorf("%w: %w", ErrReplyTooLarge, err)
 	}
 	return call.NoReplyError(err)
