Refuse request targets and Host fields that the HTTP library cannot take

Cause: the library takes "a" for a scheme and skips two bytes that are not there. No door checked the target or asked for a Host field.

Change: the reader of heads accepts paths, http and https URLs with a host, and "*" for OPTIONS, and one valid Host field in HTTP/1.1. The rest gets 400.

--- a/internal/httphead/bytes.go
+++ b/internal/httphead/bytes.go
@@ -9,8 +9,16 @@
 var tokenBytes = func() (table [256]bool) {
 	for c := range table {
 		b := byte(c)
-		alphanumeric := b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || isDigit(b)
-		table[c] = alphanumeric || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+		table[c] = isAlphanumeric(b) || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+	}
+	return table
+}()
+
+// hostBytes holds the bytes that a host with a port may have.
+var hostBytes = func() (table [256]bool) {
+	for c := range table {
+		b := byte(c)
+		table[c] = isAlphanumeric(b) || strings.IndexByte("-._~%!$&'()*+,;=:[]", b) >= 0
 	}
 	return table
 }()
@@ -52,4 +60,18 @@
 	return len(b) > 0
 }
 
+// isHost reports whether the bytes may be a host with an optional port. A Host field may be empty.
+func isHost(b []byte) bool {
+	for _, c := range b {
+		if !hostBytes[c] {
+			return false
+		}
+	}
+	return true
+}
+
+func isAlphanumeric(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || isDigit(c)
+}
+
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
--- a/internal/httphead/errors.go
+++ b/internal/httphead/errors.go
@@ -19,6 +19,9 @@
 var (
 	errStatusLine    = malformed("the bytes begin no status line")
 	errRequestLine   = malformed("the first line is no request line")
+	errTarget        = malformed("the target is neither a path nor a URL with a host")
+	errHost          = malformed("the Host field is invalid or not the only one")
+	errNoHost        = malformed("the request has no Host field")
 	errVersion       = &Error{http.StatusHTTPVersionNotSupported, "the protocol version is neither HTTP/1.0 nor HTTP/1.1"}
 	errControlByte   = malformed("a header field has a control byte")
 	errFoldedFraming = malformed("a field that describes the body is continued on the next line")
--- a/internal/httphead/firstline.go
+++ b/internal/httphead/firstline.go
@@ -36,15 +36,41 @@
 }
 
 // checkRequestLine checks a request line without its line ending.
-func checkRequestLine(line []byte) error {
+func (s *Scanner) checkRequestLine(line []byte) error {
 	method, rest, _ := bytes.Cut(line, []byte(" "))
 	target, version, found := bytes.Cut(rest, []byte(" "))
 	if !found || !isToken(method) || !isVisible(target) {
 		return errRequestLine
 	}
+	if !isTarget(method, target) {
+		return errTarget
+	}
+	s.version1 = string(version) == "HTTP/1.0"
 	return checkVersion(version)
 }
 
+// isTarget reports whether a request target is a path, a URL with a host, or "*" of an OPTIONS
+// request. The HTTP library panics on some others.
+func isTarget(method, target []byte) bool {
+	switch {
+	case bytes.IndexByte(target, '#') >= 0:
+		return false
+	case target[0] == '/':
+		return true
+	case string(target) == "*":
+		return string(method) == "OPTIONS"
+	}
+	scheme, rest, found := bytes.Cut(target, []byte("://"))
+	if !found || !isName(scheme, "http") && !isName(scheme, "https") {
+		return false
+	}
+	host := rest
+	if end := bytes.IndexAny(rest, "/?"); end >= 0 {
+		host = rest[:end]
+	}
+	return len(host) > 0 && isHost(host)
+}
+
 func checkVersion(version []byte) error {
 	switch string(version) {
 	case "HTTP/1.1", "HTTP/1.0":
--- a/internal/httphead/scanner.go
+++ b/internal/httphead/scanner.go
@@ -16,6 +16,9 @@
 
 	// size is the total size of the lines checked so far.
 	size int
+	// version1 is true for HTTP/1.0. hosts is the number of Host fields.
+	version1 bool
+	hosts    int
 	// contentLength holds the value of Content-Length and lengthDigits its size, 0 if there is none.
 	contentLength [maxLengthDigits]byte
 	lengthDigits  int
@@ -45,9 +48,9 @@
 		s.size += end + 1
 		switch {
 		case first && s.Request:
-			err = checkRequestLine(line)
+			err = s.checkRequestLine(line)
 		case !first && len(line) == 0:
-			return true, nil
+			return true, s.checkComplete()
 		case !first:
 			err = s.checkLine(line)
 		}
@@ -86,10 +89,14 @@
 	return s.checkField(name, bytes.Trim(value, " \t"))
 }
 
-// checkField checks the value of a field that describes the body.
+// checkField checks the value of a field that names the destination or describes the body.
 func (s *Scanner) checkField(name, value []byte) error {
 	s.framing = true
 	switch {
+	case isName(name, "Host"):
+		if s.hosts++; s.hosts > 1 || !isHost(value) {
+			return errHost
+		}
 	case isName(name, "Content-Length"):
 		return s.checkContentLength(value)
 	case isName(name, "Trailer"):
@@ -102,6 +109,14 @@
 	return nil
 }
 
+// checkComplete checks a head of which all lines have been checked.
+func (s *Scanner) checkComplete() error {
+	if s.Request && s.hosts == 0 && !s.version1 {
+		return errNoHost
+	}
+	return nil
+}
+
 func (s *Scanner) checkContentLength(value []byte) error {
 	if !isContentLength(value) || s.lengthDigits > 0 && !bytes.Equal(s.contentLength[:s.lengthDigits], value) {
 		return errContentLength
--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -248,6 +248,24 @@
 		Expect(body).To(Equal("/cabc"))
 	})
 
+	// Guards against a check of heads that refuses valid requests.
+	DescribeTable("serves", func(request, path string) {
+		c := dial(address)
+		c.send("%s", request)
+		r, body := c.answer()
+		Expect(r.StatusCode).To(Equal(200))
+		Expect(body).To(Equal(path))
+	},
+		Entry("a URL as the target", "GET http://h:80/x HTTP/1.1\r\nHost: h\r\n\r\n", "/x"),
+		Entry("a URL without a path", "GET HTTP://h HTTP/1.1\r\nHost: h\r\n\r\n", "/"),
+		Entry("all resources as the target", "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", "/*"),
+		Entry("an empty Host field", "GET /x HTTP/1.1\r\nHost:\r\n\r\n", "/x"),
+		Entry("no Host field in HTTP/1.0", "GET /x HTTP/1.0\r\n\r\n", "/x"),
+		Entry("names of fields in lower case", "POST /x HTTP/1.1\r\nhost: [::1]:80\r\ncontent-length: 1\r\n\r\ny", "/xy"),
+		Entry("a method that is not known", "X-METHOD /x?y=://z HTTP/1.1\r\nHost: h\r\n\r\n", "/x"),
+		Entry("bytes that are not ASCII", "GET /\xe9 HTTP/1.1\r\nHost: h\r\nX: \xe9\t\r\n\r\n", "/\xe9"),
+	)
+
 	// Guards against connections that occupy memory because their request arrives
 	// slowly or never ends, and against refusals without a fitting status.
 	DescribeTable("refuses", func(request string, status int) {
@@ -268,6 +286,17 @@
 		// Guards against requests on which the HTTP library panics, which ended the process.
 		Entry("empty elements in the Trailer field", "GET / HTTP/1.1\r\nHost: h\r\nTrailer: X-Checksum, , X-Count\r\n\r\n", 400),
 		Entry("empty elements in a folded Trailer field", "GET / HTTP/1.1\r\nHost: h\r\ntRAILER: X-Checksum\r\n\t,,\r\n\r\n", 400),
+		// Guards against targets on which the HTTP library panics, which ended the process.
+		Entry("a target without a path or a host", "GET a: HTTP/1.0\r\n\r\n", 400),
+		Entry("the same with a Host field", "GET a: HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+		Entry("a target that is a host and a port", "CONNECT h:8 HTTP/1.1\r\nHost: h:8\r\n\r\n", 400),
+		Entry("a target of another scheme", "GET a:1://h/ HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+		Entry("a URL without a host", "GET http:///x HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+		Entry("a target with a fragment", "GET /x#y HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+		Entry("a target for all resources of a method other than OPTIONS", "GET * HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+		Entry("no Host field", "GET / HTTP/1.1\r\n\r\n", 400),
+		Entry("two Host fields", "GET / HTTP/1.1\r\nHost: h\r\nHost: h\r\n\r\n", 400),
+		Entry("a Host field with a path", "GET / HTTP/1.1\r\nHost: h/x\r\n\r\n", 400),
 		Entry("a protocol version that is not known", "GET / HTTP/2.0\r\nHost: h\r\n\r\n", 505),
 	)
 
