Serve the administration address through pkg/ingress

What operators would see: a request with an empty element in its Trailer field, or for "a:" without a Host field, ended the process at the administration address, without a key.

Cause: the server of the HTTP library parses requests in goroutines that do not recover, and pkg/listener, which wrapped its connections, could not check a head that follows another request's body.

Change: pkg/ingress reads the requests of this address too, and the router of the library gets them once they are read. pkg/listener, which had no other user, is removed. Its specs are kept, check by check, for pkg/ingress.

--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -1,6 +1,7 @@
 package admin_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -24,10 +25,12 @@
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/catalog"
 	"shallotglade/pkg/history"
+	"shallotglade/pkg/memory"
 	"shallotglade/pkg/platform"
 	"shallotglade/pkg/platform/memstore"
 	"shallotglade/pkg/settings"
 	"shallotglade/pkg/telemetry"
+	"shallotglade/pkg/verdict"
 )
 
 func TestAdmin(t *testing.T) {
@@ -112,6 +115,8 @@
 		ctx, backend, fleet = context.Background(), memstore.New(), &fakeFleet{}
 		store = &lossyStore{Store: backend}
 		board, metrics := blackboard.New("d1", "fes"), telemetry.NewMetrics()
+		registry := prometheus.NewRegistry()
+		registry.MustRegister(prometheus.NewCounter(prometheus.CounterOpts{Name: "answered_total", Help: "Answers."}))
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		address = ln.Addr().String()
@@ -120,10 +125,10 @@
 				Store: store, Board: board, History: &history.Log{Store: store}, Log: zerolog.Nop(), Now: time.Now,
 				Publish: catalog.New(board, zerolog.Nop(), metrics).Apply,
 			},
-			Fleet: fleet, Registry: prometheus.NewRegistry(), Log: zerolog.Nop(),
+			Fleet: fleet, Registry: registry, Log: zerolog.Nop(),
 			Keys: []settings.AdminKey{{Team: "atlas", Key: atlasKey}, {Team: "atlas", Key: newKey}, {Team: "cooperative", Key: coopKey}, {Team: "*", Key: allKey}},
 		}
-		server.Provision(ln)
+		server.Provision(ln, memory.New(0))
 		done := make(chan error, 1)
 		go func() { done <- server.Run() }()
 		DeferCleanup(func() {
@@ -136,6 +141,41 @@
 			return c
 		}
 	})
+	// Guards against requests on which the HTTP library panics, which ended the daemon, and against
+	// refusals without a verdict.
+	DescribeTable("refuses what the HTTP library cannot take", func(request string, status int) {
+		c, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		_, err = io.WriteString(c, request)
+		Expect(err).NotTo(HaveOccurred())
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.StatusCode).To(Equal(status))
+		Expect(r.Header.Get(verdict.Header)).To(Equal("not-run"))
+		_, err = client(allKey).Daemons(ctx)
+		Expect(err).NotTo(HaveOccurred())
+	},
+		Entry("empty elements in the Trailer field", "GET /livez HTTP/1.1\r\nHost: h\r\nTrailer: ,,\r\n\r\n", 400),
+		Entry("a target without a path or a host", "GET a: HTTP/1.0\r\n\r\n", 400),
+		Entry("a non-numeric content length", "PUT /v1/services/x HTTP/1.1\r\nHost: h\r\nContent-Length: ten\r\n\r\n", 400),
+		Entry("bytes that are not HTTP", "hello there\r\n\r\n", 400),
+	)
+
+	// Guards against an address for metrics that gives nothing, or not in the format that was asked for.
+	It("answers with the metrics, and without keys", func() {
+		for path, want := range map[string]string{"/livez": "ok\n", "/readyz": "ready\n", "/metrics": "# HELP answered_total Answers.\n"} {
+			r, err := http.Get("http://" + address + path)
+			Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(r.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.Body.Close()).To(Succeed())
+			Expect(r.StatusCode).To(Equal(200))
+			Expect(string(body)).To(HavePrefix(want))
+			Expect(r.Header.Get("Content-Type")).To(HavePrefix("text/plain"))
+		}
+	})
+
 	put := func(key string, version uint64, text string) (admin.Service, error) {
 		name, _, _ := strings.Cut(strings.TrimPrefix(text, "service: "), "\n")
 		return client(key).Put(ctx, name, version, []byte(text))
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -10,17 +10,18 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/adaptor"
-	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/route"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
 	"shallotglade/pkg/document"
-	"shallotglade/pkg/listener"
+	"shallotglade/pkg/ingress"
+	"shallotglade/pkg/memory"
 	"shallotglade/pkg/settings"
+	"shallotglade/pkg/verdict"
 )
 
 // Fleet provides the state of this and other daemons to the API.
@@ -43,35 +44,32 @@
 	Registry  *prometheus.Registry
 	Log       zerolog.Logger
 
-	listener *listener.Listener
-	http     *server.Hertz
+	server *ingress.Server
+	routes *route.Engine
 }
 
 const (
 	maxConnections = 200
+	maxHeaderBytes = 64 << 10
 	arrivalTimeout = 10 * time.Second
 	callTimeout    = 5 * time.Second
 )
 
-// Provision sets up the server and its routes on ln; Run serves it.
-func (s *Server) Provision(ln net.Listener) {
-	s.listener = listener.New(ln, listener.Limits{RequestArrival: arrivalTimeout, Connections: maxConnections})
-	s.http = server.New(
-		server.WithListener(s.listener), server.WithTransport(standard.NewTransporter), server.WithOnAccept(listener.ContextFor),
-		server.WithMaxRequestBodySize(2*document.MaxBytes), server.WithReadTimeout(arrivalTimeout),
-		server.WithIdleTimeout(arrivalTimeout), server.WithDisablePrintRoute(true),
-	)
-	s.http.Use(func(ctx context.Context, c *app.RequestContext) {
-		listener.MarkHandlerStarted(ctx)
-		c.Next(ctx)
-		if listener.MustClose(ctx) {
-			c.SetConnectionClose()
-		}
-	})
-	s.http.GET("/livez", func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
-	s.http.GET("/readyz", s.readyz)
-	s.http.GET("/metrics", adaptor.HertzHandler(promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{})))
-	api := s.http.Group("/v1", s.authenticate)
+// Provision sets up the server and its routes on ln, with the memory budget of the daemon; Run
+// serves it.
+func (s *Server) Provision(ln net.Listener, budget *memory.Budget) {
+	limits := ingress.Limits{
+		Connections: maxConnections, MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: 2 * document.MaxBytes,
+		RequestArrival: arrivalTimeout, Idle: arrivalTimeout,
+	}
+	s.server = ingress.New(ln, func() ingress.Limits { return limits }, s.handle, s.Log)
+	s.server.ShareMemory(budget)
+	s.server.OnRefusal = func(answer *protocol.Response) { answer.Header.Set(verdict.Header, verdict.NotRun.String()) }
+	s.routes = route.NewEngine(config.NewOptions(nil))
+	s.routes.GET("/livez", func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
+	s.routes.GET("/readyz", s.readyz)
+	s.routes.GET("/metrics", s.metrics)
+	api := s.routes.Group("/v1", s.authenticate)
 	api.GET("/services", s.list)
 	api.GET("/services/:name", s.get)
 	api.PUT("/services/:name", s.put)
@@ -83,13 +81,22 @@
 	api.POST("/drain", s.drain)
 }
 
+// handle answers a request by its route. A call that has begun continues when its caller
+// disconnects, so that a change and its entry in the history are both stored.
+func (s *Server) handle(ctx context.Context, r *ingress.Request, answer *protocol.Response) {
+	c := s.routes.NewContext()
+	r.CopyTo(&c.Request)
+	s.routes.ServeHTTP(context.WithoutCancel(ctx), c)
+	c.Response.CopyTo(answer)
+}
+
 // Run serves until Shutdown.
-func (s *Server) Run() error { return s.http.Run() }
+func (s *Server) Run() error { return s.server.Run() }
 
 // Shutdown closes the connections and stops the server.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.listener.Drain()
-	return s.http.Shutdown(ctx)
+	s.server.Drain()
+	return s.server.Shutdown(ctx)
 }
 
 const teamContextKey = "team"
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -394,6 +394,6 @@
 		},
 		Fleet: d, Keys: d.settings.Admin.Keys, Registry: d.metrics.Registry, Log: d.log,
 	}
-	d.admin.Provision(ln)
+	d.admin.Provision(ln, d.memory)
 	return nil
 }
--- a/pkg/listener/listener_test.go
+++ b/pkg/ingress/connection_test.go
@@ -1,4 +1,4 @@
-package listener_test
+package ingress_test
 
 import (
 	"bufio"
@@ -8,66 +8,53 @@
 	"net"
 	"net/http"
 	"strings"
-	"testing"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
-	"shallotglade/internal/testkit"
-	"shallotglade/pkg/listener"
+	"shallotglade/pkg/ingress"
 	"shallotglade/pkg/verdict"
 )
 
-func TestListener(t *testing.T) {
-	hlog.SetOutput(io.Discard)
-	testkit.RunSpecs(t, "listener")
-}
-
 // eventTimeout limits the wait for expected events. No spec passes by reaching it.
 const eventTimeout = 10 * time.Second
 
-var _ = Describe("Listener", func() {
+var _ = Describe("Connections", func() {
 	var (
-		l       *listener.Listener
+		l       *ingress.Server
+		address string
 		started chan struct{}
 		finish  chan struct{}
 	)
-	// serve runs an HTTP server. Its handler sends to started and, for /slow, waits
-	// for finish.
-	serve := func(limits listener.Limits) {
+	// serve runs a server. Its handler sends to started and, for /slow, waits for finish.
+	serve := func(limits ingress.Limits) {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		l, started, finish = listener.New(ln, limits), make(chan struct{}, 100), make(chan struct{})
-		h := server.New(server.WithListener(l), server.WithTransport(standard.NewTransporter), server.WithOnAccept(listener.ContextFor),
-			server.WithReadTimeout(eventTimeout), server.WithIdleTimeout(eventTimeout), server.WithDisablePrintRoute(true))
+		address, started, finish = ln.Addr().String(), make(chan struct{}, 100), make(chan struct{})
 		started, finish := started, finish
-		h.NoRoute(func(ctx context.Context, c *app.RequestContext) {
-			listener.MarkHandlerStarted(ctx)
+		limits.MaxHeaderBytes, limits.MaxBodyBytes, limits.Idle = 1<<10, 1<<20, eventTimeout
+		l = ingress.New(ln, func() ingress.Limits { return limits }, func(_ context.Context, r *ingress.Request, answer *protocol.Response) {
 			started <- struct{}{}
-			if string(c.Path()) == "/slow" {
+			if string(r.Header.RequestURI()) == "/slow" {
 				<-finish
 			}
-			c.String(200, "body of %s", c.Request.Body())
-			if listener.MustClose(ctx) {
-				c.SetConnectionClose()
-			}
-		})
+			answer.SetBodyString("body of " + string(r.Body()))
+		}, zerolog.Nop())
+		l.OnRefusal = func(answer *protocol.Response) { answer.Header.Set(verdict.Header, verdict.NotRun.String()) }
 		done := make(chan error, 1)
-		go func() { done <- h.Run() }()
+		go func() { done <- l.Run() }()
 		DeferCleanup(func() {
 			l.Drain()
-			Expect(h.Shutdown(context.Background())).To(Succeed())
+			Expect(l.Shutdown(context.Background())).To(Succeed())
 			Eventually(done, eventTimeout).Should(Receive())
 		})
 	}
 	dial := func() (net.Conn, *bufio.Reader) {
 		GinkgoHelper()
-		c, err := net.Dial("tcp", l.Addr().String())
+		c, err := net.Dial("tcp", address)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() { _ = c.Close() })
 		Expect(c.SetDeadline(time.Now().Add(eventTimeout))).To(Succeed())
@@ -86,13 +73,13 @@
 		Expect(err).NotTo(HaveOccurred())
 		return resp, string(body)
 	}
-	defaultLimits := listener.Limits{RequestArrival: eventTimeout, Connections: 100}
+	defaultLimits := ingress.Limits{RequestArrival: eventTimeout, Connections: 100}
 	const get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 	// Guards against more connections than the host can handle, and against
 	// closed connections that still count towards the limit.
 	It("closes connections beyond the limit and accepts new ones when others close", func() {
-		serve(listener.Limits{RequestArrival: eventTimeout, Connections: 2})
+		serve(ingress.Limits{RequestArrival: eventTimeout, Connections: 2})
 		a, ra := dial()
 		_, _ = dial()
 		Eventually(l.Open, eventTimeout).Should(Equal(2))
@@ -113,7 +100,7 @@
 	// time to time, and against a connection that is closed while it is idle
 	// between requests.
 	It("limits the arrival time of a request but not the time between requests", func() {
-		serve(listener.Limits{RequestArrival: 50 * time.Millisecond, Connections: 10})
+		serve(ingress.Limits{RequestArrival: 50 * time.Millisecond, Connections: 10})
 		c, r := dial()
 		send(c, get)
 		_, _ = receive(r)
