Let the command-line tool read answers through the checked codec

What operators would see: an odd answer at the address of a daemon reached the parser of the HTTP library, on whose panics shallotctl depended, and a call that got no answer went on for 10 s after an interrupt.

Change: pkg/admin's client uses internal/httpcall, whose calls end with their context. NewClient without an address is an error; a call of such a client returned no error and no answer.

--- a/cmd/shallotctl/fleet.go
+++ b/cmd/shallotctl/fleet.go
@@ -1,17 +1,13 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/url"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"shallotglade/pkg/admin"
-	"shallotglade/pkg/dialect"
 )
 
 func newStatus(o *options) *cobra.Command {
@@ -96,21 +92,10 @@
 		Use: "addresses SERVICE --from IP:PORT", Short: "Ask which addresses a caller should use", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			q := url.Values{"service": {args[0]}, "domain": {domain}, "failed": {failed}}
-			httpClient, err := client.NewClient(client.WithDialer(standard.NewDialer()))
+			answer, err := admin.QueryAddresses(cmd.Context(), daemonAddress, q)
 			if err != nil {
 				return err
 			}
-			status, body, err := httpClient.Get(cmd.Context(), nil, "http://"+daemonAddress+dialect.AddressesPath+"?"+q.Encode())
-			if err != nil {
-				return err
-			}
-			if status != 200 {
-				return errors.Newf("status %d: %s", status, body)
-			}
-			var answer dialect.NativeAnswer
-			if err := json.Unmarshal(body, &answer); err != nil {
-				return err
-			}
 			return o.print(cmd.OutOrStdout(), answer, func() [][]string {
 				rows := [][]string{{"ADDRESS"}}
 				for _, a := range answer.Addresses {
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -1,6 +1,7 @@
 package httpcall
 
 import (
+	"context"
 	"crypto/tls"
 	"io"
 	"sync"
@@ -72,24 +73,25 @@
 }
 
 // Do sends the request and reads the answer. An error that is not marked ErrNotSent means that
-// the server may have received the request.
-func (c *Client) Do(s Server, call Call) error {
+// the server may have received the request. If ctx ends, the connection is closed.
+func (c *Client) Do(ctx context.Context, s Server, call Call) error {
 	p := c.pool(s.Address)
-	err := c.doOnce(p, s, call, true)
-	if errors.Is(err, errStale) && call.Resend {
-		err = c.doOnce(p, s, call, false)
+	err := c.doOnce(ctx, p, s, call, true)
+	if errors.Is(err, errStale) && call.Resend && ctx.Err() == nil {
+		err = c.doOnce(ctx, p, s, call, false)
 	}
 	return err
 }
 
 // doOnce sends the request once, on a kept connection if one is wanted and there is one.
-func (c *Client) doOnce(p *pool, s Server, call Call, wantsKept bool) error {
+func (c *Client) doOnce(ctx context.Context, p *pool, s Server, call Call, wantsKept bool) error {
 	conn, kept, err := c.connect(p, s, wantsKept)
 	if err != nil {
 		return errors.Mark(err, ErrNotSent)
 	}
 	reusable := false
-	defer func() { p.put(conn, reusable, c.MaxIdle) }()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer func() { p.put(conn, stop() && reusable, c.MaxIdle) }()
 	if err := c.write(conn, call); err != nil {
 		return c.readRefusal(conn, call, err, kept)
 	}
--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -3,41 +3,48 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
+	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cockroachdb/errors"
 
+	"shallotglade/internal/httpcall"
+	"shallotglade/internal/netconn"
+	"shallotglade/pkg/dialect"
 	"shallotglade/pkg/history"
 )
 
-// clientTimeout limits one call; it exceeds the time limit of the server.
-const clientTimeout = 10 * time.Second
+const (
+	// clientTimeout limits the sending of a request and the wait for its answer; it exceeds the
+	// time limit of the server.
+	clientTimeout     = 10 * time.Second
+	clientDialTimeout = 2 * time.Second
+	// maxAnswerBytes limits an answer, of which the status of a large service is the longest.
+	maxAnswerBytes = 64 << 20
+)
 
 // Client calls the administration API. It tries the daemons in order until one
 // answers.
 type Client struct {
 	addresses []string
 	key       string
-	http      *client.Client
+	http      *httpcall.Client
 }
 
 // NewClient returns a client for the admin addresses (IP:port) of daemons.
 func NewClient(addresses []string, key string) (*Client, error) {
-	http, err := client.NewClient(
-		// The default dialer occasionally reports a new connection as closed by the
-		// peer before its first use.
-		client.WithDialer(standard.NewDialer()),
-		client.WithDialTimeout(2*time.Second), client.WithKeepAlive(false), client.WithClientReadTimeout(clientTimeout),
-	)
-	if err != nil {
-		return nil, err
+	if len(addresses) == 0 {
+		return nil, errors.New("no address of a daemon is given")
 	}
-	return &Client{addresses: addresses, key: key, http: http}, nil
+	return &Client{addresses: addresses, key: key, http: newHTTPClient()}, nil
+}
+
+// newHTTPClient returns a client that opens a connection for each call.
+func newHTTPClient() *httpcall.Client {
+	return &httpcall.Client{Dial: netconn.DialConfig{Timeout: clientDialTimeout}, MaxConnections: 1, MaxBodyBytes: maxAnswerBytes}
 }
 
 // call sends a request and decodes the response into out. It returns an error
@@ -47,15 +54,21 @@
 	var lastErr error
 	for _, address := range c.addresses {
 		req, resp := &protocol.Request{}, &protocol.Response{}
-		req.SetMethod(method)
-		req.SetRequestURI("http://" + address + path)
+		req.Header.SetMethod(method)
+		req.Header.SetRequestURI(path)
+		req.Header.SetHost(address)
+		req.SetConnectionClose()
 		req.Header.Set("Authorization", "Bearer "+c.key)
 		for k, v := range headers {
 			req.Header.Set(k, v)
 		}
-		req.SetBody(body)
-		if lastErr = c.http.DoTimeout(ctx, req, resp, clientTimeout); lastErr != nil {
-			if method == "GET" || isDialError(lastErr) {
+		if body != nil {
+			req.SetBodyRaw(body)
+			req.Header.SetContentLength(len(body))
+		}
+		lastErr = c.http.Do(ctx, httpcall.Server{Address: address}, httpcall.Call{Request: req, Answer: resp, Timeout: clientTimeout})
+		if lastErr != nil {
+			if method == "GET" || errors.Is(lastErr, httpcall.ErrNotSent) {
 				continue
 			}
 			return errors.Wrap(lastErr, "the daemon did not answer; read the document to see whether the change was accepted")
@@ -80,13 +93,6 @@
 	return json.Unmarshal(resp.Body(), out)
 }
 
-// isDialError reports whether opening the connection failed, in which case the
-// request had no effect.
-func isDialError(err error) bool {
-	var opErr *net.OpError
-	return errors.As(err, &opErr) && opErr.Op == "dial"
-}
-
 // Services lists the services that the key may access.
 func (c *Client) Services(ctx context.Context) (out []Service, err error) {
 	return out, c.call(ctx, "GET", "/v1/services", nil, nil, &out)
@@ -143,3 +149,19 @@
 func (c *Client) Drain(ctx context.Context) error {
 	return c.call(ctx, "POST", "/v1/drain", nil, nil, nil)
 }
+
+// QueryAddresses asks a daemon at its address for callers which addresses to use.
+func QueryAddresses(ctx context.Context, address string, query url.Values) (out dialect.NativeAnswer, err error) {
+	req, resp := &protocol.Request{}, &protocol.Response{}
+	req.Header.SetMethod("GET")
+	req.Header.SetRequestURI(dialect.AddressesPath + "?" + query.Encode())
+	req.Header.SetHost(address)
+	req.SetConnectionClose()
+	if err := newHTTPClient().Do(ctx, httpcall.Server{Address: address}, httpcall.Call{Request: req, Answer: resp, Timeout: clientTimeout}); err != nil {
+		return out, err
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return out, errors.Newf("status %d: %s", resp.StatusCode(), resp.Body())
+	}
+	return out, json.Unmarshal(resp.Body(), &out)
+}
--- a/pkg/platform/transport.go
+++ b/pkg/platform/transport.go
@@ -241,7 +241,7 @@
 		rq.Header.SetContentTypeBytes([]byte(call.ContentType))
 		rq.Header.SetContentLength(len(call.Body))
 	}
-	err := c.client.Do(s.Server, httpcall.Call{
+	err := c.client.Do(context.Background(), s.Server, httpcall.Call{
 		Request: rq, Answer: rs, Timeout: c.config.ReadTimeout + call.Wait, Resend: !call.Write && call.Wait == 0,
 	})
 	if err != nil {
