Refuse heads of answers that are joined from two, and promises that are none

What callers saw: an order ran at two upstreams.

Cause: the left-over bytes and the head of the answer were read as one head, with the first status line and the fields of both. Any X-Not-Executed, with any status, counted as the promise that the order has not run.

Change: a head in which a status line stands behind the beginning of another line is refused, and so are control bytes. Only the statuses of a refusal make its header a promise, and an answer whose status implies the promise without the header is a failed attempt that may have run.

--- a/internal/httphead/errors.go
+++ b/internal/httphead/errors.go
@@ -23,6 +23,7 @@
 	errHost          = malformed("the Host field is invalid or not the only one")
 	errNoHost        = malformed("the request has no Host field")
 	errVersion       = &Error{http.StatusHTTPVersionNotSupported, "the protocol version is neither HTTP/1.0 nor HTTP/1.1"}
+	errJoinedHeads   = malformed("a status line stands behind the beginning of another head")
 	errControlByte   = malformed("a header field has a control byte")
 	errFoldedFraming = malformed("a field that describes the body is continued on the next line")
 	errContentLength = malformed("the content length is no number or not the same each time")
--- a/internal/httphead/firstline.go
+++ b/internal/httphead/firstline.go
@@ -28,6 +28,34 @@
 	return len(b) <= len(statusLinePattern) || strings.IndexByte(" \r\n", b[len(statusLinePattern)]) >= 0
 }
 
+// checkStatusLine checks a status line, of which the start is valid, without its line ending.
+func checkStatusLine(line []byte) error {
+	switch {
+	case hasControlByte(line):
+		return errControlByte
+	case hasStatusLine(line[len(statusLinePattern):]):
+		return errJoinedHeads
+	}
+	return nil
+}
+
+// hasStatusLine reports whether the start of a status line stands somewhere in a line. A faulty
+// upstream may send the beginning of an earlier answer again; the library would read the next
+// answer as its continuation.
+func hasStatusLine(line []byte) bool {
+	for {
+		i := bytes.Index(line, []byte("HTTP/"))
+		if i < 0 {
+			return false
+		}
+		line = line[i:]
+		if len(line) >= len(statusLinePattern) && isStatusLinePrefix(line[:len(statusLinePattern)]) {
+			return true
+		}
+		line = line[1:]
+	}
+}
+
 // isMethodPrefix reports whether the bytes begin with a method and a space or are the start of a
 // method.
 func isMethodPrefix(b []byte) bool {
--- a/internal/httphead/scanner.go
+++ b/internal/httphead/scanner.go
@@ -49,6 +49,8 @@
 		switch {
 		case first && s.Request:
 			err = s.checkRequestLine(line)
+		case first:
+			err = checkStatusLine(line)
 		case !first && len(line) == 0:
 			return true, s.checkComplete()
 		case !first:
@@ -76,9 +78,12 @@
 	if err := CheckField(line); err != nil {
 		return err
 	}
-	if s.Request && hasControlByte(line) || bytes.IndexByte(line, 0) >= 0 || bytes.IndexByte(line, '\r') >= 0 {
+	if hasControlByte(line) {
 		return errControlByte
 	}
+	if !s.Request && hasStatusLine(line) {
+		return errJoinedHeads
+	}
 	if isFolded(line) {
 		if s.framing {
 			return errFoldedFraming
--- a/pkg/dialect/dialect.go
+++ b/pkg/dialect/dialect.go
@@ -56,6 +56,9 @@
 	// NotRun reports whether an upstream's answer states that the request did
 	// not run.
 	NotRun func(status int, header func(name string) string) bool
+	// Valid reports whether the answer of an upstream that ran the request may be one. Others are
+	// failed attempts that may have run. It is nil if all answers are valid.
+	Valid func(status int, header func(name string) string) bool
 	// ProbedUpstream returns the id of the upstream that answered a probe, or
 	// "" if the answer does not contain it.
 	ProbedUpstream func(header func(name string) string) string
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -87,6 +87,7 @@
 	reusable, err := conn.exchange(req, resp, request.ID, reserved)
 	stop()
 	result := c.classify(ctx, request, resp, err)
+	reusable = reusable && result.Response != nil
 	result.Latency, result.Reused = time.Since(start), reused
 	if result.Kind == Shed {
 		conn.refusedIDs = append(conn.refusedIDs, request.ID)
@@ -173,6 +174,8 @@
 	switch {
 	case c.dialect.NotRun(response.Status, header):
 		return Result{Response: response, Kind: Shed, Verdict: verdict.NotRun}
+	case r.ID != "" && c.dialect.Valid != nil && !c.dialect.Valid(response.Status, header):
+		return Result{Kind: Failure, Verdict: verdict.MayHaveRun, Err: errors.Newf("the response is not valid (status %d)", response.Status)}
 	case response.Status >= 500:
 		return Result{Response: response, Kind: Failure, Verdict: verdict.Ran}
 	default:
