Refuse requests and answers whose body two readers would delimit differently

Cause: the HTTP library takes the last of several lengths, lets a transfer coding override a length, and reads every coding but identity as chunked.

Change: the reader of heads decides on the body: one length, or chunked alone. In requests, lines end with CR LF and no field is folded. Requests get 400 or 501 and the connection closes; answers are failed attempts.

--- a/internal/httphead/scanner.go
+++ b/internal/httphead/scanner.go
@@ -22,6 +22,8 @@
 	// contentLength holds the value of Content-Length and lengthDigits its size, 0 if there is none.
 	contentLength [maxLengthDigits]byte
 	lengthDigits  int
+	// chunked is true if there is a Transfer-Encoding field, whose only coding is chunked.
+	chunked bool
 	// framing is true if the previous line is a field whose value must not continue on the next.
 	framing bool
 }
@@ -43,7 +45,10 @@
 		if end < 0 {
 			return false, nil
 		}
-		line := bytes.TrimSuffix(received[s.size:s.size+end], []byte("\r"))
+		line, hasCR := bytes.CutSuffix(received[s.size:s.size+end], []byte("\r"))
+		if s.Request && !hasCR {
+			return false, errLineEnd
+		}
 		first := s.size == 0
 		s.size += end + 1
 		switch {
@@ -85,8 +90,8 @@
 		return errJoinedHeads
 	}
 	if isFolded(line) {
-		if s.framing {
-			return errFoldedFraming
+		if s.framing || s.Request {
+			return errFolded
 		}
 		return nil
 	}
@@ -108,15 +113,22 @@
 		if !isNameList(value) {
 			return errTrailer
 		}
+	case isName(name, "Transfer-Encoding"):
+		return s.checkTransferEncoding(value)
 	default:
-		s.framing = isName(name, "Transfer-Encoding")
+		s.framing = false
 	}
 	return nil
 }
 
 // checkComplete checks a head of which all lines have been checked.
 func (s *Scanner) checkComplete() error {
-	if s.Request && s.hosts == 0 && !s.version1 {
+	switch {
+	case s.chunked && s.lengthDigits > 0:
+		return errTwoLengths
+	case s.chunked && s.version1:
+		return errTransferCoding
+	case s.Request && s.hosts == 0 && !s.version1:
 		return errNoHost
 	}
 	return nil
@@ -130,6 +142,23 @@
 	return nil
 }
 
+// checkTransferEncoding accepts one field with the coding chunked. The HTTP library takes every
+// coding but identity for chunked.
+func (s *Scanner) checkTransferEncoding(value []byte) error {
+	if s.chunked {
+		return errTransferCoding
+	}
+	s.chunked = true
+	if isName(value, "chunked") {
+		return nil
+	}
+	last := value[bytes.LastIndexByte(value, ',')+1:]
+	if isName(bytes.Trim(last, " \t"), "chunked") {
+		return errUnknownCoding
+	}
+	return errTransferCoding
+}
+
 // CheckField returns ErrMalformedField unless the line, without its line ending, is a header
 // field or continues the value of the previous field.
 func CheckField(line []byte) error {
--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -97,6 +97,9 @@
 	return log.String()
 }
 
+// hidden is a request that stands in the body of another one.
+const hidden = "POST /hidden HTTP/1.1\r\nHost: hidden\r\n\r\n"
+
 const get = "GET /%s HTTP/1.1\r\nHost: h\r\n\r\n"
 
 var _ = Describe("Server", func() {
@@ -261,6 +264,8 @@
 		Entry("all resources as the target", "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", "/*"),
 		Entry("an empty Host field", "GET /x HTTP/1.1\r\nHost:\r\n\r\n", "/x"),
 		Entry("no Host field in HTTP/1.0", "GET /x HTTP/1.0\r\n\r\n", "/x"),
+		Entry("a repeated length", "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\ny", "/xy"),
+		Entry("a chunked body with extensions and trailers", "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: CHUNKED\r\nTrailer: X-A\r\n\r\n1;a=b\r\ny\r\n0\r\nX-A: b\r\n\r\n", "/xy"),
 		Entry("names of fields in lower case", "POST /x HTTP/1.1\r\nhost: [::1]:80\r\ncontent-length: 1\r\n\r\ny", "/xy"),
 		Entry("a method that is not known", "X-METHOD /x?y=://z HTTP/1.1\r\nHost: h\r\n\r\n", "/x"),
 		Entry("bytes that are not ASCII", "GET /\xe9 HTTP/1.1\r\nHost: h\r\nX: \xe9\t\r\n\r\n", "/\xe9"),
@@ -286,6 +291,24 @@
 		// Guards against requests on which the HTTP library panics, which ended the process.
 		Entry("empty elements in the Trailer field", "GET / HTTP/1.1\r\nHost: h\r\nTrailer: X-Checksum, , X-Count\r\n\r\n", 400),
 		Entry("empty elements in a folded Trailer field", "GET / HTTP/1.1\r\nHost: h\r\ntRAILER: X-Checksum\r\n\t,,\r\n\r\n", 400),
+		// Guards against requests hidden in the body of another one: the HTTP library and another reader would
+		// take different lengths for its body.
+		Entry("two different lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\nContent-Length: 0\r\n\r\n"+hidden, 400),
+		Entry("a list of lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0, 40\r\n\r\n"+hidden, 400),
+		Entry("a length with a sign", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +0\r\n\r\n"+hidden, 400),
+		Entry("a length before a transfer coding", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+hidden, 400),
+		Entry("a length behind a transfer coding", "POST / HTTP/1.1\r\nHost: h\r\ntransfer-ENCODING: Chunked\r\ncontent-length: 40\r\n\r\n0\r\n\r\n"+hidden, 400),
+		Entry("a coding that is not chunked", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: identity\r\n\r\n"+hidden, 400),
+		Entry("codings that do not end in chunked", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n"+hidden, 400),
+		Entry("a coding that is not known before chunked", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"+hidden, 501),
+		Entry("two transfer codings", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+hidden, 400),
+		Entry("a coding that looks like chunked", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"+hidden, 400),
+		Entry("a transfer coding in HTTP/1.0", "POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+hidden, 400),
+		Entry("a space before the colon", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 40\r\n\r\n"+hidden, 400),
+		Entry("a length on a folded line", "POST / HTTP/1.1\r\nHost: h\r\nX: y\r\n Content-Length: 40\r\n\r\n"+hidden, 400),
+		Entry("a bare line feed in the head", "POST / HTTP/1.1\r\nHost: h\nContent-Length: 40\r\n\r\n"+hidden, 400),
+		Entry("a bare line feed at the end of the head", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n\n"+hidden, 400),
+		Entry("a bare carriage return in the head", "POST / HTTP/1.1\r\nHost: h\r\nX: y\rContent-Length: 40\r\n\r\n"+hidden, 400),
 		// Guards against targets on which the HTTP library panics, which ended the process.
 		Entry("a target without a path or a host", "GET a: HTTP/1.0\r\n\r\n", 400),
 		Entry("the same with a Host field", "GET a: HTTP/1.1\r\nHost: h\r\n\r\n", 400),
