--- a/pkg/daemon/adapter.go
+++ b/pkg/daemon/adapter.go
@@ -31,6 +31,9 @@
 	// ProbePlatform checks that the platform is reachable, with its cheapest call.
 	// It is nil if the platform has no such call.
 	ProbePlatform func(ctx context.Context, host string) error
+	// RefusedEntries returns how many entries of upstreams the adapter has refused. It is nil if
+	// it checks none.
+	RefusedEntries func() uint64
 	// SelfRegistration is true if the platform keeps no list of daemons, so each
 	// daemon registers itself.
 	SelfRegistration bool
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -5,6 +5,9 @@
 	if d.lookup != nil {
 		d.metrics.RegisterCounter("entries_looked_up_total", "Reads of entries of refused daemons.", d.lookup.ReadCount)
 	}
+	if d.adapter.RefusedEntries != nil {
+		d.metrics.RegisterCounter("entries_refused_total", "Invalid entries of upstreams, each counted once for each reason.", d.adapter.RefusedEntries)
+	}
 	for _, t := range []struct {
 		name, help string
 		value      func() uint64
