Keep a newer configuration than that of a store restored from a copy

Cause: versions of objects rise with the era of the store, so that the restored configuration replaced the one in force. The numbers that operators give their configurations were not compared.

Change: after a restoration, a configuration with a lower number does not replace the one in force in this process, until one with its number or a higher one is written. The one in force takes the version of the restored one, so that it counts as what the store holds and the age of accounts does not grow.

Evidence: the new spec of pkg/catalog failed before and passes.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -53,6 +53,10 @@
 	// until they are applied. flushMu does the same for lists of daemons.
 	upstreamsMu, flushMu sync.Mutex
 
+	// configurationMu keeps configurations in the order in which they are put in force.
+	configurationMu sync.Mutex
+	inForce         configurationInForce
+
 	mu sync.Mutex
 	// upstreams maps a service to its members by id.
 	upstreams map[string]map[string]platform.Member
@@ -210,7 +214,8 @@
 			Msg("config: configuration cannot be read; the previous one stays in force")
 		return
 	}
-	if !c.board.PutConfiguration(configuration, o.Version) {
+	configuration, ok := c.putConfiguration(configuration, o)
+	if !ok {
 		return
 	}
 	c.metrics.ConfigurationVersion.Set(float64(configuration.Version))
@@ -226,6 +231,25 @@
 	}
 }
 
+// putConfiguration puts a configuration, or the newer one that stays in its place, in force. It
+// returns the one in force, and false if nothing changed.
+func (c *Catalog) putConfiguration(configuration *document.Configuration, o platform.Object) (*document.Configuration, bool) {
+	c.configurationMu.Lock()
+	defer c.configurationMu.Unlock()
+	kept := c.inForce.supersedes(configuration, o.Version)
+	if kept {
+		c.log.Warn().Str("key", o.Key).Uint64("version", o.Version).Uint64("stated", configuration.Version).
+			Uint64("kept", c.inForce.configuration.Version).Msg("config: restored store has an older configuration; the newer one stays in force")
+		// It takes the version of the older one, so that it counts as what the store holds.
+		configuration = c.inForce.configuration
+	}
+	if !c.board.PutConfiguration(configuration, o.Version) {
+		return nil, false
+	}
+	c.inForce = configurationInForce{configuration, o.Version, kept}
+	return configuration, true
+}
+
 // applyPending applies the record and the members that arrived before the document of
 // a service.
 func (c *Catalog) applyPending(d *document.Service) {
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -127,6 +128,39 @@
 		Expect(standings(board, "s")).To(Equal(map[string]string{"u1": "normal"}))
 	}, Entry("as documents", false), Entry("as a configuration", true))
 
+	// Guards against a daemon that goes back to an older configuration than it has served, because
+	// the store was restored from a copy.
+	It("keeps a newer configuration than that of a restored store until operators write it again", func() {
+		const era = 1 << 44
+		put := func(c *catalog.Catalog, version, stated uint64) {
+			value, err := (&document.Configuration{Version: stated, Services: []*document.Service{document.New(fmt.Sprint("s", stated))}}).Encode()
+			Expect(err).NotTo(HaveOccurred())
+			c.Apply(platform.Object{Key: document.ConfigurationsPrefix + "main", Version: version, Value: value})
+		}
+		inForce := func(b *blackboard.Board) string { return b.Services()[0].Name }
+		put(c, 4, 7)
+		put(c, 6, 9)
+		for _, step := range []struct {
+			version, stated uint64
+			want            string
+		}{
+			{era | 3, 7, "s9"},
+			{era | 5, 8, "s9"}, // written again before 9 is
+			{2*era | 3, 7, "s9"},
+			{2*era | 7, 9, "s9"},
+			{2*era | 8, 10, "s10"},
+			{2*era | 9, 8, "s8"}, // written by an operator, not restored
+			{3*era | 9, 8, "s8"},
+		} {
+			put(c, step.version, step.stated)
+			Expect(inForce(board)).To(Equal(step.want), "%d in version %x", step.stated, step.version)
+			Expect(board.ConfigurationVersion()).To(Equal(step.version), "it counts as what the store holds")
+		}
+		started := blackboard.New("d2", "fes")
+		put(catalog.New(started, zerolog.Nop(), telemetry.NewMetrics()), era|3, 7)
+		Expect(inForce(started)).To(Equal("s7"), "a daemon that has served nothing newer")
+	})
+
 	// Guards against waiting requests for a removed service that are sent to a leaving upstream.
 	It("tells a removed service with waiting requests which upstreams are leaving", func() {
 		configure := func(version uint64, services ...string) {
