Contain panics of messages between daemons and of goroutine pools in the same way

Cause: handlers of messages recovered from panics, but the goroutines that read connections, streams and datagrams of other daemons did not. Three pools of goroutines recovered without a count, two of them without a line in the log of the daemon.

Change: pkg/peer starts each goroutine for bytes of a connection in one place, which closes the connection on a panic. The pools report panics to pkg/panics, whose errors wrap ErrPanic.

Evidence: the specs of pkg/panics, three of which failed while errors.Is did not find ErrPanic, and those of pkg/peer, pkg/membership, pkg/health and pkg/confsync, all under the race detector. No message is known that makes these goroutines panic.

--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -14,6 +14,7 @@
 
 	"shallotglade/internal/boottime"
 	"shallotglade/internal/sleep"
+	"shallotglade/pkg/panics"
 	"shallotglade/pkg/platform"
 )
 
@@ -221,7 +222,7 @@
 	c.setDefaults()
 	s := &Syncer{config: c}
 	if c.Spawn == nil {
-		pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true))
+		pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true), ants.WithPanicHandler(panics.Handler(panics.Peers)))
 		if err != nil {
 			return nil, errors.Wrap(err, "confsync: create worker pool")
 		}
--- a/pkg/daemon/status.go
+++ b/pkg/daemon/status.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"shallotglade/pkg/admin"
+	"shallotglade/pkg/panics"
 	"shallotglade/pkg/peer"
 )
 
@@ -24,7 +25,9 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			answers[i] = d.fetchStatus(ctx, h.PeerAddress, service)
+			if err := panics.Run(panics.Peers, func() { answers[i] = d.fetchStatus(ctx, h.PeerAddress, service) }); err != nil {
+				answers[i] = admin.DaemonStatus{Error: err.Error()}
+			}
 			answers[i].Daemon, answers[i].Domain = h.ID, h.Domain
 		}()
 	}
--- a/pkg/health/controller.go
+++ b/pkg/health/controller.go
@@ -10,6 +10,7 @@
 
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/detector"
+	"shallotglade/pkg/panics"
 	"shallotglade/pkg/platform"
 	"shallotglade/pkg/telemetry"
 	"shallotglade/pkg/upstream"
@@ -127,7 +128,7 @@
 
 // Provision allocates the resources of the controller; Cleanup releases them.
 func (c *Controller) Provision() error {
-	pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true))
+	pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true), ants.WithPanicHandler(panics.Handler(panics.Upstreams)))
 	if err != nil {
 		return err
 	}
--- a/pkg/membership/controller.go
+++ b/pkg/membership/controller.go
@@ -10,6 +10,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
 
+	"shallotglade/pkg/panics"
 	"shallotglade/pkg/peer"
 	"shallotglade/pkg/platform"
 )
@@ -62,9 +63,7 @@
 	if !(peer.Identity{ID: config.Node.ID()}).Owns(config.Self.ID) {
 		return nil, errors.Newf("membership: the certificate of %s does not cover host id %s", config.Node.ID(), config.Self.ID)
 	}
-	pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true), ants.WithPanicHandler(func(p any) {
-		config.Logger.Error().Any("panic", p).Msg("membership: probe panicked")
-	}))
+	pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true), ants.WithPanicHandler(panics.Handler(panics.Peers)))
 	if err != nil {
 		return nil, errors.Wrap(err, "membership: create the probe pool")
 	}
--- a/pkg/panics/doc.go
+++ b/pkg/panics/doc.go
@@ -6,5 +6,5 @@
 // Collectors. The code that recovers treats it as an error: it closes the connection, releases
 // what the message held, and takes a request that was sent for one that may have run.
 //
-// Goroutines for such bytes are started with Go, or defer Recover.
+// Goroutines for such bytes are started with Go, or defer Recover; pools of them use Handler.
 package panics
--- a/pkg/panics/panics.go
+++ b/pkg/panics/panics.go
@@ -80,6 +80,12 @@
 	}()
 }
 
+// Handler returns a function that logs and counts panics, for a pool of goroutines that recovers
+// from them itself.
+func Handler(source Source) func(p any) {
+	return func(p any) { _ = report(source, p) }
+}
+
 // report logs and counts a panic and returns it as an error.
 func report(source Source, p any) error {
 	totals[source].Add(1)
@@ -90,7 +96,7 @@
 	}
 	l.Error().Str("source", string(source)).Str("cause", cause(p)).Bytes("stack", debug.Stack()).
 		Msg("panics: handling of a message panicked; its connection ends")
-	return errors.Mark(errors.Newf("panic: %s", cause(p)), ErrPanic)
+	return fmt.Errorf("%w: %s", ErrPanic, cause(p))
 }
 
 // cause describes a panic without the text of other panics than those of the runtime: the HTTP
--- a/pkg/peer/incoming.go
+++ b/pkg/peer/incoming.go
@@ -4,12 +4,13 @@
 	"context"
 	"fmt"
 	"io"
-	"runtime/debug"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
+
+	"shallotglade/pkg/panics"
 )
 
 const (
@@ -47,15 +48,26 @@
 		if err != nil {
 			return
 		}
-		n.tasks.Add(1)
-		go n.serveConn(conn)
+		n.serve(conn, func() { n.serveConn(conn) })
 	}
 }
 
+// serve runs f, which handles bytes of a connection, in a goroutine. If f panics, the connection
+// closes.
+func (n *Node) serve(conn *quic.Conn, f func()) {
+	n.tasks.Add(1)
+	panics.Go(panics.Peers, func() {
+		defer n.tasks.Done()
+		f()
+	}, func(err error) {
+		n.counters.panics.Add(1)
+		_ = conn.CloseWithError(codeRefused, err.Error())
+	})
+}
+
 // serveConn determines the peer's daemon id and serves its streams and datagrams
 // until the connection ends.
 func (n *Node) serveConn(conn *quic.Conn) {
-	defer n.tasks.Done()
 	id, err := daemonID(conn.ConnectionState().TLS.PeerCertificates[0])
 	if err != nil {
 		_ = conn.CloseWithError(codeRefused, "no daemon id")
@@ -78,9 +90,8 @@
 	if err := hello.Close(); err != nil {
 		return
 	}
-	n.tasks.Add(2)
-	go n.serveDatagrams(c)
-	go n.serveMessageStreams(c)
+	n.serve(conn, func() { n.serveDatagrams(c) })
+	n.serve(conn, func() { n.serveMessageStreams(c) })
 	n.serveStreams(c)
 }
 
@@ -127,14 +138,12 @@
 		if err != nil {
 			return
 		}
-		n.tasks.Add(1)
-		go n.serveStream(c, stream)
+		n.serve(c.conn, func() { n.serveStream(c, stream) })
 	}
 }
 
 // serveStream reads one request, runs its handler and writes the reply.
 func (n *Node) serveStream(c *incoming, stream *quic.Stream) {
-	defer n.tasks.Done()
 	refusal := n.beginHandler(c, stream.StreamID())
 	defer n.endHandler(c, refusal)
 	release := func() {}
@@ -220,23 +229,19 @@
 
 // runHandler calls the handler. Its context ends with the stream, which the
 // caller resets when it cancels the call.
-func (n *Node) runHandler(c *incoming, stream *quic.Stream, handler Handler, r request) (answer reply) {
+func (n *Node) runHandler(c *incoming, stream *quic.Stream, handler Handler, r request) reply {
 	ctx := stream.Context()
 	if timeout := r.timeout(); timeout > 0 {
 		limited, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		ctx = limited
 	}
-	defer func() {
-		if p := recover(); p != nil {
-			n.counters.panics.Add(1)
-			n.config.Logger.Error().Str("kind", r.Kind).Str("peer", c.from.ID).
-				Str("panic", fmt.Sprint(p)).Bytes("stack", debug.Stack()).Msg("peer: handler panicked")
-			answer = reply{Status: statusFailed, Error: "handler panicked"}
-		}
-	}()
 	n.counters.served.Add(1)
-	body, err := handler(ctx, c.from, r.Body)
+	var body []byte
+	var err error
+	if n.contain(c, r.Kind, func() { body, err = handler(ctx, c.from, r.Body) }) {
+		return reply{Status: statusFailed, Error: "handler panicked"}
+	}
 	switch {
 	case errors.Is(err, ErrRefused):
 		return n.newRefusal(err.Error())
@@ -248,6 +253,16 @@
 	return reply{Status: statusOK, Body: body}
 }
 
+// contain calls the handler of a message and reports whether it panicked.
+func (n *Node) contain(c *incoming, kind string, handle func()) (panicked bool) {
+	err := panics.Run(panics.Peers, handle)
+	if err != nil {
+		n.counters.panics.Add(1)
+		n.config.Logger.Error().Str("kind", kind).Str("peer", c.from.ID).Err(err).Msg("peer: handler panicked")
+	}
+	return err != nil
+}
+
 func truncateErrorText(s string) string { return s[:min(len(s), maxErrorBytes)] }
 
 // writeReply writes the reply and waits until the caller closes its side of the
@@ -282,7 +297,6 @@
 }
 
 func (n *Node) serveDatagrams(c *incoming) {
-	defer n.tasks.Done()
 	for {
 		data, err := c.conn.ReceiveDatagram(n.ctx)
 		if err != nil {
@@ -293,7 +307,6 @@
 }
 
 func (n *Node) serveMessageStreams(c *incoming) {
-	defer n.tasks.Done()
 	for {
 		stream, err := c.conn.AcceptUniStream(n.ctx)
 		if err != nil {
@@ -302,16 +315,14 @@
 		if err := stream.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
 			return
 		}
-		n.tasks.Add(1)
-		go func() {
-			defer n.tasks.Done()
+		n.serve(c.conn, func() {
 			data, err := io.ReadAll(io.LimitReader(stream, int64(n.config.MaxFrameBytes)))
 			if err != nil || len(data) == n.config.MaxFrameBytes {
 				stream.CancelRead(codeCancelled)
 				return
 			}
 			n.dispatchMessage(c, data)
-		}()
+		})
 	}
 }
 
@@ -333,12 +344,5 @@
 		return
 	}
 	n.counters.messages.Add(1)
-	defer func() {
-		if p := recover(); p != nil {
-			n.counters.panics.Add(1)
-			n.config.Logger.Error().Str("kind", r.Kind).Str("peer", c.from.ID).
-				Str("panic", fmt.Sprint(p)).Bytes("stack", debug.Stack()).Msg("peer: message handler panicked")
-		}
-	}()
-	handler(c.conn.Context(), c.from, r.Body)
+	n.contain(c, r.Kind, func() { handler(c.conn.Context(), c.from, r.Body) })
 }
