Fuzz the readers of heads against the HTTP library and the standard library

FuzzRequestHead and FuzzAnswerHead check that whatever the reader of heads accepts is read as the same message by the HTTP library and by the standard library, and that the library does not panic on it.

They found two differences, which are mended: a transfer coding in an answer of HTTP/1.0, which the standard library ignores, and a Host field behind a tab, which the HTTP library keeps as a part of the host. Both are refused now, and an entry of a table guards each.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 LINT := $(GOBIN)/golangci-lint
 
-.PHONY: all build demo test lint fmt bench bench-site scores soak clean tools
+.PHONY: all build demo test lint fmt fuzz bench bench-site scores soak clean tools
 
 all: build
 
@@ -57,5 +57,16 @@
 soak: build
 	go run ./internal/soak -seeds $(SEEDS) $(if $(STOPS),-stops) -bin bin
 
+# Random messages at the readers of heads, entries and replies, each for FUZZTIME: make fuzz FUZZTIME=15m
+# The engine of the standard library minimizes every new input for a minute unless told otherwise.
+FUZZTIME := 5m
+FUZZ := ./internal/httphead:FuzzRequestHead ./internal/httphead:FuzzAnswerHead ./platform:FuzzFieldReader ./platform:FuzzDecodeReply \
+	./pkg/peer:FuzzFrame ./pkg/document:FuzzParse ./internal/strictyaml:FuzzDecode ./pkg/ejection:FuzzDecode ./pkg/membership:FuzzDecode ./pkg/poison:FuzzDecodeSummary
+fuzz:
+	@for f in $(FUZZ); do \
+		echo "== $$f"; \
+		go test "$${f%%:*}" -run '^$$' -fuzz "^$${f##*:}$$" -fuzztime $(FUZZTIME) -fuzzminimizetime 10x || exit 1; \
+	done
+
 clean:
 	rm -rf bin
--- a/internal/httphead/bytes.go
+++ b/internal/httphead/bytes.go
@@ -1,6 +1,9 @@
 package httphead
 
-import "strings"
+import (
+	"encoding/binary"
+	"strings"
+)
 
 // deleteByte is the control byte outside the range below the space.
 const deleteByte = 0x7f
@@ -41,7 +44,28 @@
 	return len(b) > 0
 }
 
+// Words of eight equal bytes, to look at eight bytes of a value at a time.
+const (
+	eachByte  = 0x0101010101010101
+	highBits  = 0x80 * eachByte
+	allSpaces = ' ' * eachByte
+	allDelete = deleteByte * eachByte
+)
+
 func hasControlByte(b []byte) bool {
+	for ; len(b) >= 8; b = b[8:] {
+		word := binary.LittleEndian.Uint64(b)
+		belowSpace := (word - allSpaces) & ^word & highBits
+		isDelete := word ^ allDelete
+		if belowSpace|(isDelete-eachByte)&^isDelete&highBits != 0 && hasControlByteIn(b[:8]) {
+			return true
+		}
+	}
+	return hasControlByteIn(b)
+}
+
+// hasControlByteIn is hasControlByte for a few bytes.
+func hasControlByteIn(b []byte) bool {
 	for _, c := range b {
 		if controlBytes[c] {
 			return true
--- a/internal/httphead/firstline.go
+++ b/internal/httphead/firstline.go
@@ -5,6 +5,12 @@
 	"strings"
 )
 
+// Protocol versions of requests that are served.
+const (
+	version10 = "HTTP/1.0"
+	version11 = "HTTP/1.1"
+)
+
 // statusLinePattern is the pattern of the start of a status line; each 0 matches any digit, and
 // S those that begin a status of 100 to 599. The HTTP library would report 000 as 200, and other
 // codes below 200 as interim answers.
@@ -29,7 +35,8 @@
 }
 
 // checkStatusLine checks a status line, of which the start is valid, without its line ending.
-func checkStatusLine(line []byte) error {
+func (s *Scanner) checkStatusLine(line []byte) error {
+	s.oldVersion = !bytes.HasPrefix(line, []byte(version11))
 	switch {
 	case hasControlByte(line):
 		return errControlByte
@@ -73,7 +80,7 @@
 	if !isTarget(method, target) {
 		return errTarget
 	}
-	s.version1 = string(version) == "HTTP/1.0"
+	s.oldVersion = string(version) != version11
 	return checkVersion(version)
 }
 
@@ -100,8 +107,7 @@
 }
 
 func checkVersion(version []byte) error {
-	switch string(version) {
-	case "HTTP/1.1", "HTTP/1.0":
+	if v := string(version); v == version11 || v == version10 {
 		return nil
 	}
 	number, isHTTP := bytes.CutPrefix(version, []byte("HTTP/"))
--- a/internal/httphead/scanner.go
+++ b/internal/httphead/scanner.go
@@ -16,9 +16,10 @@
 
 	// size is the total size of the lines checked so far.
 	size int
-	// version1 is true for HTTP/1.0. hosts is the number of Host fields.
-	version1 bool
-	hosts    int
+	// oldVersion is true for other versions than HTTP/1.1, which have no transfer codings. hosts is
+	// the number of Host fields.
+	oldVersion bool
+	hosts      int
 	// contentLength holds the value of Content-Length and lengthDigits its size, 0 if there is none.
 	contentLength [maxLengthDigits]byte
 	lengthDigits  int
@@ -55,7 +56,7 @@
 		case first && s.Request:
 			err = s.checkRequestLine(line)
 		case first:
-			err = checkStatusLine(line)
+			err = s.checkStatusLine(line)
 		case !first && len(line) == 0:
 			return true, s.checkComplete()
 		case !first:
@@ -80,43 +81,66 @@
 
 // checkLine checks a header line, and its value if the HTTP library acts on the field.
 func (s *Scanner) checkLine(line []byte) error {
-	if err := CheckField(line); err != nil {
-		return err
-	}
-	if hasControlByte(line) {
-		return errControlByte
-	}
-	if !s.Request && hasStatusLine(line) {
-		return errJoinedHeads
-	}
 	if isFolded(line) {
 		if s.framing || s.Request {
 			return errFolded
 		}
-		return nil
+		return s.checkValue(line)
+	}
+	colon := 0
+	for colon < len(line) && tokenBytes[line[colon]] {
+		colon++
 	}
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	return s.checkField(name, bytes.Trim(value, " \t"))
+	if colon == 0 || colon == len(line) || line[colon] != ':' {
+		return ErrMalformedField
+	}
+	name, value := line[:colon], line[colon+1:]
+	if err := s.checkValue(value); err != nil {
+		return err
+	}
+	// The HTTP library leaves tabs around a value.
+	return s.checkField(name, bytes.Trim(value, " "))
+}
+
+// checkValue checks the value of any field, or a part of it.
+func (s *Scanner) checkValue(value []byte) error {
+	switch {
+	case hasControlByte(value):
+		return errControlByte
+	case !s.Request && hasStatusLine(value):
+		return errJoinedHeads
+	}
+	return nil
 }
 
 // checkField checks the value of a field that names the destination or describes the body.
 func (s *Scanner) checkField(name, value []byte) error {
 	s.framing = true
-	switch {
-	case isName(name, "Host"):
-		if s.hosts++; s.hosts > 1 || !isHost(value) {
-			return errHost
+	switch len(name) {
+	case len("Host"):
+		if isName(name, "Host") {
+			return s.checkHost(value)
 		}
-	case isName(name, "Content-Length"):
-		return s.checkContentLength(value)
-	case isName(name, "Trailer"):
-		if !isNameList(value) {
-			return errTrailer
+	case len("Trailer"):
+		if isName(name, "Trailer") {
+			return checkTrailer(value)
+		}
+	case len("Content-Length"):
+		if isName(name, "Content-Length") {
+			return s.checkContentLength(value)
+		}
+	case len("Transfer-Encoding"):
+		if isName(name, "Transfer-Encoding") {
+			return s.checkTransferEncoding(value)
 		}
-	case isName(name, "Transfer-Encoding"):
-		return s.checkTransferEncoding(value)
-	default:
-		s.framing = false
+	}
+	s.framing = false
+	return nil
+}
+
+func (s *Scanner) checkHost(value []byte) error {
+	if s.hosts++; s.Request && (s.hosts > 1 || !isHost(value)) {
+		return errHost
 	}
 	return nil
 }
@@ -126,9 +150,9 @@
 	switch {
 	case s.chunked && s.lengthDigits > 0:
 		return errTwoLengths
-	case s.chunked && s.version1:
+	case s.chunked && s.oldVersion:
 		return errTransferCoding
-	case s.Request && s.hosts == 0 && !s.version1:
+	case s.Request && s.hosts == 0 && !s.oldVersion:
 		return errNoHost
 	}
 	return nil
@@ -175,23 +199,22 @@
 // isFolded reports whether a line continues the value of the previous field.
 func isFolded(line []byte) bool { return len(line) > 0 && (line[0] == ' ' || line[0] == '\t') }
 
-// isName reports whether a field name is the given one, in any case.
+// isName reports whether a name is the given one, in any case.
 func isName(name []byte, want string) bool {
-	return len(name) == len(want) && strings.EqualFold(string(name), want)
+	return len(name) == len(want) && name[0]|0x20 == want[0]|0x20 && strings.EqualFold(string(name), want)
 }
 
-// isNameList reports whether a value is a list of field names. The HTTP library panics on an
-// empty element of the Trailer field.
-func isNameList(value []byte) bool {
+// checkTrailer accepts a list of field names. The HTTP library panics on an empty element.
+func checkTrailer(value []byte) error {
 	if len(value) == 0 {
-		return true
+		return nil
 	}
 	for element := range bytes.SplitSeq(value, []byte(",")) {
-		if !isToken(bytes.Trim(element, " \t")) {
-			return false
+		if !isToken(bytes.Trim(element, " ")) {
+			return errTrailer
 		}
 	}
-	return true
+	return nil
 }
 
 func isContentLength(value []byte) bool {
--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -319,6 +319,7 @@
 		Entry("a target for all resources of a method other than OPTIONS", "GET * HTTP/1.1\r\nHost: h\r\n\r\n", 400),
 		Entry("no Host field", "GET / HTTP/1.1\r\n\r\n", 400),
 		Entry("two Host fields", "GET / HTTP/1.1\r\nHost: h\r\nHost: h\r\n\r\n", 400),
+		Entry("a Host field behind a tab, which the HTTP library would keep", "GET / HTTP/1.1\r\nHost:\th\r\n\r\n", 400),
 		Entry("a Host field with a path", "GET / HTTP/1.1\r\nHost: h/x\r\n\r\n", 400),
 		Entry("a protocol version that is not known", "GET / HTTP/2.0\r\nHost: h\r\n\r\n", 505),
 	)
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -140,6 +140,7 @@
 		// Guards against bodies of which two readers would take different lengths.
 		Entry("a length beside a transfer coding", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", upstream.Failure, verdict.MayHaveRun, false),
 		Entry("a transfer coding that is not chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n1\r\nx\r\n0\r\n\r\n", upstream.Failure, verdict.MayHaveRun, false),
+		Entry("a transfer coding in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", upstream.Failure, verdict.MayHaveRun, false),
 		// Guards against answers on which the HTTP library panics, which ended the process.
 		Entry("empty elements in the Trailer field", "HTTP/1.1 200 OK\r\nTrailer: ,,,,\r\n\r\n", upstream.Failure, verdict.MayHaveRun, false),
 		Entry("an empty element in the middle of the Trailer field", completeResponse("x", "tRAILER: X-A, , X-B\r\n"), upstream.Failure, verdict.MayHaveRun, false),
