--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -19,6 +19,7 @@
 	"shallotglade/pkg/blackboard"
 	"shallotglade/pkg/document"
 	"shallotglade/pkg/ejection"
+	"shallotglade/pkg/panics"
 	"shallotglade/pkg/platform"
 	"shallotglade/pkg/telemetry"
 )
@@ -204,9 +205,14 @@
 		c.log.Error().Str("configuration", name).Uint64("version", o.Version).Msg("config: configuration deleted from the store; it stays in force")
 		return
 	}
-	configuration, err := c.decodeConfiguration(o.Value)
-	if err == nil {
-		err = configuration.Validate()
+	var configuration *document.Configuration
+	var err error
+	if panicked := panics.Run(panics.Platform, func() {
+		if configuration, err = c.decodeConfiguration(o.Value); err == nil {
+			err = configuration.Validate()
+		}
+	}); panicked != nil {
+		err = panicked
 	}
 	if err != nil {
 		c.metrics.ConfigurationsRefused.Inc()
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -19,6 +19,7 @@
 	"shallotglade/pkg/catalog"
 	"shallotglade/pkg/document"
 	"shallotglade/pkg/ejection"
+	"shallotglade/pkg/panics"
 	"shallotglade/pkg/platform"
 	"shallotglade/pkg/telemetry"
 )
@@ -128,6 +129,20 @@
 		Expect(standings(board, "s")).To(Equal(map[string]string{"u1": "normal"}))
 	}, Entry("as documents", false), Entry("as a configuration", true))
 
+	// Guards against a configuration that ends every daemon which reads it.
+	It("keeps the configuration in force if the decoder of the next one panics", func() {
+		panics.SetLogger(zerolog.New(GinkgoWriter))
+		c.SetConfigurationDecoder(func(value []byte) (*document.Configuration, error) {
+			return &document.Configuration{Services: []*document.Service{document.New(string(value[1]))}}, nil
+		})
+		before := panics.Total(panics.Platform)
+		c.Apply(platform.Object{Key: document.ConfigurationsPrefix + "main", Version: 1, Value: []byte("as")})
+		c.Apply(platform.Object{Key: document.ConfigurationsPrefix + "main", Version: 2, Value: []byte("a")})
+		Expect(board.Services()).To(HaveLen(1))
+		Expect(board.Services()[0].Name).To(Equal("s"))
+		Expect(panics.Total(panics.Platform)).To(Equal(before + 1))
+	})
+
 	// Guards against a daemon that goes back to an older configuration than it has served, because
 	// the store was restored from a copy.
 	It("keeps a newer configuration than that of a restored store until operators write it again", func() {
