--- a/internal/httphead/fuzz_test.go
+++ b/internal/httphead/fuzz_test.go
@@ -33,7 +33,7 @@
 	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\nServer: s\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-A\r\nSet-Cookie: a=b; Path=/\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
 	"HTTP/1.0 503 Busy\nRetry-After: 1\nConnection: close\n\n",
-	"HTTP/1.1 503 E\r\nX-Not-Executed: 1HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 503 E\r\nX-Refused: 1HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\td\r\nTrailer: ,,\r\nContent-Type: a/b\r\nContent-Encoding: x\r\n\r\n",
 }
 
