Refuse bare line ends in the framing of chunked bodies

Found when the change was read again for two readers of the same bytes: the reader of chunks took a bare line feed for the end of a line. A reader before the daemon that takes it for a part of a chunk extension delimits the body elsewhere, so that a request can be hidden there. A bare carriage return in an extension passed as well.

Change: lines of the framing end with CR LF and have no other carriage return, in requests and answers.

Evidence: four new entries of "refuses" were accepted before and get 400 now.

--- a/internal/netconn/chunk.go
+++ b/internal/netconn/chunk.go
@@ -98,7 +98,8 @@
 
 const lineEnd = "\r\n"
 
-// readLine consumes the next line of at most limit bytes and returns it without its end.
+// readLine consumes the next line of at most limit bytes and returns it without its end. Other
+// readers may take a bare line feed or carriage return for a part of the line.
 func readLine(nc *Conn, limit int) ([]byte, error) {
 	for n := 1; ; n = nc.Len() + 1 {
 		if n > limit {
@@ -114,7 +115,11 @@
 			return nil, err
 		}
 		if end := bytes.IndexByte(buffered, '\n'); end >= 0 {
-			return bytes.TrimSuffix(buffered[:end], []byte("\r")), nc.Skip(end + 1)
+			line, hasCR := bytes.CutSuffix(buffered[:end], []byte("\r"))
+			if !hasCR || bytes.IndexByte(line, '\r') >= 0 {
+				return nil, ErrMalformedChunk
+			}
+			return line, nc.Skip(end + 1)
 		}
 	}
 }
--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -309,6 +309,10 @@
 		Entry("a bare line feed in the head", "POST / HTTP/1.1\r\nHost: h\nContent-Length: 40\r\n\r\n"+hidden, 400),
 		Entry("a bare line feed at the end of the head", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n\n"+hidden, 400),
 		Entry("a bare carriage return in the head", "POST / HTTP/1.1\r\nHost: h\r\nX: y\rContent-Length: 40\r\n\r\n"+hidden, 400),
+		Entry("a bare line feed behind the size of a chunk", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2;\nxx\r\n0\r\n\r\n"+hidden, 400),
+		Entry("a bare carriage return in a chunk extension", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2;a\rb\r\nxx\r\n0\r\n\r\n"+hidden, 400),
+		Entry("a bare line feed behind a chunk", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nxx\n0\r\n\r\n"+hidden, 400),
+		Entry("a bare line feed behind the trailers", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: b\n\n"+hidden, 400),
 		// Guards against targets on which the HTTP library panics, which ended the process.
 		Entry("a target without a path or a host", "GET a: HTTP/1.0\r\n\r\n", 400),
 		Entry("the same with a Host field", "GET a: HTTP/1.1\r\nHost: h\r\n\r\n", 400),
