--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -31,8 +31,6 @@
 	ErrNotSent = errors.New("httpcall: the request was not sent")
 	// ErrTooManyConnections means that Client.MaxConnections are in use. It is marked ErrNotSent.
 	ErrTooManyConnections = errors.New("httpcall: too many connections to the server")
-	// ErrAnswerTooLarge means that an answer exceeds the size limit.
-	ErrAnswerTooLarge = errors.New("httpcall: the answer is too large")
 
 	errStale = errors.New("httpcall: the server closed the kept connection")
 )
@@ -147,11 +145,12 @@
 	if answer.MustSkipBody() {
 		return conn.Release()
 	}
-	b := body{conn: conn, maxBytes: c.MaxBodyBytes}
-	if err := b.read(answer); err != nil {
+	b := netconn.AnswerBody{Conn: conn, MaxBytes: c.MaxBodyBytes}
+	body, err := b.Read(answer)
+	if err != nil {
 		return errors.Wrap(err, "read the body of an answer")
 	}
-	answer.SetBodyRaw(b.bytes)
+	answer.SetBodyRaw(body)
 	return conn.Release()
 }
 
--- a/pkg/platform/transport.go
+++ b/pkg/platform/transport.go
@@ -259,7 +259,7 @@
 	if errors.Is(err, httpcall.ErrNotSent) {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	if errors.IsAny(err, httpcall.ErrAnswerTooLarge, netconn.ErrReplyTooLarge) {
+	if errors.IsAny(err, netconn.ErrBodyTooLarge, netconn.ErrReplyTooLarge) {
 		err = fmt.Errorf("%w: %w", ErrReplyTooLarge, err)
 	}
 	return call.NoReplyError(err)
--- a/pkg/upstream/memory.go
+++ b/pkg/upstream/memory.go
@@ -12,10 +12,7 @@
 // checks again whether another one must be evicted.
 const evictionRecheck = 100 * time.Millisecond
 
-var (
-	errBodyTooLarge = errors.New("the response is too large to buffer")
-	errEvicted      = errors.New("the response was the largest when the memory for requests and responses reached its limit")
-)
+var errEvicted = errors.New("the response was the largest when the memory for requests and responses reached its limit")
 
 // reservation is the memory reserved for one response.
 type reservation struct {
