--- a/pkg/ingress/doc.go
+++ b/pkg/ingress/doc.go
@@ -16,7 +16,9 @@
 //	server.Drain()          // stops accepting; idle connections close now
 //	server.Shutdown(ctx)    // waits for the rest
 //
-// The codec comes from the HTTP library. The library's server is not used, because
-// it handles one request per connection at a time and leaves pipelined requests
+// The codec comes from the HTTP library and sees only heads that package httphead accepts; others
+// are refused, and the connection closes. A panic while a request is read, handled or answered ends
+// its connection, after the answers to earlier requests where possible. The library's server is not
+// used, because it handles one request per connection at a time and leaves pipelined requests
 // unread.
 package ingress
