Log how a configuration reached the daemon that puts it in force

The replica keeps the origin of each copy, and the line names it (source, from). Messages between daemons pass the sender's address to the syncer.

No decision changes.

--- a/pkg/confsync/boot.go
+++ b/pkg/confsync/boot.go
@@ -167,7 +167,7 @@
 			if !listsCurrent || !s.listAll(ctx, mode == ListStaleEntries) {
 				// An object missing from a stale list is not treated as deleted: the
 				// list may carry the current revision, and its pages may differ in age.
-				s.config.Replica.applyAll(objects)
+				s.config.Replica.applyAll(Origin{Source: SourceStaleList}, objects)
 			}
 			if s.config.OnRosterLoaded != nil {
 				s.config.OnRosterLoaded()
@@ -226,7 +226,7 @@
 		return err
 	}
 	p := poller{syncer: s, prefix: prefix}
-	s.config.Replica.applyAll(p.dropInvalid(objects))
+	s.config.Replica.applyAll(Origin{Source: SourceStaleList}, p.dropInvalid(objects))
 	s.boot.recordList(prefix)
 	return nil
 }
--- a/pkg/confsync/confirm.go
+++ b/pkg/confsync/confirm.go
@@ -336,7 +336,7 @@
 	}
 	var changed []platform.Object
 	if checkObjects([]platform.Object{o}, s.config.Prefixes) == nil {
-		changed = s.config.Replica.applyAll([]platform.Object{o})
+		changed = s.config.Replica.applyAll(Origin{Source: SourceRead}, []platform.Object{o})
 	}
 	s.recordRead(confirmedByStore, startedAt, o.Version)
 	return changed, nil
--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -218,7 +218,7 @@
 	if err := checkObjects(reply.Objects, s.config.Prefixes); err != nil {
 		return 0, err
 	}
-	s.gossip(s.config.Replica.applyAll(reply.Objects))
+	s.gossip(s.config.Replica.applyAll(Origin{Source: SourceComparison, Peer: peer}, reply.Objects))
 	if err := s.sendWanted(ctx, peer, reply.Wanted, mode); err != nil {
 		return 0, err
 	}
--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -252,7 +252,7 @@
 		}
 		return nil, errors.Wrap(err, "watch")
 	}
-	changed := s.config.Replica.applyAll(p.dropInvalid(objects))
+	changed := s.config.Replica.applyAll(Origin{Source: SourceWatch}, p.dropInvalid(objects))
 	if revision < p.nextRevision {
 		p.listedAt = time.Time{}
 		return changed, errors.Newf("watch revision went back from %d to %d", p.nextRevision, revision)
--- a/pkg/confsync/push.go
+++ b/pkg/confsync/push.go
@@ -46,7 +46,7 @@
 // a list, all objects are forwarded: the lists only get shorter, and a daemon
 // could otherwise miss the pushes of two relays when each forwarder already has
 // the object from the other push.
-func (s *Syncer) handleObjects(body []byte) error {
+func (s *Syncer) handleObjects(from string, body []byte) error {
 	var m objectsMessage
 	if err := decode(body, &m); err != nil {
 		return err
@@ -63,7 +63,7 @@
 	if m.Propagation >= propagationEnd {
 		return errors.Wrapf(errInvalidMessage, "spread %d", m.Propagation)
 	}
-	applied := s.config.Replica.applyAll(m.Objects)
+	applied := s.config.Replica.applyAll(Origin{Source: SourcePush, Peer: from}, m.Objects)
 	if m.Propagation == propagateToList {
 		s.forwardObjects(m)
 		return nil
--- a/pkg/confsync/replica.go
+++ b/pkg/confsync/replica.go
@@ -46,6 +46,7 @@
 	applyMu sync.Mutex
 	mu      sync.RWMutex
 	objects map[string]platform.Object
+	origins map[string]Origin
 }
 
 // NewReplica returns an empty replica.
@@ -55,7 +56,7 @@
 		listedRevisions: map[string]uint64{},
 	}
 	for i := range r.shards {
-		r.shards[i].objects = map[string]platform.Object{}
+		r.shards[i].objects, r.shards[i].origins = map[string]platform.Object{}, map[string]Origin{}
 	}
 	return r
 }
@@ -84,15 +85,18 @@
 // its prefix was deleted at the platform. A tombstone is stored instead, so that a
 // daemon that missed the deletion cannot restore the object. The replica keeps the
 // value without copying it.
-func (r *Replica) Apply(o platform.Object) bool {
-	changed := r.apply(o)
+func (r *Replica) Apply(o platform.Object) bool { return r.ApplyFrom(Origin{Source: SourceLocal}, o) }
+
+// ApplyFrom is Apply for an object of the given origin.
+func (r *Replica) ApplyFrom(from Origin, o platform.Object) bool {
+	changed := r.apply(from, o)
 	if changed {
 		r.notifyBatch()
 	}
 	return changed
 }
 
-func (r *Replica) apply(o platform.Object) bool {
+func (r *Replica) apply(from Origin, o platform.Object) bool {
 	if o.Version == 0 {
 		return false
 	}
@@ -109,7 +113,7 @@
 	if revision := r.listedRevision(o.Key); !exists && o.Version <= revision {
 		o = platform.Object{Key: o.Key, Version: revision, Deleted: true}
 	}
-	s.objects[o.Key] = o
+	s.objects[o.Key], s.origins[o.Key] = o, from
 	if exists && sameContent(current, o) {
 		// The higher version keeps earlier content from coming back. Nothing else depends
 		// on it.
@@ -130,7 +134,8 @@
 // revision. It replaces missing objects by tombstones and returns all changed
 // objects.
 func (r *Replica) ApplyList(prefix string, objects []platform.Object, revision uint64) []platform.Object {
-	changed := r.applyAll(objects)
+	from := Origin{Source: SourceList}
+	changed := r.applyAll(from, objects)
 	// From here on Apply turns objects that are missing from the list into
 	// tombstones. Those applied earlier are handled below.
 	r.setListedRevision(prefix, revision)
@@ -147,7 +152,7 @@
 			missing = append(missing, platform.Object{Key: current.Key, Version: revision, Deleted: true})
 		}
 	}
-	return append(changed, r.applyAll(missing)...)
+	return append(changed, r.applyAll(from, missing)...)
 }
 
 // setListedRevision records that the replica holds all objects that existed
@@ -172,10 +177,10 @@
 }
 
 // applyAll applies objects and returns the stored copies of those that changed.
-func (r *Replica) applyAll(objects []platform.Object) []platform.Object {
+func (r *Replica) applyAll(from Origin, objects []platform.Object) []platform.Object {
 	var changed []platform.Object
 	for _, o := range objects {
-		if r.apply(o) {
+		if r.apply(from, o) {
 			current, _ := r.lookup(o.Key)
 			changed = append(changed, current)
 		}
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -293,10 +293,15 @@
 
 // Handle answers a message from a peer. An error means that the message is
 // invalid; valid parts may have been applied. The body is not retained.
-func (s *Syncer) Handle(_ context.Context, kind string, body []byte) ([]byte, error) {
+func (s *Syncer) Handle(ctx context.Context, kind string, body []byte) ([]byte, error) {
+	return s.HandleFrom(ctx, "", kind, body)
+}
+
+// HandleFrom is Handle for a message of the peer with the given address.
+func (s *Syncer) HandleFrom(_ context.Context, from, kind string, body []byte) ([]byte, error) {
 	switch kind {
 	case KindObjects:
-		return nil, s.handleObjects(body)
+		return nil, s.handleObjects(from, body)
 	case KindDigest:
 		return s.handleDigest(body)
 	case KindVersions:
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -230,6 +230,7 @@
 
 func (d *Daemon) provisionSync() error {
 	d.replica = confsync.NewReplica()
+	d.catalog.SetOriginOf(d.replica.OriginOf)
 	d.replica.OnChange(d.catalog.Stage)
 	d.replica.OnBatch(d.catalog.Flush)
 	if d.adapter.DecodeConfiguration != nil {
@@ -248,8 +249,8 @@
 		return err
 	}
 	for _, kind := range confsync.Kinds() {
-		d.node.Handle(kind, func(ctx context.Context, _ peer.Identity, body []byte) ([]byte, error) {
-			return d.syncer.Handle(ctx, kind, body)
+		d.node.Handle(kind, func(ctx context.Context, from peer.Identity, body []byte) ([]byte, error) {
+			return d.syncer.HandleFrom(ctx, from.Addr, kind, body)
 		})
 	}
 	return nil
--- a/pkg/daemon/trust.go
+++ b/pkg/daemon/trust.go
@@ -64,7 +64,7 @@
 			m, _ := d.catalog.Daemon(host)
 			return m.ID
 		},
-		Apply: func(o platform.Object) { d.replica.Apply(o) },
+		Apply: func(o platform.Object) { d.replica.ApplyFrom(confsync.Origin{Source: confsync.SourceRead}, o) },
 		ApplyList: func(objects []platform.Object, revision uint64) {
 			d.replica.ApplyList(platform.DaemonsPrefix, objects, revision)
 		},
