--- a/pkg/confsync/standby_test.go
+++ b/pkg/confsync/standby_test.go
@@ -54,18 +54,27 @@
 	return s.domainStore.Watch(ctx, p, after, wait)
 }
 
-// runWithStandbys runs a scenario in a fleet with one relay in each domain, daemons 0 to 2,
-// and two standbys, daemons 3 to 8.
+// newFleetWithStandbys returns a fleet with one relay in each domain, daemons 0 to 2, and
+// two standbys, daemons 3 to 8. configure, if not nil, changes the configurations further.
+func newFleetWithStandbys(size int, configure func(*daemon, *confsync.Config)) *fleet {
+	return newFleetOfSize(size, func(d *daemon, c *confsync.Config) {
+		c.ReduceTraffic, c.BootPeers, c.BootDomains = true, 1, 1
+		c.CompareOtherDomains = func() bool { return d.number < 2*len(fleetDomains) }
+		c.Relays = func(domain string) []confsync.Peer { return d.f.relays(domain)[:1] }
+		c.IsStandby = func() bool { return d.number >= len(fleetDomains) && d.number < 3*len(fleetDomains) }
+		if configure != nil {
+			configure(d, c)
+		}
+	})
+}
+
+// runWithStandbys runs a scenario in a fleet of newFleetWithStandbys.
 func runWithStandbys(seed uint64, scenario func(*fleet, *watchers) error) error {
 	var err error
 	synctest.Test(suiteT, func(*testing.T) {
 		w := &watchers{numbers: map[int]int{}}
-		f := newFleetOfSize(96, func(d *daemon, c *confsync.Config) {
+		f := newFleetWithStandbys(96, func(d *daemon, c *confsync.Config) {
 			c.Rand = rand.New(rand.NewPCG(testkit.Seed+seed, uint64(d.number)))
-			c.ReduceTraffic, c.BootPeers, c.BootDomains = true, 1, 1
-			c.CompareOtherDomains = func() bool { return d.number < 2*len(fleetDomains) }
-			c.Relays = func(domain string) []confsync.Peer { return d.f.relays(domain)[:1] }
-			c.IsStandby = func() bool { return d.number >= len(fleetDomains) && d.number < 3*len(fleetDomains) }
 			c.Store = watchedStore{domainStore{d.f.store, d}, w}
 		})
 		time.Sleep(changeBound)
