Take only contact with a relay for contact with the platform

Both were among the first to start and had listed the older one right before the change.

Cause of the class: a daemon follows the platform itself when it is isolated, and any answer of another daemon counted against that. A comparison shows only that both copies are equal. Daemons that reach each other but no relay thus kept each other's copies old for as long as that lasted, although each of them reached the platform. The same holds for all that is replicated with the configuration: entries of upstreams, accounts, the list of daemons.

Change: each copy has an age, the time since it held everything that a relay held. Only relays, and the standbys that replace them, start at 0; comparisons pass ages on. A daemon whose copy is older than 1 s compares it with the relay of its domain, then with the standbys, then with the relays of other domains. If none answers and the copy is 2 s old, the daemon follows the platform itself. It is no source for others then, so that daemons cannot keep each other's ages young. In large domains the checks are rarer, and lists are spread.

--- a/pkg/confsync/boot.go
+++ b/pkg/confsync/boot.go
@@ -37,6 +37,7 @@
 	// unlistedPrefixes holds the prefixes not yet listed from the platform.
 	unlistedPrefixes map[string]bool
 	ready            bool
+	readyAt          time.Time
 	// attempts counts the comparison attempts per peer address, to spread them
 	// evenly.
 	attempts map[string]int
@@ -65,6 +66,14 @@
 	return s.boot.ready
 }
 
+// readyFor reports whether the daemon has been ready for d. Relays need some time to reach
+// daemons that start at the same time.
+func (b *bootState) readyFor(now time.Time, d time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ready && now.Sub(b.readyAt) >= d
+}
+
 // booting reports whether the daemon is not ready and its boot timeout has not
 // expired.
 func (s *Syncer) booting() bool {
@@ -142,7 +151,7 @@
 	if s.boot.ready || len(s.boot.unlistedPrefixes) > 0 && !enoughPeers && (booting || comparedCount == 0) {
 		return
 	}
-	s.boot.ready = true
+	s.boot.ready, s.boot.readyAt = true, s.config.Now()
 	close(s.boot.readyC)
 	s.config.Log.Info().Int("peers", comparedCount).Bool("listed", len(s.boot.unlistedPrefixes) == 0).Msg("confsync: ready")
 }
@@ -282,6 +291,7 @@
 //
 // With staleEntries, the upstreams' entries are listed only once, from stale copies.
 func (s *Syncer) listAll(ctx context.Context, staleEntries bool) bool {
+	startedAt := s.config.BootTime()
 	for _, prefix := range s.config.Prefixes {
 		if staleEntries && prefix == platform.MembersPrefix {
 			if !s.boot.isListed(prefix) && s.listStalePrefix(ctx, prefix) != nil {
@@ -295,5 +305,6 @@
 			return false
 		}
 	}
+	s.source.confirm(startedAt)
 	return true
 }
--- a/pkg/confsync/cutoff_test.go
+++ b/pkg/confsync/cutoff_test.go
@@ -10,15 +10,17 @@
 	"shallotglade/pkg/confsync"
 )
 
+// every returns the numbers from first to below size, step apart.
+func every(first, step, size int) (numbers []int) {
+	for i := first; i < size; i += step {
+		numbers = append(numbers, i)
+	}
+	return numbers
+}
+
 // TestDaemonsCutOffTogetherGetChanges guards against taking the answers of daemons that are cut off too for contact with
 // the platform.
 func TestDaemonsCutOffTogetherGetChanges(t *testing.T) {
-	every := func(first, step, size int) (group []int) {
-		for i := first; i < size; i += step {
-			group = append(group, i)
-		}
-		return group
-	}
 	for name, c := range map[string]struct {
 		group []int
 		fleet func() *fleet
@@ -61,3 +63,45 @@
 		return []confsync.Peer{peers[(d.number+3)%size], peers[(d.number+6)%size]}
 	}
 }
+
+// restartBound is the time after its start within which the users expect a daemon to be up to date.
+const restartBound = 3 * time.Second
+
+// TestFirstDaemonsOfARestartGetAChangeMadeMeanwhile guards against daemons that list the platform right before a change and
+// are refused by all that start after it.
+func TestFirstDaemonsOfARestartGetAChangeMadeMeanwhile(t *testing.T) {
+	first := every(50, 3, 96)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetWithStandbys(96, func(d *daemon, c *confsync.Config) {
+			nearPeersOnly(d, c)
+			c.RosterPrefix, c.DirectList = "services/", func(int) confsync.DirectList { return confsync.ListCurrent }
+		})
+		defer f.killAll()
+		time.Sleep(changeBound)
+		f.killAll()
+		f.update(func() {
+			f.blocked = func(from, to int) bool { return slices.Contains(first, from) != slices.Contains(first, to) }
+		})
+		start := func(numbers ...int) {
+			for _, i := range numbers {
+				d := f.launch(i)
+				f.update(func() { f.daemons[i] = d })
+			}
+		}
+		start(first...)
+		time.Sleep(50 * time.Millisecond)
+		o, err := f.store.Create(context.Background(), "services/a", []byte("v"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range f.daemons {
+			if !slices.Contains(first, i) {
+				start(i)
+			}
+		}
+		time.Sleep(restartBound)
+		if err := f.check(o); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -40,6 +40,7 @@
 func (s *Syncer) Tick(ctx context.Context) {
 	s.compare(ctx)
 	s.updateReadiness(ctx)
+	s.checkSource(ctx)
 }
 
 // compare compares digests with one peer. If that fails, it tries others
@@ -160,7 +161,9 @@
 func (s *Syncer) exchange(ctx context.Context, peer string, timeout time.Duration, mode propagation) (ready bool, err error) {
 	localDigest := s.config.Replica.Digest()
 	sentAt := s.config.BootTime()
-	body, err := s.callWithTimeout(ctx, timeout, peer, KindDigest, digestMessage{Root: localDigest.Root(), WantAge: s.needsConfirmation()})
+	body, err := s.callWithTimeout(ctx, timeout, peer, KindDigest, digestMessage{
+		Root: localDigest.Root(), WantAge: s.needsConfirmation(), SourceAge: encodeSourceAge(s.source.age(sentAt)),
+	})
 	if err != nil {
 		return false, err
 	}
@@ -168,8 +171,13 @@
 	if err := decode(body, &reply); err != nil {
 		return false, err
 	}
-	// The age counts once the objects that the peer had are applied.
-	defer func() { s.recordStatement(confirmedByComparison, sentAt, reply.age()) }()
+	// The ages count once the objects that the peer had are applied.
+	defer func() {
+		s.recordStatement(confirmedByComparison, sentAt, reply.age())
+		if err == nil {
+			s.source.confirm(sentAt - reply.sourceAge())
+		}
+	}()
 	if len(reply.Buckets) == 0 {
 		return reply.Ready, nil
 	}
@@ -253,8 +261,15 @@
 	// made this daemon ready.
 	reply := digestReply{Ready: s.Ready()}
 	localDigest := s.config.Replica.Digest()
-	if localDigest.Root() != m.Root {
+	receivedAt := s.config.BootTime()
+	if m.SourceAge > 0 {
+		reply.SourceAge = encodeSourceAge(s.source.age(receivedAt))
+	}
+	switch {
+	case localDigest.Root() != m.Root:
 		reply.Buckets = localDigest[:]
+	case m.SourceAge > 0:
+		s.source.confirm(receivedAt - decodeSourceAge(m.SourceAge))
 	}
 	if m.WantAge {
 		reply.confirmedAge = s.statement()
--- a/pkg/confsync/fleet_test.go
+++ b/pkg/confsync/fleet_test.go
@@ -35,6 +35,7 @@
 
 // fleet is a set of daemons in 3 domains, with 2 relays in each, under a fake clock.
 type fleet struct {
+	started time.Time
 	store   *memstore.Store
 	mu      sync.Mutex
 	daemons []*daemon
@@ -74,11 +75,14 @@
 
 func newFleetOfSize(size int, configure func(*daemon, *confsync.Config)) *fleet {
 	never := func(int, int) bool { return false }
-	f := &fleet{store: memstore.New(), daemons: make([]*daemon, size), blocked: never, replyLost: never, configure: configure}
+	f := &fleet{started: time.Now(), store: memstore.New(), daemons: make([]*daemon, size), blocked: never, replyLost: never, configure: configure}
 	f.launchAll()
 	return f
 }
 
+// bootTime returns the time since the fake clock started, as the same clock for all daemons.
+func (f *fleet) bootTime() time.Duration { return time.Since(f.started) }
+
 // update changes the state of the fleet under its lock.
 func (f *fleet) update(change func()) {
 	f.mu.Lock()
@@ -100,7 +104,7 @@
 	config := confsync.Config{
 		Self: d.peer, Prefixes: []string{"services/", "ejections/"}, Replica: d.replica,
 		Store: domainStore{f.store, d}, Transport: d, Peers: f.peers, Relays: f.relays,
-		Rand: rand.New(rand.NewPCG(testkit.Seed, uint64(i))), Log: zerolog.Nop(),
+		Rand: rand.New(rand.NewPCG(testkit.Seed, uint64(i))), Log: zerolog.Nop(), BootTime: f.bootTime,
 	}
 	if f.configure != nil {
 		f.configure(d, &config)
--- a/pkg/confsync/plain.go
+++ b/pkg/confsync/plain.go
@@ -21,6 +21,11 @@
 	return m
 }
 
+func (m digestMessage) plain() any {
+	m.SourceAge = 0
+	return m
+}
+
 func (m versionsMessage) plain() any {
 	if unpack(m.Packed, &m.Versions) != nil {
 		return m
--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -50,14 +50,17 @@
 	for ctx.Err() == nil {
 		isolated := s.isIsolated()
 		replaces := s.standby.active.Load()
-		relay := isolated || replaces || s.isRelay()
+		leads := replaces || s.isRelay()
+		s.source.leads.Store(leads && s.Ready())
+		relay := isolated || leads
 		if now := s.config.Now(); (relay || !s.platformLink.attached()) && !now.Before(nextProbe) {
 			s.probePlatform(ctx)
 			nextProbe = s.config.Now().Add(s.platformProbePause())
 		}
 		switch active := relay && s.platformLink.attached(); {
 		case active && !role.active() && s.platformLink.failures == 0:
-			s.config.Log.Info().Str("domain", s.config.Self.Domain).Bool("isolated", isolated).Bool("standby", replaces).Msg("confsync: relay role taken")
+			s.config.Log.Info().Str("domain", s.config.Self.Domain).Bool("isolated", isolated).Bool("standby", replaces).
+				Dur("source_age_ms", s.SourceAge()).Msg("confsync: relay role taken")
 			role.start(ctx, s)
 		case !active && role.active():
 			s.config.Log.Info().Str("domain", s.config.Self.Domain).Msg("confsync: relay role released")
@@ -139,10 +142,16 @@
 	return false
 }
 
-// isIsolated reports whether a ready daemon must follow the platform itself because no
-// other daemon answers. The daemon and its relay may refuse each other, or the relay may
-// be unreachable from this daemon only. For a starting daemon see updateReadiness.
-func (s *Syncer) isIsolated() bool { return s.Ready() && s.contact.isolated(s.config.Now()) }
+// isIsolated reports whether a ready daemon must follow the platform itself because it is out
+// of contact with all relays: no daemon answers, or only such that are out of contact too. The
+// daemon and its relay may refuse each other, or the relay may be unreachable from this daemon
+// only. For a starting daemon see updateReadiness.
+func (s *Syncer) isIsolated() bool {
+	if !s.boot.readyFor(s.config.Now(), isolationTimeout) || s.SourceAge() < s.lostSourceAge() {
+		return false
+	}
+	return s.source.lastCheckFailed() || s.contact.isolated(s.config.Now())
+}
 
 // poller lists and watches one prefix of the platform.
 type poller struct {
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -91,6 +91,9 @@
 	BootPeers, BootDomains int
 	// Relays returns the relays of a domain in order of preference.
 	Relays func(domain string) []Peer
+	// Standbys returns the daemons of this daemon's domain that replace its relays. nil means
+	// none.
+	Standbys func() []Peer
 	// IsStandby reports whether this daemon replaces the relays of its domain while none
 	// of them answers. nil means never.
 	IsStandby func() bool
@@ -170,6 +173,8 @@
 	plainPeers  plainPeers
 	// contact tracks whether comparisons with other daemons succeed.
 	contact contact
+	// source tracks the age of the copy.
+	source sourceContact
 	// confirmations tracks the age of the configuration.
 	confirmations confirmations
 
@@ -243,6 +248,8 @@
 	s.boot = newBootState(c.Now(), c.Prefixes, c.RosterPrefix == "")
 	s.platformLink, s.standby = newPlatformLink(), newStandby()
 	s.contact.lastAnswer = c.Now()
+	s.source.confirm(c.BootTime())
+	s.source.spread = s.randFloat()
 	s.confirmations.changedC = make(chan struct{})
 	return s, nil
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -268,6 +268,7 @@
 		Peers:          d.roster.syncPeers,
 		ConnectedPeers: d.roster.probedPeers,
 		Relays:         d.roster.relaysFor,
+		Standbys:       d.roster.standbyPeers,
 		IsStandby:      d.roster.isStandby,
 		Rand:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Log:            d.log,
--- a/pkg/daemon/roster.go
+++ b/pkg/daemon/roster.go
@@ -68,9 +68,9 @@
 	// demands maps each service to its demand for homes.
 	demands        map[string]placement.Demand
 	relaysByDomain map[string][]confsync.Peer
-	// standby is true if this daemon replaces the relays of its domain while none of
+	// standbys are the daemons that replace the relays of this daemon's domain while none of
 	// them answers.
-	standby bool
+	standbys []confsync.Peer
 }
 
 func newRoster(d *Daemon) (*roster, error) {
@@ -150,7 +150,7 @@
 	}
 	r.membersVersion, r.boardGeneration, r.hosts, r.homes, r.demands = version, generation, hosts, homes, demands
 	r.relaysByDomain = r.computeRelays(hosts)
-	r.standby = r.computeStandby(hosts)
+	r.standbys = r.computeStandbys(hosts)
 	r.mu.Unlock()
 	for _, s := range r.d.board.Services() {
 		r.setHomes(s, homes[s.Name])
@@ -235,21 +235,29 @@
 	return out
 }
 
-// computeStandby reports whether this daemon replaces the relays of its domain while none
-// of them answers. The caller holds r.mu and has set r.relaysByDomain.
-func (r *roster) computeStandby(hosts []placement.Host) bool {
-	domain, self := r.d.settings.Domain, r.d.node.Addr()
+// computeStandbys returns the daemons that replace the relays of this daemon's domain while
+// none of them answers. The caller holds r.mu and has set r.relaysByDomain.
+func (r *roster) computeStandbys(hosts []placement.Host) []confsync.Peer {
+	domain := r.d.settings.Domain
 	relays := r.relaysByDomain[domain]
 	rest := slices.DeleteFunc(slices.Clone(hosts), func(h placement.Host) bool {
 		return h.Domain != domain || slices.ContainsFunc(relays, func(p confsync.Peer) bool { return p.Address == h.PeerAddress })
 	})
-	return slices.ContainsFunc(placement.Relays(domain, rest, standbysPerDomain), func(h placement.Host) bool { return h.PeerAddress == self })
+	var standbys []confsync.Peer
+	for _, h := range placement.Relays(domain, rest, standbysPerDomain) {
+		standbys = append(standbys, confsync.Peer{Address: h.PeerAddress, Domain: h.Domain})
+	}
+	return standbys
 }
 
-func (r *roster) isStandby() bool {
+func (r *roster) standbyPeers() []confsync.Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.standby
+	return r.standbys
+}
+
+func (r *roster) isStandby() bool {
+	return slices.ContainsFunc(r.standbyPeers(), func(p confsync.Peer) bool { return p.Address == r.d.node.Addr() })
 }
 
 // setHomes sets the homes of a service. If this daemon's role changes, it logs the
