--- a/pkg/confsync/origin.go
+++ b/pkg/confsync/origin.go
@@ -6,14 +6,17 @@
 const (
 	// SourceLocal is a change that this daemon made itself.
 	SourceLocal Source = "local"
-	// SourceList and SourceStaleList are lists of the platform.
-	SourceList      Source = "list"
+	// SourceList is a list of the platform.
+	SourceList Source = "list"
+	// SourceStaleList is a list of the platform that may be seconds old.
 	SourceStaleList Source = "stale-list"
-	// SourceWatch is a watch of the platform, SourceRead the read of one object.
+	// SourceWatch is a watch of the platform.
 	SourceWatch Source = "watch"
-	SourceRead  Source = "read"
-	// SourcePush is a push of another daemon, SourceComparison a comparison with one.
-	SourcePush       Source = "push"
+	// SourceRead is the read of one object of the platform.
+	SourceRead Source = "read"
+	// SourcePush is a push of another daemon.
+	SourcePush Source = "push"
+	// SourceComparison is a comparison with another daemon.
 	SourceComparison Source = "comparison"
 )
 
