Log and measure the age of copies, and describe it

The line of a configuration in force gets copy_age_ms, and there is a metric shallotglade_copy_age_seconds. Nothing else changes.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -50,7 +50,7 @@
 	metrics *telemetry.Metrics
 
 	decodeConfiguration ConfigurationDecoder
-	originOf            func(key string) confsync.Origin
+	originOf            OriginOf
 
 	// upstreamsMu keeps lists of upstreams in the order in which they were built,
 	// until they are applied. flushMu does the same for lists of daemons.
@@ -79,7 +79,7 @@
 func New(board *blackboard.Board, log zerolog.Logger, metrics *telemetry.Metrics) *Catalog {
 	return &Catalog{
 		board: board, log: log, metrics: metrics, decodeConfiguration: document.DecodeConfiguration,
-		originOf:  func(string) confsync.Origin { return confsync.Origin{Source: confsync.SourceLocal} },
+		originOf:  func(string) (confsync.Origin, time.Duration) { return confsync.Origin{Source: confsync.SourceLocal}, 0 },
 		upstreams: map[string]map[string]platform.Member{}, daemons: map[string]platform.Member{},
 		serviceOf: map[string]string{}, records: map[string]platform.Object{},
 		staleUpstreams: map[string]map[string]bool{},
@@ -92,9 +92,13 @@
 	c.decodeConfiguration = decode
 }
 
-// SetOriginOf sets the function that returns the origin of an object while it is applied,
-// for the log. Call it before the first Apply or Stage.
-func (c *Catalog) SetOriginOf(originOf func(key string) confsync.Origin) { c.originOf = originOf }
+// OriginOf returns the origin of an object while it is applied, and the time for which the
+// copies were out of contact with the relays until then.
+type OriginOf func(key string) (confsync.Origin, time.Duration)
+
+// SetOriginOf sets the function whose results are logged with a configuration. Call it before
+// the first Apply or Stage.
+func (c *Catalog) SetOriginOf(originOf OriginOf) { c.originOf = originOf }
 
 // OnDaemons registers a callback that receives the list of daemons whenever it
 // changes. The callback must return quickly.
@@ -233,9 +237,9 @@
 	}
 	c.metrics.ConfigurationVersion.Set(float64(configuration.Version))
 	c.metrics.Accounts.Set(float64(len(configuration.Accounts)))
-	origin := c.originOf(o.Key)
+	origin, copyAge := c.originOf(o.Key)
 	line := c.log.Info().Str("configuration", name).Uint64("version", o.Version).Uint64("stated", configuration.Version).
-		Str("source", string(origin.Source)).Str("from", origin.Peer).
+		Str("source", string(origin.Source)).Str("from", origin.Peer).Int64("copy_age_ms", copyAge.Milliseconds()).
 		Int("routes", len(configuration.Routes)).Int("services", len(configuration.Services))
 	if configuration.RequireKeys {
 		line.Int("accounts", len(configuration.Accounts))
--- a/pkg/confsync/boot.go
+++ b/pkg/confsync/boot.go
@@ -305,6 +305,6 @@
 			return false
 		}
 	}
-	s.source.confirm(startedAt)
+	s.relayContact.confirm(startedAt)
 	return true
 }
--- a/pkg/confsync/doc.go
+++ b/pkg/confsync/doc.go
@@ -15,6 +15,9 @@
 //     one of its own domain. Both sides end up with the newer objects. If the
 //     peer does not answer, the daemon tries others immediately. It forwards
 //     the objects that it received to a few daemons of its domain.
+//   - Comparisons pass on the age of a copy: the time since it held everything that a relay
+//     held. A daemon whose copy is older than a second compares it with a relay. If none
+//     answers, directly or through other daemons, it follows the platform itself.
 //   - An upstream's entry that is written again with the same content is stored under its
 //     new version and not sent on: digests cover the content of these entries.
 //   - Relays read the configuration once a second while it has accounts. Other daemons ask
--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -40,7 +40,7 @@
 func (s *Syncer) Tick(ctx context.Context) {
 	s.compare(ctx)
 	s.updateReadiness(ctx)
-	s.checkSource(ctx)
+	s.checkRelays(ctx)
 }
 
 // compare compares digests with one peer. If that fails, it tries others
@@ -162,7 +162,7 @@
 	localDigest := s.config.Replica.Digest()
 	sentAt := s.config.BootTime()
 	body, err := s.callWithTimeout(ctx, timeout, peer, KindDigest, digestMessage{
-		Root: localDigest.Root(), WantAge: s.needsConfirmation(), SourceAge: encodeSourceAge(s.source.age(sentAt)),
+		Root: localDigest.Root(), WantAge: s.needsConfirmation(), CopyAge: encodeCopyAge(s.relayContact.age(sentAt)),
 	})
 	if err != nil {
 		return false, err
@@ -175,7 +175,7 @@
 	defer func() {
 		s.recordStatement(confirmedByComparison, sentAt, reply.age())
 		if err == nil {
-			s.source.confirm(sentAt - reply.sourceAge())
+			s.relayContact.confirm(sentAt - reply.copyAge())
 		}
 	}()
 	if len(reply.Buckets) == 0 {
@@ -262,14 +262,14 @@
 	reply := digestReply{Ready: s.Ready()}
 	localDigest := s.config.Replica.Digest()
 	receivedAt := s.config.BootTime()
-	if m.SourceAge > 0 {
-		reply.SourceAge = encodeSourceAge(s.source.age(receivedAt))
+	if m.CopyAge > 0 {
+		reply.CopyAge = encodeCopyAge(s.relayContact.age(receivedAt))
 	}
 	switch {
 	case localDigest.Root() != m.Root:
 		reply.Buckets = localDigest[:]
-	case m.SourceAge > 0:
-		s.source.confirm(receivedAt - decodeSourceAge(m.SourceAge))
+	case m.CopyAge > 0:
+		s.relayContact.confirm(receivedAt - decodeCopyAge(m.CopyAge))
 	}
 	if m.WantAge {
 		reply.confirmedAge = s.statement()
--- a/pkg/confsync/message.go
+++ b/pkg/confsync/message.go
@@ -81,9 +81,9 @@
 	// WantAge asks for the age in the reply. Earlier versions refuse messages with this
 	// field and replies with an age, so both are left out where ages are not needed.
 	WantAge bool `cbor:"2,keyasint,omitempty"`
-	// SourceAge is the age of the sender's copy, see sourceContact, and asks for that of the
+	// CopyAge is the age of the sender's copy, see relayContact, and asks for that of the
 	// receiver's. Earlier builds refuse messages with it.
-	SourceAge uint64 `cbor:"3,keyasint,omitempty"`
+	CopyAge uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // confirmedAge is the age of a daemon's knowledge of the configuration when it replied.
@@ -118,18 +118,18 @@
 	Ready bool `cbor:"1,keyasint,omitempty"`
 	// Buckets is the sender's digest if the roots differ, otherwise empty.
 	Buckets []uint64 `cbor:"2,keyasint,omitempty"`
-	// SourceAge is the age of the sender's copy, if the request asked for it.
-	SourceAge uint64 `cbor:"3,keyasint,omitempty"`
+	// CopyAge is the age of the sender's copy, if the request asked for it.
+	CopyAge uint64 `cbor:"3,keyasint,omitempty"`
 	confirmedAge
 }
 
 // sourceAge returns the age of the sender's copy. A daemon of an earlier build states none,
 // and counts as one that is in contact with a relay.
-func (r digestReply) sourceAge() time.Duration {
-	if r.SourceAge == 0 {
+func (r digestReply) copyAge() time.Duration {
+	if r.CopyAge == 0 {
 		return 0
 	}
-	return decodeSourceAge(r.SourceAge)
+	return decodeCopyAge(r.CopyAge)
 }
 
 // versionsMessage is the body of KindVersions.
--- a/pkg/confsync/plain.go
+++ b/pkg/confsync/plain.go
@@ -22,7 +22,7 @@
 }
 
 func (m digestMessage) plain() any {
-	m.SourceAge = 0
+	m.CopyAge = 0
 	return m
 }
 
--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -51,7 +51,7 @@
 		isolated := s.isIsolated()
 		replaces := s.standby.active.Load()
 		leads := replaces || s.isRelay()
-		s.source.leads.Store(leads && s.Ready())
+		s.relayContact.leads.Store(leads && s.Ready())
 		relay := isolated || leads
 		if now := s.config.Now(); (relay || !s.platformLink.attached()) && !now.Before(nextProbe) {
 			s.probePlatform(ctx)
@@ -60,7 +60,7 @@
 		switch active := relay && s.platformLink.attached(); {
 		case active && !role.active() && s.platformLink.failures == 0:
 			s.config.Log.Info().Str("domain", s.config.Self.Domain).Bool("isolated", isolated).Bool("standby", replaces).
-				Dur("source_age_ms", s.SourceAge()).Msg("confsync: relay role taken")
+				Dur("copy_age_ms", s.CopyAge()).Msg("confsync: relay role taken")
 			role.start(ctx, s)
 		case !active && role.active():
 			s.config.Log.Info().Str("domain", s.config.Self.Domain).Msg("confsync: relay role released")
@@ -147,10 +147,10 @@
 // daemon and its relay may refuse each other, or the relay may be unreachable from this daemon
 // only. For a starting daemon see updateReadiness.
 func (s *Syncer) isIsolated() bool {
-	if !s.boot.readyFor(s.config.Now(), isolationTimeout) || s.SourceAge() < s.lostSourceAge() {
+	if !s.boot.readyFor(s.config.Now(), isolationTimeout) || s.CopyAge() < s.lostCopyAge() {
 		return false
 	}
-	return s.source.lastCheckFailed() || s.contact.isolated(s.config.Now())
+	return s.relayContact.lastCheckFailed() || s.contact.isolated(s.config.Now())
 }
 
 // poller lists and watches one prefix of the platform.
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -174,7 +174,7 @@
 	// contact tracks whether comparisons with other daemons succeed.
 	contact contact
 	// source tracks the age of the copy.
-	source sourceContact
+	relayContact relayContact
 	// confirmations tracks the age of the configuration.
 	confirmations confirmations
 
@@ -248,8 +248,8 @@
 	s.boot = newBootState(c.Now(), c.Prefixes, c.RosterPrefix == "")
 	s.platformLink, s.standby = newPlatformLink(), newStandby()
 	s.contact.lastAnswer = c.Now()
-	s.source.confirm(c.BootTime())
-	s.source.spread = s.randFloat()
+	s.relayContact.confirm(c.BootTime())
+	s.relayContact.spread = s.randFloat()
 	s.confirmations.changedC = make(chan struct{})
 	return s, nil
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -230,7 +230,9 @@
 
 func (d *Daemon) provisionSync() error {
 	d.replica = confsync.NewReplica()
-	d.catalog.SetOriginOf(d.replica.OriginOf)
+	d.catalog.SetOriginOf(func(key string) (confsync.Origin, time.Duration) {
+		return d.replica.OriginOf(key), d.syncer.CopyAge()
+	})
 	d.replica.OnChange(d.catalog.Stage)
 	d.replica.OnBatch(d.catalog.Flush)
 	if d.adapter.DecodeConfiguration != nil {
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -5,6 +5,8 @@
 	if d.lookup != nil {
 		d.metrics.RegisterCounter("entries_looked_up_total", "Reads of entries of refused daemons.", d.lookup.ReadCount)
 	}
+	d.metrics.RegisterGauge("copy_age_seconds", "Time since the copies of platform objects last held everything that a relay held.",
+		func() float64 { return d.syncer.CopyAge().Seconds() })
 	if d.adapter.RefusedEntries != nil {
 		d.metrics.RegisterCounter("entries_refused_total", "Invalid entries of upstreams, each counted once for each reason.", d.adapter.RefusedEntries)
 	}
