Pass the age of a copy on in replies only

A request may wait before it is read, as at a host that was suspended, so that an age in it would be understated. The reply reads the age before the digest: an object that arrives between the two would otherwise count as held by a peer whose digest equals the earlier one.

Tests of pkg/confsync pass.

--- a/pkg/confsync/exchange.go
+++ b/pkg/confsync/exchange.go
@@ -162,7 +162,7 @@
 	localDigest := s.config.Replica.Digest()
 	sentAt := s.config.BootTime()
 	body, err := s.callWithTimeout(ctx, timeout, peer, KindDigest, digestMessage{
-		Root: localDigest.Root(), WantAge: s.needsConfirmation(), CopyAge: encodeCopyAge(s.relayContact.age(sentAt)),
+		Root: localDigest.Root(), WantAge: s.needsConfirmation(), WantCopyAge: true,
 	})
 	if err != nil {
 		return false, err
@@ -257,19 +257,15 @@
 	if err := decode(body, &m); err != nil {
 		return nil, err
 	}
-	// Ready is read before the digest, so that the digest covers all objects that
-	// made this daemon ready.
+	// Ready and the age are read before the digest, so that the digest covers all objects
+	// that made this daemon ready, and all that its copy held at that age.
 	reply := digestReply{Ready: s.Ready()}
-	localDigest := s.config.Replica.Digest()
-	receivedAt := s.config.BootTime()
-	if m.CopyAge > 0 {
-		reply.CopyAge = encodeCopyAge(s.relayContact.age(receivedAt))
+	if m.WantCopyAge {
+		reply.CopyAge = encodeCopyAge(s.CopyAge())
 	}
-	switch {
-	case localDigest.Root() != m.Root:
+	localDigest := s.config.Replica.Digest()
+	if localDigest.Root() != m.Root {
 		reply.Buckets = localDigest[:]
-	case m.CopyAge > 0:
-		s.relayContact.confirm(receivedAt - decodeCopyAge(m.CopyAge))
 	}
 	if m.WantAge {
 		reply.confirmedAge = s.statement()
--- a/pkg/confsync/message.go
+++ b/pkg/confsync/message.go
@@ -81,9 +81,10 @@
 	// WantAge asks for the age in the reply. Earlier versions refuse messages with this
 	// field and replies with an age, so both are left out where ages are not needed.
 	WantAge bool `cbor:"2,keyasint,omitempty"`
-	// CopyAge is the age of the sender's copy, see relayContact, and asks for that of the
-	// receiver's. Earlier builds refuse messages with it.
-	CopyAge uint64 `cbor:"3,keyasint,omitempty"`
+	// WantCopyAge asks for the age of the receiver's copy, see relayContact. Requests carry
+	// no age, because the receiver does not know how long they waited. Earlier builds refuse
+	// messages with this field.
+	WantCopyAge bool `cbor:"3,keyasint,omitempty"`
 }
 
 // confirmedAge is the age of a daemon's knowledge of the configuration when it replied.
@@ -123,7 +124,7 @@
 	confirmedAge
 }
 
-// sourceAge returns the age of the sender's copy. A daemon of an earlier build states none,
+// copyAge returns the age of the sender's copy. A daemon of an earlier build states none,
 // and counts as one that is in contact with a relay.
 func (r digestReply) copyAge() time.Duration {
 	if r.CopyAge == 0 {
--- a/pkg/confsync/plain.go
+++ b/pkg/confsync/plain.go
@@ -22,7 +22,7 @@
 }
 
 func (m digestMessage) plain() any {
-	m.CopyAge = 0
+	m.WantCopyAge = false
 	return m
 }
 
--- a/pkg/confsync/relaycontact.go
+++ b/pkg/confsync/relaycontact.go
@@ -23,7 +23,7 @@
 
 // relayContact tracks the age of the copy: the time since it last held everything that a
 // relay held. A comparison with a daemon shows only that both copies are equal, and the
-// other one may be as old. Ages are therefore passed on with comparisons, and only relays
+// other one may be as old. Replies to comparisons therefore pass ages on, and only relays
 // and the standbys that replace them start a new one. Daemons that are cut off from all
 // relays thus cannot keep each other's ages young.
 type relayContact struct {
@@ -154,7 +154,7 @@
 	var first, rest []Peer
 	own := s.config.Relays(s.config.Self.Domain)
 	if s.config.Standbys != nil {
-		own = append(append([]Peer{}, own...), s.config.Standbys()...)
+		own = slices.Concat(own, s.config.Standbys())
 	}
 	for _, p := range own {
 		switch {
--- a/pkg/confsync/syncer.go
+++ b/pkg/confsync/syncer.go
@@ -173,7 +173,7 @@
 	plainPeers  plainPeers
 	// contact tracks whether comparisons with other daemons succeed.
 	contact contact
-	// source tracks the age of the copy.
+	// relayContact tracks the age of the copy.
 	relayContact relayContact
 	// confirmations tracks the age of the configuration.
 	confirmations confirmations
