Limit the garbage of large buffers

Cause: the memory budget counted what is reserved and nothing after its release.

Change: parts above 1 MiB count on as garbage after their release. A grant above 1 MiB that would take used memory and garbage beyond the budget by a quarter runs the collector first. A response's memory is now released after the last reference to its buffer is dropped.

--- a/pkg/memory/doc.go
+++ b/pkg/memory/doc.go
@@ -4,7 +4,8 @@
 // that are not written yet, copies of requests and answers between daemons, and the
 // responses of upstreams. Each holder has a Reservation. When one cannot grow, the holder that
 // has made no progress for the longest time is evicted. The package uses no clock and starts no
-// goroutine; whoever reserves decides whether to wait or to refuse.
+// goroutine; whoever reserves decides whether to wait or to refuse. Large buffers that are
+// released and not collected yet are limited too: Grow runs the garbage collector when needed.
 //
 //	reservation := budget.Open(false, holder)
 //	defer reservation.Close()
--- a/pkg/memory/memory.go
+++ b/pkg/memory/memory.go
@@ -1,6 +1,7 @@
 package memory
 
 import (
+	"runtime"
 	"slices"
 	"sync"
 	"time"
@@ -33,6 +34,9 @@
 	releaseTime = 500 * time.Millisecond
 	// scanInterval limits how often all holders are examined, which many may cause at a time.
 	scanInterval = 10 * time.Millisecond
+	// garbageShare divides the budget: released buffers may take this part of it beyond the
+	// budget until they are collected. It is an eighth of the host's memory.
+	garbageShare = 4
 )
 
 // Holder is something that holds memory of a budget and can be made to release it.
@@ -62,6 +66,10 @@
 // Budget is the memory of one daemon for callers and upstreams.
 type Budget struct {
 	total, requestLimit int64
+	// Collect frees all garbage of the heap before it returns. It is runtime.GC except in tests.
+	Collect func()
+	// collection is locked by whoever runs the garbage collector. It is locked before mu.
+	collection sync.Mutex
 
 	mu sync.Mutex
 	// used are the bytes reserved, large those of them of class Large.
@@ -78,12 +86,15 @@
 	// scanned is when stalled holders were last looked for.
 	scanned   time.Time
 	evictions uint64
+	// garbage are the bytes that were released in parts above SmallBytes since the last collection
+	// that the budget started.
+	garbage int64
 }
 
 // New returns the budget of a host with the given memory in units of 1,000,000 bytes, or
 // the default if it is 0. Half of the memory is left to the rest of the daemon and to garbage.
 func New(memoryMB float64) *Budget {
-	b := &Budget{total: DefaultBytes, reservations: map[*Reservation]struct{}{}}
+	b := &Budget{total: DefaultBytes, Collect: runtime.GC, reservations: map[*Reservation]struct{}{}}
 	// If the memory is unknown, half of the budget is left to the responses.
 	b.requestLimit = b.total / 2
 	if memoryMB > 0 {
@@ -136,6 +147,9 @@
 	if n < 0 {
 		b.notify()
 	}
+	if -n > SmallBytes {
+		b.garbage += -n
+	}
 }
 
 func (b *Budget) notify() {
@@ -188,8 +202,16 @@
 // progress for the longest time, if that is StalledAfter or more. A response that still does not
 // fit evicts the largest response, which may be itself, so that an endless one lets the others
 // complete. The channel is closed when memory is released; it is nil unless the result is
-// Evicting or Short.
+// Evicting or Short. If more than SmallBytes are granted, Grow may run the garbage collector first.
 func (r *Reservation) Grow(now time.Time, class Class, n int64) (Result, <-chan struct{}) {
+	result, released := r.grow(now, class, n)
+	if result == Granted && n > SmallBytes {
+		r.budget.collectGarbage()
+	}
+	return result, released
+}
+
+func (r *Reservation) grow(now time.Time, class Class, n int64) (Result, <-chan struct{}) {
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -223,6 +245,28 @@
 	return Short, b.released
 }
 
+// collectGarbage runs the garbage collector if the reserved memory and the garbage exceed the
+// budget by more than garbageShare allows. The runtime alone lets garbage grow to the size of the
+// live heap, which with a full budget is all memory of the smallest host.
+func (b *Budget) collectGarbage() {
+	b.collection.Lock()
+	defer b.collection.Unlock()
+	if b.takeExcessGarbage() {
+		b.Collect()
+	}
+}
+
+// takeExcessGarbage reports whether there is more garbage than allowed, and if so counts it as collected.
+func (b *Budget) takeExcessGarbage() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.used+b.garbage <= b.total+b.total/garbageShare {
+		return false
+	}
+	b.garbage = 0
+	return true
+}
+
 // requestShare is the part of the budget, in eighths, that requests may use. The rest is for
 // the responses that they wait for.
 const requestShare = 7
--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -160,3 +160,30 @@
 		h.reservation.Release(1000, 0)
 	}
 }
+
+// Guards against a host that runs out of memory because the buffers of aborted responses wait for the
+// garbage collector, which lets them grow to the size of the live heap.
+func TestGarbageOfLargeBuffersStaysLimited(t *testing.T) {
+	testkit.Check(t, func(r *rapid.T) {
+		b := memory.New(184)
+		garbage, limit := int64(0), b.Total()/4*5
+		b.Collect = func() {
+			if b.Stats().UsedBytes+garbage <= limit {
+				r.Fatalf("collected with %d bytes of garbage", garbage)
+			}
+			garbage = 0
+		}
+		for range rapid.IntRange(1, 60).Draw(r, "steps") {
+			h := open(b, true, 0, start, false)
+			n := rapid.Int64Range(memory.SmallBytes+1, b.Total()).Draw(r, "bytes")
+			if result, _ := h.reservation.Grow(start, memory.Response, n); result != memory.Granted {
+				r.Fatalf("result %d", result)
+			}
+			if used := b.Stats().UsedBytes; used+garbage > limit {
+				r.Fatalf("%d bytes used and %d of garbage, limit %d", used, garbage, limit)
+			}
+			h.reservation.Close()
+			garbage += n
+		}
+	})
+}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -72,6 +72,9 @@
 	defer p.endRequest(len(request.Body))
 	keep, statedIdle := false, time.Duration(0)
 	defer func() { p.put(conn, keep, statedIdle, time.Now()) }()
+	reserved := c.newReservation(conn)
+	// Deferred first, so that the memory is released after the last reference to it is gone.
+	defer reserved.close()
 	// The result does not refer to their memory, so both return to the library's pool.
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	if len(request.Headers) <= netconn.MaxPooledFields {
@@ -82,8 +85,6 @@
 	resp.SkipBody = request.Method == "HEAD"
 	stop := context.AfterFunc(ctx, conn.close)
 	reused := conn.hasServed
-	reserved := c.newReservation(conn)
-	defer reserved.close()
 	reusable, err := conn.exchange(req, resp, request.ID, reserved)
 	stop()
 	result := c.classify(ctx, request, resp, err)
