Count a list as a read of all requested entries

Daemons that stop keep connecting with keys whose entries are gone. Each such key was read three times, one every 250 ms and one after the other, also right after a list had shown that its entry is deleted.

A list now counts as a read of every request that was queued before it, and single reads begin with the request that has had the fewest.

--- a/pkg/registration/lookup.go
+++ b/pkg/registration/lookup.go
@@ -79,7 +79,7 @@
 // request is a queued read of the entry of the daemon with the id.
 type request struct {
 	id string
-	// reads counts the reads of the entry.
+	// reads counts the reads of the entry, by itself or by a list of all.
 	reads int
 }
 
@@ -141,9 +141,8 @@
 	return len(l.queue) > 0
 }
 
-// nextDue returns the id of the first request whose entry is still unknown and may be
-// read now. The request moves to the end of the queue, so that daemons without an
-// entry do not delay the others.
+// nextDue returns the id of a request whose entry is still unknown and may be read now: the
+// one with the fewest reads, so that daemons without an entry do not delay the others.
 func (l *Lookup) nextDue() (id string, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -153,16 +152,23 @@
 		}
 	}
 	l.queue = slices.DeleteFunc(l.queue, func(r request) bool { return r.reads >= maxReadsPerRequest || l.LocalID(r.host()) == r.id })
+	next := -1
 	for i, r := range l.queue {
-		if _, tooSoon := l.lastReadAt[r.host()]; tooSoon {
-			continue
+		if _, tooSoon := l.lastReadAt[r.host()]; !tooSoon && (next < 0 || r.reads < l.queue[next].reads) {
+			next = i
 		}
-		r.reads++
-		l.lastReadAt[r.host()] = time.Now()
-		l.queue = append(slices.Delete(l.queue, i, i+1), r)
-		return r.id, true
 	}
-	return "", false
+	if next < 0 {
+		return "", false
+	}
+	l.recordRead(&l.queue[next])
+	return l.queue[next].id, true
+}
+
+// recordRead records a read of a request's entry. The caller holds the lock.
+func (l *Lookup) recordRead(r *request) {
+	r.reads++
+	l.lastReadAt[r.host()] = time.Now()
 }
 
 // listDue reports whether all entries are to be read by one call, and then records it.
@@ -182,6 +188,9 @@
 func (l *Lookup) list(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	l.mu.Lock()
+	requested := slices.Clone(l.queue)
+	l.mu.Unlock()
 	l.reads.Add(1)
 	objects, revision, err := l.Store.List(ctx, platform.DaemonsPrefix)
 	if err != nil {
@@ -190,7 +199,6 @@
 	}
 	l.ApplyList(objects, revision)
 	l.mu.Lock()
-	requested := len(l.queue)
 	var found []string
 	l.queue = slices.DeleteFunc(l.queue, func(r request) bool {
 		known := l.LocalID(r.host()) == r.id
@@ -199,8 +207,13 @@
 		}
 		return known
 	})
+	for i, r := range l.queue {
+		if slices.Contains(requested, r) { // not one that arrived meanwhile
+			l.recordRead(&l.queue[i])
+		}
+	}
 	l.mu.Unlock()
-	l.Log.Info().Int("requested", requested).Int("found", len(found)).Uint64("version", revision).
+	l.Log.Info().Int("requested", len(requested)).Int("found", len(found)).Uint64("version", revision).
 		Msg("registration: entries of refused daemons listed")
 	for _, o := range objects {
 		var m platform.Member
--- a/pkg/registration/lookup_test.go
+++ b/pkg/registration/lookup_test.go
@@ -267,3 +267,28 @@
 		t.Fatalf("%d reads in a minute", d.store.reads)
 	}
 }
+
+// TestLookupCountsListsAsReads guards against reading the entries of stopping daemons, which a
+// list has just shown to be deleted, one by one, while a started daemon waits behind them.
+func TestLookupCountsListsAsReads(t *testing.T) {
+	d := newLookupDaemon()
+	lists := 0
+	d.lookup.ApplyList = func(objects []platform.Object, _ uint64) {
+		lists++
+		for _, o := range objects {
+			d.lookup.Apply(o)
+		}
+	}
+	d.runDuring(t, func() {
+		for i := range 8 {
+			d.lookup.Request(fmt.Sprintf("stopping%d.a", i))
+		}
+		time.Sleep(300 * time.Millisecond)
+		d.writeEntry("started", "started.a")
+		d.lookup.Request("started.a")
+		time.Sleep(10 * time.Second)
+	})
+	if d.knownIDs["started"] != "started.a" || d.store.reads+lists > 6 {
+		t.Fatalf("known ids %v after %d reads and %d lists", d.knownIDs, d.store.reads, lists)
+	}
+}
