Check the age of a copy before listing the daemons

The checks of the copy's age, four a second at each daemon, built lists of all daemons to state limits that grow with the failure domain, also while the copy was young. A copy younger than the smallest limit is now told apart first; the answers stay the same.

--- a/pkg/confsync/poll.go
+++ b/pkg/confsync/poll.go
@@ -147,7 +147,7 @@
 // daemon and its relay may refuse each other, or the relay may be unreachable from this daemon
 // only. For a starting daemon see updateReadiness.
 func (s *Syncer) isIsolated() bool {
-	if !s.boot.readyFor(s.config.Now(), isolationTimeout) || s.CopyAge() < s.lostCopyAge() {
+	if !s.boot.readyFor(s.config.Now(), isolationTimeout) || !s.isCopyLost() {
 		return false
 	}
 	return s.relayContact.lastCheckFailed() || s.contact.isolated(s.config.Now())
--- a/pkg/confsync/relaycontact.go
+++ b/pkg/confsync/relaycontact.go
@@ -118,11 +118,24 @@
 	return s.relayCheckAge() + isolationTimeout - minRelayCheckAge + time.Duration(spread*float64(time.Second))
 }
 
+// isRelayCheckDue reports whether the copy is to be compared with a relay. Young copies are told
+// apart first, without the list of daemons.
+func (s *Syncer) isRelayCheckDue() bool {
+	age := s.CopyAge()
+	return age >= minRelayCheckAge && age >= s.relayCheckAge()
+}
+
+// isCopyLost reports whether the copy is so old that this daemon follows the platform itself.
+func (s *Syncer) isCopyLost() bool {
+	age := s.CopyAge()
+	return age >= isolationTimeout && age >= s.lostCopyAge()
+}
+
 // checkRelays compares the copy with a relay in the background if it is old. While no daemon
 // answers at all, the periodic comparisons find out when one does.
 func (s *Syncer) checkRelays(ctx context.Context) {
 	unanswered := s.contact.lastIntervalFailed() && s.relayContact.lastCheckFailed()
-	if !s.Ready() || unanswered || s.CopyAge() < s.relayCheckAge() || !s.relayContact.beginCheck() {
+	if !s.Ready() || unanswered || !s.isRelayCheckDue() || !s.relayContact.beginCheck() {
 		return
 	}
 	started := s.config.Spawn(func() { s.relayContact.endCheck(!s.compareWithRelays(ctx)) })
