Answer requests that arrived before a stop and were not read

Cause: a request counted as behind the stop if its connection's reader had not read it yet. On a busy host the goroutine that handles the signal can run before the readers, while the bytes wait in the socket. The same cause closed an idle connection at the drain whose next request had arrived: its read deadline passed before the read.

Change: when the server begins to stop it records for each connection how many bytes have arrived, read or not. A request that begins before that position is handled as if it had been read in time: behind others only where the limits on reading ahead allow it at once, so that a crowd of pipelined requests does not prolong the stop. The answer before it does not close the connection.

Two new specs with a reader that gets no turn failed on the old code (both, each time) and pass now, 60 of 60 runs under the race detector.

--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -27,7 +27,7 @@
 	// with unread bytes would reset it, and the caller could lose the answer.
 	lingerTimeout = time.Second
 	// firstRequestTimeout is how long a draining server waits for the first request of a
-	// connection.
+	// connection, and for one that has arrived and is not read yet.
 	firstRequestTimeout = time.Second
 	// noMemoryRetryAfter is the Retry-After value of a refusal for want of memory. It is
 	// about the time that a request with a large body takes.
@@ -66,6 +66,9 @@
 	ended bool
 	// dropped is true once a request was read and not handled because the server stops.
 	dropped bool
+	// arrivedAtStop is how many bytes had arrived when the server began to stop, and readTo how
+	// many of them the requests take that have been read. Both count from the first byte.
+	arrivedAtStop, readTo int64
 	// changed is signalled when pending decreases and when the connection ends.
 	changed *sync.Cond
 }
@@ -89,6 +92,8 @@
 	// earlierAnswered is closed when all earlier requests of the connection have
 	// been answered. It is nil if there was none in progress.
 	earlierAnswered <-chan struct{}
+	// offset is the position of its first byte among those of the connection.
+	offset int64
 	// Discarded is true if the request had a body that was not kept; see Server.DiscardBody.
 	Discarded bool
 
@@ -164,7 +169,7 @@
 	c.reading.Store(true)
 	defer c.reading.Store(false)
 	limits := c.server.limits()
-	r = &Request{Request: protocol.AcquireRequest(), Remote: c.remote, Began: time.Now()}
+	r = &Request{Request: protocol.AcquireRequest(), Remote: c.remote, Began: time.Now(), offset: c.position()}
 	c.setDeadline(func() { c.requestDeadline = r.Began.Add(limits.RequestArrival) })
 	if err := c.netConn.ReadRequestHead(&r.Header, limits.MaxHeaderBytes); err != nil {
 		return r, err
@@ -189,6 +194,10 @@
 	return r, nil
 }
 
+// position returns the number of bytes of the connection that the reader has used. Only the
+// reader calls it.
+func (c *conn) position() int64 { return c.transport.received.Load() - int64(c.netConn.Len()) }
+
 // setDeadline applies change to the state and sets the matching read deadline.
 func (c *conn) setDeadline(change func()) {
 	c.mu.Lock()
@@ -210,7 +219,7 @@
 		deadline = c.requestDeadline
 	case c.pending == 0 && c.server.draining.Load():
 		deadline = time.Now()
-		if c.lastAnswered == nil {
+		if c.lastAnswered == nil || c.hasUnreadRequests() {
 			deadline = deadline.Add(firstRequestTimeout)
 		}
 	case c.pending == 0:
@@ -245,18 +254,16 @@
 func (c *conn) startHandler(r *Request) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending > 0 && c.server.endsConnections() {
-		// It must not wait for the memory of the answers before it and then be handled.
-		c.dropped = true
-		return false
-	}
-	for !c.ended && c.pending > 0 && !c.readsAhead(r) {
+	c.readTo = c.position()
+	waited := false
+	for !c.ended && c.pending > 0 && !c.readsAhead(r) && !c.server.endsConnections() {
+		waited = true
 		c.changed.Wait()
 	}
 	if c.ended {
 		return false
 	}
-	if c.pending > 0 && c.server.endsConnections() {
+	if c.pending > 0 && c.server.endsConnections() && (waited || !c.finishesBehind(r)) {
 		c.dropped = true
 		return false
 	}
@@ -272,6 +279,17 @@
 	return true
 }
 
+// finishesBehind reports whether a request behind others is handled although the server stops:
+// it arrived before the stop, and the reader would have taken it then if it had run in time. It must
+// not wait for the memory of the answers before it. The caller holds c.mu.
+func (c *conn) finishesBehind(r *Request) bool {
+	return !c.dropped && r.offset < c.arrivedAtStop && c.readsAhead(r)
+}
+
+// hasUnreadRequests reports whether requests that arrived before the stop are not read yet, as far
+// as they are still handled. The caller holds c.mu.
+func (c *conn) hasUnreadRequests() bool { return !c.dropped && c.readTo < c.arrivedAtStop }
+
 // handle answers one request. A panic ends the connection.
 func (c *conn) handle(r *Request, earlierAnswered <-chan struct{}, answered chan<- struct{}) {
 	defer c.endRequest(answered)
@@ -343,7 +361,7 @@
 	c.mu.Lock()
 	ended := c.ended || c.ctx.Err() != nil
 	// A stopping server does not drop requests that it handles already.
-	stopsHere := c.server.endsConnections() && c.lastAnswered == answered
+	stopsHere := c.server.endsConnections() && c.lastAnswered == answered && !c.hasUnreadRequests()
 	c.mu.Unlock()
 	if ended {
 		if errors.Is(context.Cause(c.ctx), errConnectionEnding) {
@@ -416,6 +434,14 @@
 	}
 }
 
+// markStop records what has arrived when the server begins to stop.
+func (c *conn) markStop() {
+	arrived := c.transport.arrived()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrivedAtStop = arrived
+}
+
 func (c *conn) hasEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/ingress/export_test.go
+++ b/pkg/ingress/export_test.go
@@ -12,3 +12,12 @@
 	}
 	return n
 }
+
+// ArrivedBytes returns how many bytes have arrived on the open connections.
+func (s *Server) ArrivedBytes() int64 {
+	n := int64(0)
+	for _, c := range s.connections() {
+		n += c.transport.arrived()
+	}
+	return n
+}
--- a/pkg/ingress/progress.go
+++ b/pkg/ingress/progress.go
@@ -3,7 +3,10 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -28,11 +31,14 @@
 	lastRead, lastWrite atomic.Int64
 	// readBytes are the bytes read since lastRead. Only the reader uses it.
 	readBytes int
+	// received are all bytes read from the connection.
+	received atomic.Int64
 }
 
 // Read implements net.Conn.
 func (t *transport) Read(p []byte) (int, error) {
 	n, err := t.Conn.Read(p)
+	t.received.Add(int64(n))
 	if t.readBytes += n; t.readBytes >= progressBytes {
 		t.markRead()
 	}
@@ -45,6 +51,36 @@
 	t.lastRead.Store(sinceStart())
 }
 
+// arrived returns how many bytes have arrived on the connection, including those that the
+// reader has not read yet.
+func (t *transport) arrived() int64 {
+	for {
+		received := t.received.Load()
+		unread := t.unread()
+		if t.received.Load() == received {
+			return received + unread
+		}
+	}
+}
+
+// unread returns how many bytes wait in the socket, or 0 if that is unknown.
+func (t *transport) unread() int64 {
+	s, ok := t.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	controlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	if controlErr != nil || err != nil {
+		return 0 // The connection is closed.
+	}
+	return int64(n)
+}
+
 // Write implements net.Conn.
 func (t *transport) Write(p []byte) (int, error) {
 	written := 0
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -271,9 +271,21 @@
 }
 
 // EndAfterAnswer makes every connection close after the answers to the requests that it
-// handles, or after the next one. Unlike Drain, it does not close idle connections, on which
-// a request may be about to arrive.
-func (s *Server) EndAfterAnswer() { s.endAfterAnswer.Store(true) }
+// handles, or after the next one. Requests that have arrived are among them, also if they are not
+// read yet. Unlike Drain, it does not close idle connections, on which a request may be about to
+// arrive.
+func (s *Server) EndAfterAnswer() {
+	s.markStop()
+	s.endAfterAnswer.Store(true)
+}
+
+// markStop must be called before the server begins to stop, so that no connection drops a request
+// that has arrived.
+func (s *Server) markStop() {
+	for _, c := range s.connections() {
+		c.markStop()
+	}
+}
 
 // endsConnections reports whether the server stops, so that no connection takes further
 // requests behind those that it handles.
@@ -283,6 +295,7 @@
 // connections close now, but for those without any request yet: their callers have sent
 // one or are about to.
 func (s *Server) Drain() {
+	s.markStop()
 	until := time.Now().Add(maxPendingAcceptTime)
 	s.acceptUntil.Store(&until)
 	s.draining.Store(true)
