Check the fields of daemons' entries

An object under a daemon's key in the store became a daemon whatever it held: with an address that is none, without one for other daemons, without a failure domain, or with the id of another host. Peers then connected to such addresses, callers got them in answers, and one host's entry could replace another's identity.

registration.CheckEntry says what an entry needs. The catalog ignores one without it, logs the reason, and keeps the previous one, as it does with an entry that is no JSON.

The new test puts eight odd values into an entry, each of which replaced a sound entry before. Entries in other tests now have all fields; what they check is unchanged. Records of the allowance lease are not checked by a table: one that cannot be read already counts as held by an unknown daemon.

--- a/pkg/catalog/batch_test.go
+++ b/pkg/catalog/batch_test.go
@@ -22,7 +22,7 @@
 	var out []platform.Object
 	for i := range daemons {
 		o := memberObject(platform.Member{
-			ID: fmt.Sprintf("edge-%d.1", i), Host: fmt.Sprint("edge-", i), Role: platform.RoleDaemon, Address: "10.0.0.1:80", Domain: "fes", State: platform.Live, Version: uint64(i + 1),
+			ID: fmt.Sprintf("edge-%d.1", i), Host: fmt.Sprint("edge-", i), Role: platform.RoleDaemon, Address: "10.0.0.1:80", PeerAddress: "10.0.0.1:81", Domain: "fes", State: platform.Live, Version: uint64(i + 1),
 		})
 		o.Key = platform.DaemonsPrefix + fmt.Sprint("edge-", i)
 		out = append(out, o)
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -22,6 +22,7 @@
 	"shallotglade/pkg/ejection"
 	"shallotglade/pkg/panics"
 	"shallotglade/pkg/platform"
+	"shallotglade/pkg/registration"
 	"shallotglade/pkg/telemetry"
 )
 
@@ -316,6 +317,12 @@
 			c.log.Error().Str("member", id).Err(err).Msg("membership: member cannot be read")
 			return
 		}
+		if m.Role == platform.RoleDaemon {
+			if err := registration.CheckEntry(id, &m); err != nil {
+				c.log.Error().Str("member", id).Uint64("version", o.Version).Err(err).Msg("membership: entry ignored; a previous version stays in force")
+				return
+			}
+		}
 		m.Version = o.Version
 	}
 	c.mu.Lock()
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -257,7 +257,7 @@
 			steps := rapid.IntRange(1, 30).Draw(t, "steps")
 			for i := range steps {
 				id := rapid.SampledFrom([]string{"m1", "m2", "m3"}).Draw(t, "member")
-				m := platform.Member{ID: id, Address: "10.0.0.1:80", Domain: "fes", Version: uint64(i + 1), State: platform.Live}
+				m := platform.Member{ID: id, Address: "10.0.0.1:80", PeerAddress: "10.0.0.1:81", Domain: "fes", Version: uint64(i + 1), State: platform.Live}
 				switch rapid.IntRange(0, 4).Draw(t, "change") {
 				case 0:
 					delete(current, id)
@@ -341,7 +341,9 @@
 func TestListsOfDaemonsArriveInOrder(t *testing.T) {
 	c := catalog.New(blackboard.New("d1", "fes"), zerolog.Nop(), telemetry.NewMetrics())
 	entry := func(host string, version uint64) platform.Object {
-		o := memberObject(platform.Member{ID: host, Role: platform.RoleDaemon, Version: version})
+		o := memberObject(platform.Member{
+			ID: host, Role: platform.RoleDaemon, Address: "10.0.0.1:80", PeerAddress: "10.0.0.1:81", Domain: "fes", State: platform.Live, Version: version,
+		})
 		o.Key = platform.DaemonsPrefix + host
 		return o
 	}
@@ -382,3 +384,33 @@
 		t.Fatalf("the last list contains %v, want h1 and h2", lastList)
 	}
 }
+
+// TestDaemonEntryWithoutItsFieldsIsIgnored guards against daemons that connect to, and callers that
+// get, an address that an incomplete entry does not have, or another host's.
+func TestDaemonEntryWithoutItsFieldsIsIgnored(t *testing.T) {
+	complete := map[string]any{
+		"id": "h1.2", "host": "h1", "role": "daemon", "address": "10.0.0.1:80", "peerAddress": "10.0.0.1:81", "domain": "fes", "state": "live",
+	}
+	odd := map[string]any{
+		"id": "h2.2", "host": "h2", "address": "10.0.0.1", "peerAddress": "", "domain": "", "state": "lively", "cores": -1, "linkMbps": -1,
+	}
+	for field, value := range odd {
+		c := catalog.New(blackboard.New("d1", "fes"), zerolog.Nop(), telemetry.NewMetrics())
+		entry := func(version uint64) platform.Object {
+			encoded, err := json.Marshal(complete)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return platform.Object{Key: platform.DaemonsPrefix + "h1", Version: version, Value: encoded}
+		}
+		c.Apply(entry(1))
+		previous, known := c.Daemon("h1")
+		before := complete[field]
+		complete[field] = value
+		c.Apply(entry(2))
+		complete[field] = before
+		if got, _ := c.Daemon("h1"); !known || got != previous {
+			t.Errorf("%s %v: entry %+v, want %+v", field, value, got, previous)
+		}
+	}
+}
--- a/pkg/catalog/scale_test.go
+++ b/pkg/catalog/scale_test.go
@@ -81,7 +81,7 @@
 		version++
 		i := version % 300
 		o := memberObject(platform.Member{
-			ID: fmt.Sprintf("edge-%d.%d", i, version), Host: fmt.Sprint("edge-", i), Role: platform.RoleDaemon, Address: "10.0.0.1:80", Domain: "fes", State: platform.Live, Version: version,
+			ID: fmt.Sprintf("edge-%d.%d", i, version), Host: fmt.Sprint("edge-", i), Role: platform.RoleDaemon, Address: "10.0.0.1:80", PeerAddress: "10.0.0.1:81", Domain: "fes", State: platform.Live, Version: version,
 		})
 		o.Key = platform.DaemonsPrefix + fmt.Sprint("edge-", i)
 		replica.Apply(o)
