Take no reset that a write has got for the end of a body

Seen by callers: an upstream answered an upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was being written. The caller got the part as the whole answer.

Cause: a body without a length ends when the peer closes its side of the connection, and the reader took a read that found the end of the stream for that. The kernel reports the loss of a connection once, to a read or to a write. The write of a long body runs beside the read of the answer. If it gets the error, the next read finds the end of the stream, as after a clean close. The error of the write was dropped because the answer looked complete. Calls to the store and of the administration client have the same fault with the write before the read: after a failed write they read the answer that refuses the request.

Evidence: strace of a daemon on the code before, 10 uploads of 6 MiB to an upstream that resets. In the 8 that ended with the part as a 200, write returned ECONNRESET and read then returned 0: write(19, "\0\0"..., 2371584) = -1 ECONNRESET read(19, "", 8418) = 0 close(19) write(18, "HTTP/1.1 200 OK\r\n"..., 140) = 140 In the 2 that were refused, read returned ECONNRESET and write EPIPE. Other losses (timeouts of TCP, unreachable hosts) are reported through the same error of the socket; this was read and not run.

Change: netconn records, below TLS, the first write that reported a loss. Before the end of a stream ends a body, a write in progress is ended and awaited, since it may have the error and not have returned it yet. The connection closes after such a body in any case. EPIPE alone is not a loss: it follows a close that the peer sent, or an error that a read got. So a complete answer without a length still passes when the upstream closes its side and resets the connection afterwards. The attempt counts as truncated and may have run; the cause in its log line is the error of the write.

Why this works: the kernel hands out the error once, under the lock of the socket. If a read finds the end of the stream because of it, the write that took it began before that read, and is recorded before the lock of the writes is free again.

--- a/internal/netconn/body.go
+++ b/internal/netconn/body.go
@@ -1,6 +1,7 @@
 package netconn
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -80,11 +81,13 @@
 func (b *AnswerBody) readToEnd() error {
 	for len(b.bytes) < b.MaxBytes {
 		err := b.readSome(b.MaxBytes)
-		if errors.Is(err, io.EOF) && b.Conn.ClosedByPeer() {
-			return nil
+		if errors.Is(err, io.EOF) {
+			if err = b.Conn.EndError(); err == nil {
+				return nil
+			}
 		}
 		if err != nil {
-			return errors.CombineErrors(ErrNoLength, err)
+			return fmt.Errorf("%w: %w", ErrNoLength, err)
 		}
 	}
 	return ErrBodyTooLarge
--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -39,9 +39,11 @@
 // use it concurrently.
 type Conn struct {
 	net.Conn
-	in  readBuffer
-	out netpoll.Writer
-	raw syscall.RawConn
+	// socket is the connection itself, or the one below TLS.
+	socket *socket
+	in     readBuffer
+	out    netpoll.Writer
+	raw    syscall.RawConn
 	// head reads the head of the current message.
 	head headReader
 	// readErr is the last read error other than a timeout.
@@ -103,45 +105,45 @@
 	if err != nil {
 		return nil, err
 	}
-	wrapped, err := Wrap(nc)
-	if err != nil {
-		return nil, err
-	}
+	s := &socket{Conn: nc}
+	var stream net.Conn = s
 	if c.TLS != nil {
-		if wrapped, err = wrapped.handshake(c); err != nil {
+		if stream, err = handshake(s, c); err != nil {
 			nc.Close()
 			return nil, err
 		}
 	}
+	wrapped, err := wrap(s, stream)
+	if err != nil {
+		return nil, err
+	}
 	wrapped.maxReplyBytes = c.MaxReplyBytes
 	return wrapped, nil
 }
 
 // handshake returns the connection with TLS on top.
-func (s *Conn) handshake(c DialConfig) (*Conn, error) {
+func handshake(s *socket, c DialConfig) (*tls.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	secured := tls.Client(s.Conn, c.TLS)
-	if err := secured.HandshakeContext(ctx); err != nil {
-		return nil, err
-	}
-	wrapped, err := Wrap(secured)
-	if err != nil {
-		return nil, err
-	}
-	// IsReusable looks for bytes or the end of the connection below TLS.
-	wrapped.raw = s.raw
-	return wrapped, nil
+	secured := tls.Client(s, c.TLS)
+	return secured, secured.HandshakeContext(ctx)
 }
 
 // Wrap adds the buffers to an open connection.
 func Wrap(nc net.Conn) (*Conn, error) {
-	c := &Conn{Conn: nc, out: netpoll.NewWriter(nc)}
+	s := &socket{Conn: nc}
+	return wrap(s, s)
+}
+
+// wrap adds the buffers to a stream over a socket.
+func wrap(s *socket, stream net.Conn) (*Conn, error) {
+	c := &Conn{Conn: stream, socket: s, out: netpoll.NewWriter(stream)}
 	c.in.source = connReader{c}
-	if s, ok := nc.(syscall.Conn); ok {
-		raw, err := s.SyscallConn()
+	// IsReusable looks for bytes or the end of the connection below TLS.
+	if nc, ok := s.Conn.(syscall.Conn); ok {
+		raw, err := nc.SyscallConn()
 		if err != nil {
-			nc.Close()
+			s.Close()
 			return nil, err
 		}
 		c.raw = raw
@@ -149,9 +151,14 @@
 	return c, nil
 }
 
-// ClosedByPeer reports whether reading ended because the peer closed its side of the
-// connection, and not by a reset or a timeout.
-func (s *Conn) ClosedByPeer() bool { return s.readErr == io.EOF } //nolint:errorlint // connReader stores it unwrapped
+// EndError returns why reading has ended, or nil if the peer closed its side of the connection. It
+// ends a write in progress, so the connection must not be used for another message.
+func (s *Conn) EndError() error {
+	if s.readErr != io.EOF { //nolint:errorlint // connReader stores it unwrapped
+		return s.readErr
+	}
+	return s.socket.endError()
+}
 
 // IsReusable reports whether the connection is open and has no unread bytes. It reads
 // from the socket, so that it detects bytes that have just arrived. The read would
--- a/pkg/admin/client_test.go
+++ b/pkg/admin/client_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"shallotglade/internal/testkit"
 	"shallotglade/pkg/admin"
 )
 
@@ -47,6 +48,18 @@
 		Expect(err).To(MatchError(ContainSubstring("Trailer")))
 	})
 
+	// Guards against a part of a refusal that is printed as the answer: the write of the document gets
+	// the reset of the connection, and the read then finds the end of the stream.
+	It("reports an answer without a length that a reset ends as none", func() {
+		address := testkit.ServeEarly(nil, func(*http.Request) testkit.EarlyAnswer {
+			return testkit.EarlyAnswer{Text: "HTTP/1.1 400 E\r\n\r\npart", End: testkit.ResetAfter(20 * time.Millisecond)}
+		})
+		c, err := admin.NewClient([]string{address}, allKey)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.Put(context.Background(), "orders", 0, make([]byte, 16<<20))
+		Expect(err).To(MatchError(ContainSubstring("did not answer")))
+	})
+
 	// Guards against a tool that hangs for the time limit when its user interrupts it.
 	It("ends a call with its context", func() {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
