Require a closure alert behind a body without a length on TLS

Seen by callers: on a connection with TLS to the platform's store, a part of an answer without a length passes for the whole one if the connection ends between two records, however it ends.

Cause: the TLS library reports the end of the connection between two records as the end of the stream, as it reports a closure alert. The reader could not tell them apart, so that a process that was killed, or anybody on the path, could cut an answer.

Evidence: a stand-in sends the part as one record and closes the sending side of TCP. The call returned the part with status 200.

Change: netconn records below TLS whether a read found the end of the connection. If it did before the end of the stream, there was no alert, and the body is not whole (RFC 9112, section 9.8). The library reads no further than the record that it needs, so after an alert no such read has happened. After an alert it does not matter how the connection ends or whether a write failed.

Test: pkg/platform "are none with TLS if they have no length and the closure alert is missing" failed before (200 "part") and passes now, also with the alert behind a complete answer to a read and to a write that was not read.

--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -151,15 +151,25 @@
 	return c, nil
 }
 
-// EndError returns why reading has ended, or nil if the peer closed its side of the connection. It
-// ends a write in progress, so the connection must not be used for another message.
+// EndError returns why reading has ended, or nil if the peer ended the stream. It may end a write in
+// progress, so the connection must not be used for another message.
 func (s *Conn) EndError() error {
-	if s.readErr != io.EOF { //nolint:errorlint // connReader stores it unwrapped
+	_, secured := s.Conn.(*tls.Conn)
+	switch {
+	case s.readErr != io.EOF: //nolint:errorlint // connReader stores it unwrapped
 		return s.readErr
+	case !secured:
+		return s.socket.lossError()
+	case s.socket.readErr != nil:
+		return errNoCloseNotify
+	default:
+		return nil
 	}
-	return s.socket.endError()
 }
 
+// errNoCloseNotify means that a connection with TLS ended without a closure alert.
+var errNoCloseNotify = errors.New("the connection ended without a closure alert of TLS")
+
 // IsReusable reports whether the connection is open and has no unread bytes. It reads
 // from the socket, so that it detects bytes that have just arrived. The read would
 // consume a byte of a pending answer, so only the owner of an idle connection may call IsReusable.
--- a/internal/netconn/socket.go
+++ b/internal/netconn/socket.go
@@ -1,7 +1,6 @@
 package netconn
 
 import (
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -52,12 +51,9 @@
 	return err != nil && !errors.IsAny(err, syscall.EPIPE, os.ErrDeadlineExceeded, net.ErrClosed)
 }
 
-// endError returns why reading has ended, or nil if the peer closed its side. It ends a write in
-// progress.
-func (s *socket) endError() error {
-	if s.readErr != io.EOF { //nolint:errorlint // a net.Conn returns it unwrapped
-		return s.readErr
-	}
+// lossError returns the error of the write that reported the loss of the connection, or nil. It ends
+// a write in progress.
+func (s *socket) lossError() error {
 	// The write may have got an error that it has not returned yet. Setting the deadline fails only
 	// on a closed connection, where no write waits.
 	_ = s.SetWriteDeadline(time.Now())
--- a/internal/testkit/early.go
+++ b/internal/testkit/early.go
@@ -34,7 +34,7 @@
 // closeDelay is long enough for the other side to notice that the sending side was closed.
 const closeDelay = 50 * time.Millisecond
 
-// CloseTCP closes the sending side without a notification of TLS, and then the connection, which
+// CloseTCP closes the sending side without a closure alert of TLS, and then the connection, which
 // resets it if there are unread bytes.
 func CloseTCP(_ net.Conn, tcp *net.TCPConn) {
 	_ = tcp.CloseWrite()
@@ -42,7 +42,7 @@
 	tcp.Close()
 }
 
-// CloseStream is CloseTCP after the notification of TLS, if that is used.
+// CloseStream is CloseTCP after the closure alert of TLS, if that is used.
 func CloseStream(stream net.Conn, tcp *net.TCPConn) {
 	if secured, ok := stream.(*tls.Conn); ok {
 		_ = secured.CloseWrite()
