Join the Content-Encoding fields of an answer

Seen by callers: an upstream sends its answer with the two fields "Content-Encoding: gzip" and "Content-Encoding: br". The caller gets the body with "br" alone and cannot decode it.

Cause: several such fields are one list (RFC 9110, section 5.3). The reader of heads accepts them, and the HTTP library, which parses the head after it, has one place for the value and keeps the last. The comparison of the fields of answers in the fuzz test left this field out.

Evidence: the client for upstreams returned "br" for the two fields, and no value if the last field was empty.

Change: the reader of heads records the values and sets their list in the parsed head, without empty ones and direct repetitions, which the library had dropped too. Such a field describes the body, so it must not be folded. Content-Type stays as it is: RFC 9110 (section 8.3) describes that recipients take the last one.

--- a/internal/httphead/fuzz_test.go
+++ b/internal/httphead/fuzz_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"testing"
 
@@ -35,6 +36,7 @@
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-A\r\nSet-Cookie: a=b; Path=/\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
 	"HTTP/1.0 503 Busy\nRetry-After: 1\nConnection: close\n\n",
 	"HTTP/1.1 503 E\r\nX-Refused: 1HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Encoding: a\r\nContent-encoding: a\r\nContent-Encoding: b, c\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\td\r\nTrailer: ,,\r\nContent-Type: a/b\r\nContent-Encoding: x\r\n\r\n",
 }
 
@@ -142,9 +144,12 @@
 			joinBlanks(values)
 		}
 	}
-	// The HTTP library keeps one of each.
-	want.Header.Del("Server")
+	want.Header.Del("Server") // The HTTP library keeps one.
+	codings := slices.DeleteFunc(want.Header["Content-Encoding"], func(coding string) bool { return coding == "" })
 	want.Header.Del("Content-Encoding")
+	if len(codings) > 0 {
+		want.Header.Set("Content-Encoding", strings.Join(slices.Compact(codings), ", "))
+	}
 	checkFields(t, text, fields.Values, want.Header)
 	for name := range fields {
 		if strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
--- a/internal/httphead/scanner.go
+++ b/internal/httphead/scanner.go
@@ -27,6 +27,8 @@
 	lengthDigits  int
 	// chunked is true if there is a Transfer-Encoding field, whose only coding is chunked.
 	chunked bool
+	// contentCodings holds the values of the Content-Encoding fields of an answer.
+	contentCodings []string
 	// foldable is true if the previous line is a field whose value may continue on the next.
 	foldable bool
 }
@@ -34,6 +36,10 @@
 // Size returns the size of the checked lines, which is that of the head once it is complete.
 func (s *Scanner) Size() int { return s.size }
 
+// ContentCoding returns the values of the Content-Encoding fields of an answer as one list, or an
+// empty string if there are none.
+func (s *Scanner) ContentCoding() string { return strings.Join(s.contentCodings, ", ") }
+
 // Scan checks the lines of the head that have become complete. received begins with the first
 // byte of the head. Scan reports whether the head is complete, and returns an *Error as soon as
 // the bytes cannot be the start of a valid head.
@@ -135,6 +141,11 @@
 		if isName(name, "Content-Length") {
 			return s.checkContentLength(value)
 		}
+	case len("Content-Encoding"):
+		if !s.Request && isName(name, "Content-Encoding") {
+			s.addContentCoding(string(bytes.Trim(value, " \t")))
+			return nil
+		}
 	case len("Transfer-Encoding"):
 		if isName(name, "Transfer-Encoding") {
 			return s.checkTransferEncoding(value)
@@ -188,6 +199,13 @@
 	return nil
 }
 
+// addContentCoding records the value of a field unless it is empty or repeats the previous one.
+func (s *Scanner) addContentCoding(value string) {
+	if n := len(s.contentCodings); value != "" && (n == 0 || s.contentCodings[n-1] != value) {
+		s.contentCodings = append(s.contentCodings, value)
+	}
+}
+
 // checkTransferEncoding accepts one field with the coding chunked. The HTTP library takes every
 // coding but identity for chunked.
 func (s *Scanner) checkTransferEncoding(value []byte) error {
--- a/internal/netconn/head.go
+++ b/internal/netconn/head.go
@@ -27,7 +27,8 @@
 // together may have limit bytes.
 func (s *Conn) ReadAnswerHead(h *protocol.ResponseHeader, limit int) error {
 	for {
-		if err := s.awaitHead(httphead.Scanner{}, limit); err != nil {
+		var scanner httphead.Scanner
+		if err := s.awaitHead(&scanner, limit); err != nil {
 			return err
 		}
 		size := s.head.remaining
@@ -37,6 +38,10 @@
 		if s.head.remaining != 0 {
 			return errHeadMismatch
 		}
+		if coding := scanner.ContentCoding(); coding != "" {
+			// The library keeps the last of several fields.
+			h.SetContentEncoding(coding)
+		}
 		limit -= size
 		switch status := h.StatusCode(); {
 		case status == statusSwitchingProtocols:
@@ -50,7 +55,7 @@
 // ReadRequestHead reads the head of the next request, which may have limit bytes. It returns
 // io.ErrUnexpectedEOF if the connection ends before the head does.
 func (s *Conn) ReadRequestHead(h *protocol.RequestHeader, limit int) error {
-	if err := s.awaitHead(httphead.Scanner{Request: true}, limit); errors.Is(err, io.EOF) {
+	if err := s.awaitHead(&httphead.Scanner{Request: true}, limit); errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	} else if err != nil {
 		return err
@@ -65,9 +70,9 @@
 }
 
 // awaitHead waits until the complete head of a message has arrived, and prepares s.head to read
-// it. It fails as soon as the scanner refuses the bytes, or when the head does not end within
-// limit bytes.
-func (s *Conn) awaitHead(scanner httphead.Scanner, limit int) error {
+// it. It fails as soon as the scanner, which is new, refuses the bytes, or when the head does not end
+// within limit bytes.
+func (s *Conn) awaitHead(scanner *httphead.Scanner, limit int) error {
 	for n := 1; ; n = s.Len() + 1 {
 		if n > limit {
 			return ErrHeadTooLong
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -150,6 +150,18 @@
 		Entry("zero byte in a field", completeResponse("x", "X-A: a\x00b\r\n"), upstream.Failure, verdict.MayHaveRun, false),
 	)
 
+	// Guards against a body that the caller cannot decode, because it does not learn all of its codings.
+	DescribeTable("joins the codings of a response", func(lines, codings string) {
+		got := do(serve(func(int, *http.Request) string { return completeResponse("x", lines) }), time.Second)
+		Expect(got.Err).NotTo(HaveOccurred())
+		Expect(got.Response.Headers).To(ContainElement(upstream.Header{Name: "Content-Encoding", Value: codings}))
+	},
+		Entry("of one field", "Content-Encoding: gzip, br\r\n", "gzip, br"),
+		Entry("of several fields", "Content-Encoding: gzip\r\ncontent-encoding: br\r\n", "gzip, br"),
+		Entry("of a field that is repeated", "Content-Encoding: gzip\r\nContent-Encoding: gzip\r\n", "gzip"),
+		Entry("of fields without a value", "Content-Encoding:\r\nContent-Encoding: gzip\r\nContent-Encoding: \r\n", "gzip"),
+	)
+
 	// Guards against a response that was broken off and reaches the caller as a complete one.
 	It("returns no response that the upstream broke off, wherever it did", func() {
 		native := dialect.Native()
